--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,165 @@
+//! The subcommands.
+
+mod apply;
+mod check;
+mod demo;
+mod get;
+mod report;
+mod serve;
+mod status;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
+use thiserror::Error;
+
+/// Exit code when something was found to be wrong.
+const EXIT_FAILED: u8 = 1;
+/// Exit code when the command line cannot be understood.
+const EXIT_USAGE: u8 = 2;
+/// Exit code when another operator's change came first.
+const EXIT_CONFLICT: u8 = 3;
+/// Exit code when the platform or a router gave no answer.
+const EXIT_UNAVAILABLE: u8 = 4;
+
+const USAGE: &str = "\
+Serves language-model requests against prepaid token budgets.
+
+Usage:
+    currantlever <command> [<args>...]
+    currantlever --help | --version
+
+Commands:
+    apply       Put an edited list into the platform
+    check       Validate settings and lists
+    demo        Run a whole site in one process and reconcile its budgets
+    get         Print a list as it stands in the platform
+    serve       Run a router
+    status      Show the fleet and the budgets
+
+'currantlever <command> --help' tells more.
+
+Exit codes:
+    0  done
+    1  something was found to be wrong
+    2  the command line cannot be understood
+    3  another operator's change came first
+    4  the platform gave no answer
+";
+
+/// The subcommands by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+enum Command {
+    Apply,
+    Check,
+    Demo,
+    Get,
+    Serve,
+    Status,
+}
+
+/// Why a command ended without success.
+#[derive(Debug, Error)]
+pub(crate) enum CommandError {
+    /// The command line cannot be understood.
+    #[error(transparent)]
+    Usage(#[from] lexopt::Error),
+    /// Something was found to be wrong; it has been told already or is told here.
+    #[error("{0}")]
+    Failed(String),
+    /// Another operator's change came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// The platform or a router gave no answer.
+    #[error("{0}")]
+    Unavailable(String),
+}
+
+impl CommandError {
+    /// Any error as the failure of a command.
+    #[allow(clippy::needless_pass_by_value, reason = "handed to map_err")]
+    pub(crate) fn failed<T>(error: T) -> Self
+    where
+        T: ToString,
+    {
+        Self::Failed(error.to_string())
+    }
+
+    const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => EXIT_USAGE,
+            Self::Failed(_) => EXIT_FAILED,
+            Self::Conflict(_) => EXIT_CONFLICT,
+            Self::Unavailable(_) => EXIT_UNAVAILABLE,
+        }
+    }
+}
+
+/// Runs the command line and returns the exit code of the process.
+#[must_use]
+pub fn run(args: Vec<OsString>) -> ExitCode {
+    match dispatch(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("currantlever: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn dispatch(args: Vec<OsString>) -> Result<(), CommandError> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let command = match parser.next()? {
+        None | Some(Short('h') | Long("help")) => {
+            print!("{USAGE}");
+            return Ok(());
+        }
+        Some(Short('V') | Long("version")) => {
+            println!("currantlever {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        Some(Value(name)) => parse_command(&name.string()?)?,
+        Some(other) => return Err(other.unexpected().into()),
+    };
+    match command {
+        Command::Apply => apply::run(parser),
+        Command::Check => check::run(parser),
+        Command::Demo => demo::run(parser),
+        Command::Get => get::run(parser),
+        Command::Serve => serve::run(parser),
+        Command::Status => status::run(parser),
+    }
+}
+
+fn parse_command(name: &str) -> Result<Command, CommandError> {
+    name.parse().map_err(|_| {
+        let known: Vec<String> = Command::iter().map(|command| command.to_string()).collect();
+        let text = format!("unknown command {name:?}; there are {}", known.join(", "));
+        CommandError::Usage(text.into())
+    })
+}
+
+/// Prints a command's usage text, or the version, if that is asked for.
+pub(crate) fn is_about_command(arg: &lexopt::Arg<'_>, usage: &str) -> bool {
+    match arg {
+        Short('h') | Long("help") => print!("{usage}"),
+        Short('V') | Long("version") => println!("currantlever {}", env!("CARGO_PKG_VERSION")),
+        _ => return false,
+    }
+    true
+}
+
+/// Starts the runtime on which a command's asynchronous part runs.
+pub(crate) fn block_on<F>(work: F) -> Result<(), CommandError>
+where
+    F: std::future::Future<Output = Result<(), CommandError>>,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(CommandError::failed)?;
+    runtime.block_on(work)
+}
--- /dev/null
+++ b/src/core/ids.rs
@@ -0,0 +1,241 @@
+//! Identifiers of the things that the core and the lists name.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Why a text is not an identifier.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum IdError {
+    /// The text is empty.
+    #[error("the name is empty")]
+    Empty,
+    /// The text is longer than [`MAX_NAME_BYTES`].
+    #[error("the name has {length_bytes} bytes, more than {MAX_NAME_BYTES}")]
+    TooLong {
+        /// Length of the text.
+        length_bytes: usize,
+    },
+    /// The text holds a character outside `A-Z a-z 0-9 . _ : -`.
+    #[error("the name holds {found:?}; allowed are letters, digits and . _ : -")]
+    Character {
+        /// The first such character.
+        found: char,
+    },
+    /// The text is not 16 hexadecimal digits.
+    #[error("a holder id has 16 hexadecimal digits")]
+    NotHex,
+}
+
+/// Bits of a holder id that number the incarnations.
+const INCARNATION_MASK: u64 = 0xff;
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(IdError::TooLong {
+            length_bytes: text.len(),
+        });
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || ".:_-".contains(c);
+    match text.chars().find(|c| !is_allowed(*c)) {
+        Some(found) => Err(IdError::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "CompactString", into = "CompactString")]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// Checks and wraps a name.
+            ///
+            /// # Errors
+            ///
+            /// Fails when the text is empty, too long or holds a character that is not allowed.
+            pub fn new<T>(text: T) -> Result<Self, IdError>
+            where
+                T: Into<CompactString>,
+            {
+                let text = text.into();
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                Self::new(text)
+            }
+        }
+
+        impl TryFrom<CompactString> for $name {
+            type Error = IdError;
+
+            fn try_from(text: CompactString) -> Result<Self, Self::Error> {
+                Self::new(text)
+            }
+        }
+
+        impl From<$name> for CompactString {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A team: one paying customer.
+    TeamId
+);
+name_type!(
+    /// A plan: the rules that a team bought.
+    PlanId
+);
+name_type!(
+    /// A prepaid budget of a team.
+    BudgetId
+);
+name_type!(
+    /// A pool of replicas that serve the same models or the same plain service.
+    PoolId
+);
+name_type!(
+    /// A model as callers name it.
+    ModelId
+);
+name_type!(
+    /// A plain service as callers name it.
+    ServiceId
+);
+name_type!(
+    /// One replica in a pool.
+    ReplicaId
+);
+name_type!(
+    /// A failure domain.
+    FailureDomain
+);
+name_type!(
+    /// A virtual machine of the fleet.
+    VmId
+);
+name_type!(
+    /// A request, unique within its team. Taken from the caller's `Idempotency-Key`.
+    ///
+    /// ```
+    /// use currantlever::RequestId;
+    /// assert!("order-17".parse::<RequestId>().is_ok());
+    /// assert!("two words".parse::<RequestId>().is_err());
+    /// ```
+    RequestId
+);
+
+/// One start of a router process, and within it one incarnation of a grant.
+///
+/// The low byte numbers the incarnations: a live router whose grant was sealed by mistake goes on
+/// under the next one. A restarted router has a new process id.
+///
+/// ```
+/// use currantlever::HolderId;
+/// let holder = HolderId::new(0xfeed);
+/// assert_eq!(holder.to_string(), "000000000000feed");
+/// assert_eq!("000000000000feed".parse(), Ok(holder));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct HolderId(u64);
+
+impl HolderId {
+    /// Wraps the number of an incarnation.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The id of a process start that drew this random number.
+    #[must_use]
+    pub const fn from_random(random: u64) -> Self {
+        Self(random & !INCARNATION_MASK)
+    }
+
+    /// The process start that an incarnation belongs to.
+    #[must_use]
+    pub const fn process(self) -> Self {
+        Self(self.0 & !INCARNATION_MASK)
+    }
+
+    /// The next incarnation of the same process; the first again after the last.
+    #[must_use]
+    pub const fn next_incarnation(self) -> Self {
+        let next = self.0.wrapping_add(1) & INCARNATION_MASK;
+        Self((self.0 & !INCARNATION_MASK) | next)
+    }
+
+    /// The number inside.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for HolderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for HolderId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        if !is_hex {
+            return Err(IdError::NotHex);
+        }
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| IdError::NotHex)
+    }
+}
+
+impl TryFrom<CompactString> for HolderId {
+    type Error = IdError;
+
+    fn try_from(text: CompactString) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<HolderId> for CompactString {
+    fn from(holder: HolderId) -> Self {
+        compact_str::format_compact!("{holder}")
+    }
+}
--- /dev/null
+++ b/src/core/ledger.rs
@@ -0,0 +1,274 @@
+//! The ledger: who holds how much of each budget.
+//!
+//! One platform object holds the entries of one budget shard and is changed only by conditional
+//! update. All counters are cumulative and only grow, so an update can be repeated without harm.
+//!
+//! Invariant: the sum over all rows of `granted_tokens - returned_tokens` never exceeds the
+//! `paid_tokens` that was in force when the newest grant was made.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::ids::{BudgetId, HolderId};
+use super::units::Tokens;
+
+/// Version of the accepted lists, rising by one with each accepted change.
+pub type Generation = u64;
+
+/// The value of one ledger object: the entries of a budget shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerShard {
+    /// Entry of each budget in the shard that was ever drawn on.
+    pub entries: BTreeMap<BudgetId, BudgetEntry>,
+}
+
+/// The ledger entry of one budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetEntry {
+    /// Cumulative prepaid amount by the newest list seen here.
+    pub paid_tokens: Tokens,
+    /// Generation of that list.
+    pub generation: Generation,
+    /// One row for each router process that ever held a grant of this budget.
+    pub rows: BTreeMap<HolderId, GrantRow>,
+}
+
+/// What one holder has of one budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantRow {
+    /// Number of the holder's last update that took effect.
+    pub seq: u64,
+    /// Cumulative tokens granted to the holder.
+    pub granted_tokens: Tokens,
+    /// Cumulative tokens that the holder, or a reclaimer after sealing, gave back.
+    pub returned_tokens: Tokens,
+    /// Cumulative tokens received from other holders, as last reported.
+    pub received_tokens: Tokens,
+    /// Cumulative tokens handed to other holders, as last reported.
+    pub sent_tokens: Tokens,
+    /// Cumulative tokens spent on requests, as last reported.
+    pub spent_tokens: Tokens,
+    /// The router process that acknowledges the holder's horizon.
+    pub witness: Option<HolderId>,
+    /// Consumption that is allowed without an acknowledgement by the present witness.
+    pub horizon_floor_tokens: Tokens,
+    /// A sealed row gets no further grants.
+    pub sealed: bool,
+}
+
+impl GrantRow {
+    /// The most that the holder may consume, as far as the ledger knows.
+    #[must_use]
+    pub fn limit_tokens(&self) -> Tokens {
+        self.granted_tokens + self.received_tokens - self.returned_tokens
+    }
+
+    /// Tokens that are neither spent, sent nor given back.
+    #[must_use]
+    pub fn unspent_tokens(&self) -> Tokens {
+        self.limit_tokens() - self.spent_tokens - self.sent_tokens
+    }
+}
+
+/// One numbered change of a holder's own row.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct HolderUpdate {
+    /// The router process that asks.
+    pub holder: HolderId,
+    /// Number of this update, one more than the last that took effect.
+    pub seq: u64,
+    /// Generation of the list that the holder has.
+    pub generation: Generation,
+    /// Prepaid amount in that list.
+    pub paid_tokens: Tokens,
+    /// Tokens wanted now; less may be granted.
+    pub draw_tokens: Tokens,
+    /// Cumulative tokens given back, including by this update.
+    pub returned_tokens: Tokens,
+    /// Cumulative tokens received from other holders.
+    pub received_tokens: Tokens,
+    /// Cumulative tokens handed to other holders.
+    pub sent_tokens: Tokens,
+    /// Cumulative tokens spent on requests.
+    pub spent_tokens: Tokens,
+    /// Witness from this update on.
+    pub witness: Option<HolderId>,
+    /// Consumption already allowed by the former witness.
+    pub horizon_floor_tokens: Tokens,
+}
+
+/// What an update led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UpdateOutcome {
+    /// The update changed the entry.
+    Applied,
+    /// The update had taken effect before; nothing changed.
+    AlreadyApplied,
+}
+
+/// Why an update changed nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum LedgerError {
+    /// The holder's list is older than the newest list that granted from this budget.
+    #[error("list generation {held} is older than generation {newest} in the ledger")]
+    StaleList {
+        /// Generation that the holder has.
+        held: Generation,
+        /// Generation in the entry.
+        newest: Generation,
+    },
+    /// The row was sealed by a reclaimer.
+    #[error("the grant of holder {holder} is sealed")]
+    Sealed {
+        /// The holder.
+        holder: HolderId,
+    },
+    /// The update gives back more than the holder has, or a counter falls.
+    #[error("update {seq} of holder {holder} does not fit its row")]
+    Inconsistent {
+        /// The holder.
+        holder: HolderId,
+        /// Number of the update.
+        seq: u64,
+    },
+    /// The row named is not in the entry.
+    #[error("holder {holder} has no row")]
+    NoRow {
+        /// The holder.
+        holder: HolderId,
+    },
+    /// The witness in the row is not the one that was sealed.
+    #[error("the witness of holder {holder} has changed")]
+    WitnessChanged {
+        /// The holder.
+        holder: HolderId,
+    },
+}
+
+impl BudgetEntry {
+    /// Tokens charged against the budget: granted and not given back.
+    #[must_use]
+    pub fn charged_tokens(&self) -> Tokens {
+        let granted: Tokens = self.rows.values().map(|row| row.granted_tokens).sum();
+        let returned: Tokens = self.rows.values().map(|row| row.returned_tokens).sum();
+        granted - returned
+    }
+
+    /// Tokens that can still be granted.
+    #[must_use]
+    pub fn available_tokens(&self) -> Tokens {
+        self.paid_tokens - self.charged_tokens()
+    }
+
+    /// Tokens spent on requests, as reported by all holders.
+    #[must_use]
+    pub fn spent_tokens(&self) -> Tokens {
+        self.rows.values().map(|row| row.spent_tokens).sum()
+    }
+
+    /// Tokens that sealed holders may still have spent or may still spend; never granted again.
+    #[must_use]
+    pub fn stranded_tokens(&self) -> Tokens {
+        let sealed = self.rows.values().filter(|row| row.sealed);
+        sealed.map(GrantRow::unspent_tokens).sum()
+    }
+
+    /// Takes over a prepaid amount from a newer list.
+    ///
+    /// A fall below what is granted does not recall grants; it stops new ones.
+    pub fn learn_paid(&mut self, generation: Generation, paid_tokens: Tokens) {
+        if generation > self.generation {
+            self.generation = generation;
+            self.paid_tokens = paid_tokens;
+        }
+    }
+
+    /// Applies a holder's numbered update.
+    ///
+    /// # Errors
+    ///
+    /// Fails, leaving the entry unchanged, when the holder's list is older than the entry's, the
+    /// row is sealed and the update draws, or the counters do not fit the row.
+    pub fn apply(&mut self, update: &HolderUpdate) -> Result<UpdateOutcome, LedgerError> {
+        let row = self.rows.get(&update.holder).cloned().unwrap_or_default();
+        if row.seq >= update.seq {
+            return Ok(UpdateOutcome::AlreadyApplied);
+        }
+        if row.sealed && update.draw_tokens > Tokens::ZERO {
+            return Err(LedgerError::Sealed {
+                holder: update.holder,
+            });
+        }
+        if update.draw_tokens > Tokens::ZERO && update.generation < self.generation {
+            return Err(LedgerError::StaleList {
+                held: update.generation,
+                newest: self.generation,
+            });
+        }
+        let mut next = updated_row(&row, update)?;
+        self.learn_paid(update.generation, update.paid_tokens);
+        self.rows.insert(update.holder, next.clone());
+        next.granted_tokens += update.draw_tokens.min(self.available_tokens());
+        self.rows.insert(update.holder, next);
+        Ok(UpdateOutcome::Applied)
+    }
+
+    /// Closes the grant of a holder whose witness was sealed at `horizon_tokens`, and frees what
+    /// lies beyond it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the row is missing or names another witness than the sealed one.
+    pub fn reclaim(
+        &mut self,
+        holder: HolderId,
+        witness: HolderId,
+        horizon_tokens: Tokens,
+    ) -> Result<Tokens, LedgerError> {
+        let row = self
+            .rows
+            .get_mut(&holder)
+            .ok_or(LedgerError::NoRow { holder })?;
+        if row.witness != Some(witness) {
+            return Err(LedgerError::WitnessChanged { holder });
+        }
+        let horizon_tokens = horizon_tokens.max(row.horizon_floor_tokens);
+        let returned_tokens = (row.granted_tokens + row.received_tokens) - horizon_tokens;
+        let freed_tokens = returned_tokens - row.returned_tokens;
+        row.returned_tokens = row.returned_tokens.max(returned_tokens);
+        row.sealed = true;
+        Ok(freed_tokens)
+    }
+}
+
+fn updated_row(row: &GrantRow, update: &HolderUpdate) -> Result<GrantRow, LedgerError> {
+    let inconsistent = LedgerError::Inconsistent {
+        holder: update.holder,
+        seq: update.seq,
+    };
+    let falls = update.returned_tokens < row.returned_tokens
+        || update.received_tokens < row.received_tokens
+        || update.sent_tokens < row.sent_tokens
+        || update.spent_tokens < row.spent_tokens;
+    let consumed_tokens = update.spent_tokens + update.sent_tokens;
+    let held_tokens = row.granted_tokens + update.received_tokens;
+    if falls || consumed_tokens + update.returned_tokens > held_tokens {
+        return Err(inconsistent);
+    }
+    let mut next = row.clone();
+    next.seq = update.seq;
+    next.returned_tokens = update.returned_tokens;
+    next.received_tokens = update.received_tokens;
+    next.sent_tokens = update.sent_tokens;
+    next.spent_tokens = update.spent_tokens;
+    if !row.sealed {
+        next.witness = update.witness;
+        next.horizon_floor_tokens = row.horizon_floor_tokens.max(update.horizon_floor_tokens);
+    }
+    Ok(next)
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,16 @@
+//! The decision core: pure state machines with no clock, socket or random source inside.
+//!
+//! The daemon, the model checker and the policy bench all drive this code.
+
+pub mod bill;
+pub mod claim;
+pub mod fair_queue;
+pub mod holder;
+pub mod ids;
+pub mod ledger;
+pub mod policy;
+pub mod quarantine;
+pub mod retry_budget;
+pub mod routing;
+pub mod units;
+pub mod witness;
--- /dev/null
+++ b/src/core/policy.rs
@@ -0,0 +1,211 @@
+//! How large grants are: the policy that trades platform writes against false refusals.
+
+use std::fmt::Debug;
+
+use strum::{Display, EnumIter, EnumString};
+
+use super::units::Tokens;
+
+/// What a policy sees of one budget at one holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GrantView {
+    /// Tokens in the ledger that nobody holds, as last read.
+    pub available_tokens: Tokens,
+    /// Prepaid amount by the holder's list.
+    pub paid_tokens: Tokens,
+    /// Tokens that this holder can still reserve below its limit.
+    pub free_tokens: Tokens,
+    /// Tokens reserved for requests in progress.
+    pub reserved_tokens: Tokens,
+    /// Tokens that this holder reserved a second, averaged over recent seconds.
+    pub demand_tokens_per_s: u64,
+    /// Largest reservation seen lately.
+    pub largest_request_tokens: Tokens,
+    /// Routers that draw on the budget.
+    pub holder_count: u64,
+}
+
+/// What a policy wants done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GrantDecision {
+    /// Tokens to draw from the ledger.
+    pub draw_tokens: Tokens,
+    /// Tokens to give back to the ledger.
+    pub return_tokens: Tokens,
+}
+
+/// Decides on the size of grants.
+pub trait GrantPolicy: Debug + Send + Sync {
+    /// Decides for one budget at one holder.
+    fn decide(&self, view: &GrantView) -> GrantDecision;
+
+    /// Decides when a request needs more than the holder has.
+    fn decide_for_request(&self, view: &GrantView, needed_tokens: Tokens) -> GrantDecision {
+        let mut decision = self.decide(view);
+        decision.return_tokens = Tokens::ZERO;
+        decision.draw_tokens = decision.draw_tokens.max(needed_tokens - view.free_tokens);
+        decision
+    }
+
+    /// True when holders hand tokens to one another.
+    fn hands_over(&self) -> bool {
+        false
+    }
+}
+
+/// The policies that can be chosen by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PolicyName {
+    /// A fixed size, whatever the demand.
+    Fixed,
+    /// Some seconds of recent demand.
+    Proportional,
+    /// Some seconds of recent demand, but never more than a share of what is left.
+    Shrinking,
+    /// As shrinking, with tokens handed from holder to holder.
+    HandOver,
+}
+
+impl PolicyName {
+    /// Builds the policy.
+    #[must_use]
+    pub fn build(self) -> Box<dyn GrantPolicy> {
+        match self {
+            Self::Fixed => Box::new(FixedPolicy::new(FIXED_GRANT_TOKENS)),
+            Self::Proportional => Box::new(ProportionalPolicy::new(COVER_S)),
+            Self::Shrinking => Box::new(ShrinkingPolicy::new(COVER_S)),
+            Self::HandOver => Box::new(HandOverPolicy::new(COVER_S)),
+        }
+    }
+}
+
+/// Size of a fixed grant.
+pub const FIXED_GRANT_TOKENS: Tokens = Tokens::new(200_000);
+/// Seconds of recent demand that a grant covers.
+pub const COVER_S: u64 = 20;
+/// A holder gives back what exceeds this many times its target.
+const SURPLUS_FACTOR: u64 = 3;
+/// A shrinking grant leaves this many shares of the rest for each other holder.
+const REST_SHARE: u64 = 2;
+
+/// Draws a fixed amount whenever less than half of it is left.
+#[derive(Clone, Copy, Debug)]
+pub struct FixedPolicy {
+    size_tokens: Tokens,
+}
+
+impl FixedPolicy {
+    /// A policy with grants of the given size.
+    #[must_use]
+    pub const fn new(size_tokens: Tokens) -> Self {
+        Self { size_tokens }
+    }
+}
+
+impl GrantPolicy for FixedPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        let is_used = view.demand_tokens_per_s > 0;
+        if is_used && view.free_tokens < self.size_tokens.scaled(1, 2) {
+            return GrantDecision {
+                draw_tokens: self.size_tokens,
+                ..GrantDecision::default()
+            };
+        }
+        GrantDecision::default()
+    }
+}
+
+/// Keeps some seconds of recent demand and gives back what is far more.
+#[derive(Clone, Copy, Debug)]
+pub struct ProportionalPolicy {
+    cover_s: u64,
+}
+
+impl ProportionalPolicy {
+    /// A policy whose grants cover the given seconds of demand.
+    #[must_use]
+    pub const fn new(cover_s: u64) -> Self {
+        Self { cover_s }
+    }
+
+    fn target_tokens(self, view: &GrantView) -> Tokens {
+        let demand_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(self.cover_s));
+        if demand_tokens == Tokens::ZERO {
+            return Tokens::ZERO;
+        }
+        demand_tokens.max(view.largest_request_tokens.scaled(2, 1))
+    }
+}
+
+impl GrantPolicy for ProportionalPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        move_towards(view.free_tokens, self.target_tokens(view))
+    }
+}
+
+/// As proportional, but takes at most an even share of the rest as the budget runs low.
+#[derive(Clone, Copy, Debug)]
+pub struct ShrinkingPolicy {
+    proportional: ProportionalPolicy,
+}
+
+impl ShrinkingPolicy {
+    /// A policy whose grants cover the given seconds of demand while the budget is full.
+    #[must_use]
+    pub const fn new(cover_s: u64) -> Self {
+        Self {
+            proportional: ProportionalPolicy::new(cover_s),
+        }
+    }
+
+    fn target_tokens(self, view: &GrantView) -> Tokens {
+        let wanted_tokens = self.proportional.target_tokens(view);
+        let rest_tokens = view.available_tokens + view.free_tokens;
+        let share_tokens = rest_tokens.scaled(1, REST_SHARE * view.holder_count.max(1));
+        wanted_tokens.min(share_tokens)
+    }
+}
+
+impl GrantPolicy for ShrinkingPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        move_towards(view.free_tokens, self.target_tokens(view))
+    }
+}
+
+/// As shrinking, and asks other holders before it refuses.
+#[derive(Clone, Copy, Debug)]
+pub struct HandOverPolicy {
+    shrinking: ShrinkingPolicy,
+}
+
+impl HandOverPolicy {
+    /// A policy whose grants cover the given seconds of demand while the budget is full.
+    #[must_use]
+    pub const fn new(cover_s: u64) -> Self {
+        Self {
+            shrinking: ShrinkingPolicy::new(cover_s),
+        }
+    }
+}
+
+impl GrantPolicy for HandOverPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        self.shrinking.decide(view)
+    }
+
+    fn hands_over(&self) -> bool {
+        true
+    }
+}
+
+fn move_towards(free_tokens: Tokens, target_tokens: Tokens) -> GrantDecision {
+    let mut decision = GrantDecision::default();
+    if free_tokens < target_tokens.scaled(1, 2) {
+        decision.draw_tokens = target_tokens - free_tokens;
+    }
+    if free_tokens > target_tokens.scaled(SURPLUS_FACTOR, 1) {
+        decision.return_tokens = free_tokens - target_tokens;
+    }
+    decision
+}
--- /dev/null
+++ b/src/core/retry_budget.rs
@@ -0,0 +1,50 @@
+//! A bound on retries as a share of requests, so that failures do not multiply load.
+
+/// Credit that a new request adds.
+const REQUEST_CREDIT: u64 = 10;
+/// Credit that a retry costs: retries stay under a tenth of requests.
+const RETRY_COST: u64 = 100;
+/// Most credit that is kept.
+const MAX_CREDIT: u64 = 10_000;
+
+/// Credit for retries.
+///
+/// ```
+/// use currantlever::RetryBudget;
+/// let mut budget = RetryBudget::new();
+/// while budget.try_retry() {}
+/// (0..10).for_each(|_| budget.note_request());
+/// assert!(budget.try_retry());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryBudget {
+    credit: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RetryBudget {
+    /// A budget with full credit.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { credit: MAX_CREDIT }
+    }
+
+    /// Adds the credit of a new request.
+    pub fn note_request(&mut self) {
+        self.credit = (self.credit + REQUEST_CREDIT).min(MAX_CREDIT);
+    }
+
+    /// Takes the credit for one retry, if there is enough.
+    pub fn try_retry(&mut self) -> bool {
+        let is_allowed = self.credit >= RETRY_COST;
+        if is_allowed {
+            self.credit -= RETRY_COST;
+        }
+        is_allowed
+    }
+}
--- /dev/null
+++ b/src/core/units.rs
@@ -0,0 +1,107 @@
+//! Amounts that the core counts.
+
+use std::fmt;
+use std::iter::Sum;
+use std::num::ParseIntError;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A number of tokens.
+///
+/// Arithmetic saturates at the ends of the range: a counter never wraps, and a difference that
+/// would be negative is zero.
+///
+/// ```
+/// use currantlever::Tokens;
+/// assert_eq!(Tokens::new(3) + Tokens::new(4), Tokens::new(7));
+/// assert_eq!(Tokens::new(3) - Tokens::new(4), Tokens::ZERO);
+/// assert_eq!("42".parse::<Tokens>().unwrap().to_string(), "42");
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(u64);
+
+impl Tokens {
+    /// No tokens.
+    pub const ZERO: Self = Self(0);
+    /// More tokens than any budget holds.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Wraps a plain count.
+    #[must_use]
+    pub const fn new(count: u64) -> Self {
+        Self(count)
+    }
+
+    /// The plain count.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The product of the amount and `numerator / denominator`, rounded down.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `denominator` is zero.
+    #[must_use]
+    pub fn scaled(self, numerator: u64, denominator: u64) -> Self {
+        let product = u128::from(self.0) * u128::from(numerator) / u128::from(denominator);
+        Self(u64::try_from(product).unwrap_or(u64::MAX))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl SubAssign for Tokens {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I>(amounts: I) -> Self
+    where
+        I: Iterator<Item = Self>,
+    {
+        amounts.fold(Self::ZERO, Add::add)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,166 @@
+//! One router as a running daemon: its HTTP and router-to-router sides and its work beside them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, Logger};
+use thiserror::Error;
+use tokio::task::JoinSet;
+
+use crate::backend::http::HttpBackend;
+use crate::http_server::{HttpServer, StartError};
+use crate::peer::rpc::{FleetSecret, RpcError, RpcNetwork};
+use crate::peer::{PeerNetwork, PeerRouter};
+use crate::platform::http::HttpStore;
+use crate::router::{web, Borders, Router, RouterOptions};
+use crate::settings::Settings;
+use crate::telemetry::TelemetryError;
+use crate::vm_list::HttpVmList;
+
+/// Longest time to connect to a backend server or the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle connections are closed before servers usually close them.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Why a router did not start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// The HTTP side.
+    #[error(transparent)]
+    Http(#[from] StartError),
+    /// The router-to-router side.
+    #[error(transparent)]
+    Rpc(#[from] RpcError),
+    /// The metrics.
+    #[error(transparent)]
+    Telemetry(#[from] TelemetryError),
+    /// The HTTP client.
+    #[error("HTTP client: {0}")]
+    Client(#[from] reqwest::Error),
+}
+
+/// A running router.
+#[derive(Debug)]
+pub struct Daemon {
+    router: Arc<Router>,
+    server: HttpServer,
+    peer_address: SocketAddr,
+    tasks: JoinSet<()>,
+}
+
+/// The HTTP client that a router uses towards the platform and backend servers.
+///
+/// # Errors
+///
+/// Fails when the TLS library cannot be set up.
+pub fn http_client() -> Result<reqwest::Client, reqwest::Error> {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .tcp_nodelay(true)
+        .build()
+}
+
+impl Daemon {
+    /// Starts a router whose peers are reached over the network.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or a library cannot be set up.
+    pub async fn start(
+        mut settings: Settings,
+        secret: FleetSecret,
+        options: RouterOptions,
+        log: &Logger,
+    ) -> Result<Self, DaemonError> {
+        let network = RpcNetwork::start(settings.peer_listen, secret)?;
+        settings.peer_listen = network.address();
+        let borders = network_borders(&settings, Arc::new(network.clone()))?;
+        let daemon = Self::start_with(settings, borders, options, log).await?;
+        let router: Arc<dyn PeerRouter> = daemon.router();
+        network.serve(router).await;
+        Ok(daemon)
+    }
+
+    /// Starts a router on given borders.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or a library cannot be set up.
+    pub async fn start_with(
+        settings: Settings,
+        borders: Borders,
+        options: RouterOptions,
+        log: &Logger,
+    ) -> Result<Self, DaemonError> {
+        let peer_address = settings.peer_address();
+        let advertise = settings.advertise;
+        let router = Arc::new(Router::new(settings, borders, options, log)?);
+        let server = HttpServer::start(web::build(&router)).await?;
+        router
+            .fleet
+            .set_address(advertise.unwrap_or(server.address()));
+        let mut tasks = JoinSet::new();
+        router.start(&mut tasks);
+        info!(router.log, "listening"; "address" => server.address().to_string(),
+            "peer_address" => peer_address.to_string());
+        Ok(Self {
+            router,
+            server,
+            peer_address,
+            tasks,
+        })
+    }
+
+    /// The router.
+    #[must_use]
+    pub fn router(&self) -> Arc<Router> {
+        Arc::clone(&self.router)
+    }
+
+    /// The bound address for callers.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The address for other routers.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Drains the router and stops it. Returns true when nothing was left behind.
+    pub async fn drain_and_stop(self) -> bool {
+        let is_clean = self.router.drain().await;
+        self.server.stop().await;
+        is_clean
+    }
+
+    /// Stops the router without draining, as a crash would.
+    pub fn abort(mut self) {
+        self.tasks.abort_all();
+        self.server.abort();
+    }
+}
+
+/// Borders with real clients behind them.
+///
+/// # Errors
+///
+/// Fails when the HTTP client cannot be set up.
+pub fn network_borders(
+    settings: &Settings,
+    network: Arc<dyn PeerNetwork>,
+) -> Result<Borders, DaemonError> {
+    let client = http_client()?;
+    let backend = Arc::new(HttpBackend::new(client.clone()));
+    Ok(Borders {
+        store: Arc::new(HttpStore::new(client.clone(), &settings.platform_url)),
+        vm_list: Arc::new(HttpVmList::new(client, &settings.platform_url)),
+        network,
+        engine: Arc::clone(&backend) as _,
+        service: backend,
+    })
+}
--- /dev/null
+++ b/src/fakes/platform.rs
@@ -0,0 +1,213 @@
+//! The platform over HTTP: the object API on a store in memory, and the VM list.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::{Header, Status};
+use rocket::request::{FromRequest, Outcome, Request};
+use rocket::response::{Responder, Response};
+use rocket::serde::json::Json;
+use rocket::{get, put, routes, State};
+
+use crate::http_server::{server_config, HttpServer, StartError};
+use crate::platform::memory::MemoryStore;
+use crate::platform::{Expected, Object, ObjectKey, ObjectStore, StoreError, MAX_VALUE_BYTES};
+use crate::vm_list::VmRecord;
+
+/// The VM list of the stand-in, shared with the test that edits it.
+pub type SharedVms = Arc<Mutex<Vec<VmRecord>>>;
+
+/// A platform stand-in listening on a loopback address.
+#[derive(Debug)]
+pub struct FakePlatform {
+    server: HttpServer,
+    store: Arc<MemoryStore>,
+    vms: SharedVms,
+}
+
+impl FakePlatform {
+    /// Starts an empty platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start(listen: SocketAddr) -> Result<Self, StartError> {
+        let store = Arc::new(MemoryStore::new());
+        let vms = SharedVms::default();
+        let rocket = rocket::custom(server_config(listen))
+            .manage(Arc::clone(&store))
+            .manage(Arc::clone(&vms))
+            .mount("/v1", routes![get_object, put_object, list_keys, list_vms]);
+        let server = HttpServer::start(rocket).await?;
+        Ok(Self { server, store, vms })
+    }
+
+    /// Base URL for clients.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.address())
+    }
+
+    /// The objects, to look at or to set faults on.
+    #[must_use]
+    pub fn store(&self) -> Arc<MemoryStore> {
+        Arc::clone(&self.store)
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vms(&self, vms: Vec<VmRecord>) {
+        *self.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms;
+    }
+
+    /// The VM list as it stands.
+    #[must_use]
+    pub fn vms(&self) -> Vec<VmRecord> {
+        self.vms
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+struct Condition(Option<Expected>);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Condition {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        if request.headers().get_one("If-None-Match") == Some("*") {
+            return Outcome::Success(Self(Some(Expected::Absent)));
+        }
+        let tag = request.headers().get_one("If-Match");
+        let version = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+        Outcome::Success(Self(version.map(Expected::Version)))
+    }
+}
+
+struct Answer {
+    status: Status,
+    version: Option<u64>,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn empty(status: Status) -> Self {
+        Self {
+            status,
+            version: None,
+            body: Vec::new(),
+        }
+    }
+
+    fn from_object(object: Option<Object>, missing: Status) -> Self {
+        match object {
+            None => Self::empty(missing),
+            Some(object) => Self {
+                status: Status::Ok,
+                version: Some(object.version),
+                body: object.value.to_vec(),
+            },
+        }
+    }
+
+    fn from_error(error: &StoreError) -> Self {
+        match error {
+            StoreError::Conflict { .. } => Self::empty(Status::PreconditionFailed),
+            StoreError::Unavailable { .. } => Self::empty(Status::ServiceUnavailable),
+            StoreError::Refused { .. } => Self::empty(Status::PayloadTooLarge),
+        }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Answer {
+    fn respond_to(self, _: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let mut response = Response::build();
+        response.status(self.status);
+        if let Some(version) = self.version {
+            response.header(Header::new("ETag", format!("\"{version}\"")));
+        }
+        let length_bytes = self.body.len();
+        response
+            .sized_body(length_bytes, std::io::Cursor::new(self.body))
+            .ok()
+    }
+}
+
+fn key_of(path: &Path) -> ObjectKey {
+    ObjectKey::new(path.to_string_lossy().into_owned())
+}
+
+#[get("/objects/<path..>?<after>&<wait_ms>")]
+async fn get_object(
+    store: &State<Arc<MemoryStore>>,
+    path: PathBuf,
+    after: Option<u64>,
+    wait_ms: Option<u64>,
+) -> Answer {
+    let key = key_of(&path);
+    let result = match (after, wait_ms) {
+        (Some(after), Some(wait_ms)) => {
+            store
+                .watch(&key, after, Duration::from_millis(wait_ms))
+                .await
+        }
+        _ => store.get(&key).await,
+    };
+    let missing = if after.is_some() {
+        Status::NoContent
+    } else {
+        Status::NotFound
+    };
+    match result {
+        Ok(object) => Answer::from_object(object, missing),
+        Err(error) => Answer::from_error(&error),
+    }
+}
+
+#[put("/objects/<path..>", data = "<data>")]
+async fn put_object(
+    store: &State<Arc<MemoryStore>>,
+    path: PathBuf,
+    condition: Condition,
+    data: Data<'_>,
+) -> Answer {
+    let Condition(Some(expected)) = condition else {
+        return Answer::empty(Status::PreconditionRequired);
+    };
+    let limit = (MAX_VALUE_BYTES + 1).bytes();
+    let Ok(value) = data.open(limit).into_bytes().await else {
+        return Answer::empty(Status::BadRequest);
+    };
+    match store
+        .put(&key_of(&path), value.into_inner().into(), expected)
+        .await
+    {
+        Ok(version) => Answer {
+            status: Status::Ok,
+            version: Some(version),
+            body: Vec::new(),
+        },
+        Err(error) => Answer::from_error(&error),
+    }
+}
+
+#[get("/keys?<prefix>")]
+async fn list_keys(
+    store: &State<Arc<MemoryStore>>,
+    prefix: &str,
+) -> Result<Json<Vec<ObjectKey>>, Status> {
+    store
+        .list(prefix)
+        .await
+        .map(Json)
+        .map_err(|_| Status::ServiceUnavailable)
+}
+
+#[get("/vms")]
+fn list_vms(vms: &State<SharedVms>) -> Json<Vec<VmRecord>> {
+    Json(vms.lock().unwrap_or_else(PoisonError::into_inner).clone())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,55 @@
+//! currantlever: a router fleet that serves language-model requests against prepaid token budgets.
+//!
+//! The decisions are pure state machines in `core`; the router drives them between callers,
+//! backend servers, the platform's object API and its peers.
+
+#![warn(missing_docs)]
+
+mod accepted;
+mod backend;
+mod catalog;
+pub mod cmd;
+mod core;
+mod daemon;
+pub mod fakes;
+mod http_server;
+mod lists;
+mod peer;
+mod platform;
+mod router;
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
+mod router_capnp;
+mod settings;
+mod telemetry;
+mod util;
+mod vm_list;
+
+pub use crate::accepted::{accept_edit, AcceptError, AcceptedLists, Edit};
+pub use crate::core::bill::{Bill, BudgetTotals, RunEnd, RunId, Settlement};
+pub use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
+pub use crate::core::holder::{Holder, ReserveError, UpdateWish};
+pub use crate::core::ids::{
+    BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
+    ServiceId, TeamId, VmId,
+};
+pub use crate::core::ledger::{
+    BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, UpdateOutcome,
+};
+pub use crate::core::policy::{GrantDecision, GrantPolicy, GrantView, PolicyName};
+pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
+pub use crate::core::retry_budget::RetryBudget;
+pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
+pub use crate::core::units::Tokens;
+pub use crate::core::witness::{Witness, WitnessRecord};
+pub use crate::daemon::{Daemon, DaemonError};
+pub use crate::lists::{find_faults, parse_list, Fault, ListName, PlansList, UsageList};
+pub use crate::platform::memory::{MemoryStore, StoreCounts, StoreFaults};
+pub use crate::platform::{Expected, Object, ObjectKey, ObjectStore, StoreError};
+pub use crate::router::billing::settle_all;
+pub use crate::router::ledger_client::LedgerClient;
+pub use crate::router::refusal::{ErrorBody, RefusalKind, RunState};
+pub use crate::router::web::{AddressesAnswer, RequestStatus};
+pub use crate::settings::{Settings, SettingsError};
+pub use crate::telemetry::{json_logger, silent_logger};
+pub use crate::vm_list::{VmRecord, VmRole, VmState};
--- /dev/null
+++ b/src/lists.rs
@@ -0,0 +1,510 @@
+//! The two lists that operators edit: customers' plans, and what each plan may use.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+use thiserror::Error;
+
+use crate::core::ids::{BudgetId, ModelId, PlanId, PoolId, ServiceId, TeamId};
+use crate::core::ledger::Generation;
+use crate::core::units::Tokens;
+
+/// The longest deadline that a plan may set, in milliseconds.
+pub const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// The largest number of output tokens that a plan may allow.
+pub const MAX_OUTPUT_TOKENS: u64 = 1_000_000;
+/// The largest prepaid amount of one budget.
+pub const MAX_PAID_TOKENS: u64 = 1 << 50;
+/// The largest fair-share weight of a plan.
+pub const MAX_WEIGHT: u32 = 1_000;
+
+/// The list of customers' plans.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlansList {
+    /// Generation that the edit started from; 0 for a first list.
+    pub generation: Generation,
+    /// All teams.
+    pub teams: Vec<Team>,
+}
+
+/// One paying team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Name of the team.
+    pub team: TeamId,
+    /// The plan that it bought.
+    pub plan: PlanId,
+    /// SHA-256 of each key that its callers may use, in hexadecimal.
+    pub key_sha256: Vec<CompactString>,
+    /// Its budgets. Requests that name none use the first.
+    pub budgets: Vec<Budget>,
+}
+
+/// A prepaid budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// Name of the budget, unique in the list.
+    pub budget: BudgetId,
+    /// All tokens ever paid for. A top-up raises it.
+    pub paid_tokens: Tokens,
+}
+
+/// The list of what each plan may use.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageList {
+    /// Generation that the edit started from; 0 for a first list.
+    pub generation: Generation,
+    /// The pools of replicas.
+    pub pools: Vec<Pool>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+}
+
+/// What the replicas of a pool run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum PoolKind {
+    /// Model engines.
+    Model,
+    /// A plain service.
+    Service,
+}
+
+/// A pool of replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name of the pool.
+    pub pool: PoolId,
+    /// What its replicas run.
+    pub kind: PoolKind,
+    /// Requests that one replica works on at a time.
+    pub replica_slots: u32,
+    /// Most tokens that the engine's chat template adds to a prompt, per message.
+    #[serde(default)]
+    pub template_overhead_tokens: Tokens,
+    /// True when its engines refuse an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// True when its engines can resume a broken stream at an offset.
+    #[serde(default)]
+    pub resumes_streams: bool,
+}
+
+/// Importance of a plan's requests when a pool is full.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Priority {
+    /// A person waits.
+    Interactive,
+    /// The usual case.
+    #[default]
+    Standard,
+    /// May wait.
+    Batch,
+}
+
+/// What one plan may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Name of the plan.
+    pub plan: PlanId,
+    /// Importance of its requests.
+    #[serde(default)]
+    pub priority: Priority,
+    /// Share of a full pool relative to other teams of the same priority.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most output tokens of one request.
+    pub max_output_tokens: Tokens,
+    /// Time from arrival to the first token after which a request is refused.
+    pub deadline_ms: u64,
+    /// Models that the plan may use.
+    #[serde(default)]
+    pub models: Vec<PlanModel>,
+    /// Plain services that the plan may use.
+    #[serde(default)]
+    pub services: Vec<PlanService>,
+}
+
+const fn default_weight() -> u32 {
+    1
+}
+
+/// A model in a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanModel {
+    /// The model as callers name it.
+    pub model: ModelId,
+    /// The pool that serves it.
+    pub pool: PoolId,
+}
+
+/// A plain service in a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanService {
+    /// The service as callers name it.
+    pub service: ServiceId,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// Price of one call.
+    pub call_tokens: Tokens,
+    /// Calls that may be repeated. All others run at most once.
+    #[serde(default)]
+    pub idempotent: Vec<CallRule>,
+}
+
+/// Matches calls of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallRule {
+    /// The HTTP method, in capitals.
+    pub method: CompactString,
+    /// Start of the path.
+    pub path_prefix: CompactString,
+}
+
+impl PlanService {
+    /// True when a call may be repeated.
+    #[must_use]
+    pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
+        let matches =
+            |rule: &CallRule| rule.method == method && path.starts_with(&*rule.path_prefix);
+        self.idempotent.iter().any(matches)
+    }
+}
+
+/// A mistake in a list: where and why.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{list}: {place}: {reason}")]
+pub struct Fault {
+    /// The list.
+    pub list: ListName,
+    /// Path of the field, as in `teams[2].plan`.
+    pub place: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// The lists by name.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, EnumString, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum ListName {
+    /// Customers' plans.
+    Plans,
+    /// What each plan may use.
+    Usage,
+}
+
+/// Reads a list from JSON.
+///
+/// # Errors
+///
+/// Fails with the place and reason when the text is not JSON of the list's shape.
+pub fn parse_list<T>(list: ListName, text: &[u8]) -> Result<T, Fault>
+where
+    T: DeserializeOwned,
+{
+    let mut deserializer = serde_json::Deserializer::from_slice(text);
+    let value = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Fault {
+        list,
+        place: error.path().to_string(),
+        reason: error.inner().to_string(),
+    })?;
+    deserializer.end().map_err(|error| Fault {
+        list,
+        place: "end of file".to_owned(),
+        reason: error.to_string(),
+    })?;
+    Ok(value)
+}
+
+/// Checks both lists together and returns every fault.
+///
+/// ```
+/// use currantlever::{find_faults, PlansList, UsageList};
+/// assert!(find_faults(&PlansList::default(), &UsageList::default()).is_empty());
+/// ```
+#[must_use]
+pub fn find_faults(plans: &PlansList, usage: &UsageList) -> Vec<Fault> {
+    let mut faults = FaultList::default();
+    let pools = check_pools(usage, &mut faults);
+    let plan_names = check_plans(usage, &pools, &mut faults);
+    check_teams(plans, &plan_names, &mut faults);
+    faults.found
+}
+
+#[derive(Default)]
+struct FaultList {
+    found: Vec<Fault>,
+}
+
+impl FaultList {
+    fn add(&mut self, list: ListName, place: impl fmt::Display, reason: impl fmt::Display) {
+        self.found.push(Fault {
+            list,
+            place: place.to_string(),
+            reason: reason.to_string(),
+        });
+    }
+
+    fn check_range(
+        &mut self,
+        list: ListName,
+        place: impl fmt::Display,
+        value: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) {
+        if !range.contains(&value) {
+            let reason = format!("{value} is outside {} to {}", range.start(), range.end());
+            self.add(list, place, reason);
+        }
+    }
+}
+
+fn check_pools<'a>(usage: &'a UsageList, faults: &mut FaultList) -> BTreeMap<&'a PoolId, PoolKind> {
+    let mut pools = BTreeMap::new();
+    for (i, pool) in usage.pools.iter().enumerate() {
+        let place = format!("pools[{i}]");
+        if pools.insert(&pool.pool, pool.kind).is_some() {
+            let reason = format!("pool {} stands twice", pool.pool);
+            faults.add(ListName::Usage, format!("{place}.pool"), reason);
+        }
+        let slots = u64::from(pool.replica_slots);
+        faults.check_range(
+            ListName::Usage,
+            format!("{place}.replica_slots"),
+            slots,
+            1..=100_000,
+        );
+        let overhead = pool.template_overhead_tokens.get();
+        let overhead_place = format!("{place}.template_overhead_tokens");
+        faults.check_range(ListName::Usage, overhead_place, overhead, 0..=100_000);
+    }
+    pools
+}
+
+fn check_plans<'a>(
+    usage: &'a UsageList,
+    pools: &BTreeMap<&PoolId, PoolKind>,
+    faults: &mut FaultList,
+) -> BTreeSet<&'a PlanId> {
+    let mut names = BTreeSet::new();
+    for (i, plan) in usage.plans.iter().enumerate() {
+        let place = format!("plans[{i}]");
+        if !names.insert(&plan.plan) {
+            let reason = format!("plan {} stands twice", plan.plan);
+            faults.add(ListName::Usage, format!("{place}.plan"), reason);
+        }
+        check_plan(plan, &place, pools, faults);
+    }
+    names
+}
+
+fn check_plan(
+    plan: &Plan,
+    place: &str,
+    pools: &BTreeMap<&PoolId, PoolKind>,
+    faults: &mut FaultList,
+) {
+    let output = plan.max_output_tokens.get();
+    let output_place = format!("{place}.max_output_tokens");
+    faults.check_range(ListName::Usage, output_place, output, 1..=MAX_OUTPUT_TOKENS);
+    let deadline_place = format!("{place}.deadline_ms");
+    faults.check_range(
+        ListName::Usage,
+        deadline_place,
+        plan.deadline_ms,
+        1..=MAX_DEADLINE_MS,
+    );
+    let weight_range = 1..=u64::from(MAX_WEIGHT);
+    let weight_place = format!("{place}.weight");
+    faults.check_range(
+        ListName::Usage,
+        weight_place,
+        u64::from(plan.weight),
+        weight_range,
+    );
+    if plan.models.is_empty() && plan.services.is_empty() {
+        faults.add(
+            ListName::Usage,
+            place,
+            format!("plan {} names no pool", plan.plan),
+        );
+    }
+    check_plan_models(plan, place, pools, faults);
+    check_plan_services(plan, place, pools, faults);
+}
+
+fn check_plan_models(
+    plan: &Plan,
+    place: &str,
+    pools: &BTreeMap<&PoolId, PoolKind>,
+    faults: &mut FaultList,
+) {
+    let mut models = BTreeSet::new();
+    for (j, model) in plan.models.iter().enumerate() {
+        let place = format!("{place}.models[{j}]");
+        if !models.insert(&model.model) {
+            let reason = format!("model {} stands twice", model.model);
+            faults.add(ListName::Usage, format!("{place}.model"), reason);
+        }
+        check_pool_use(&model.pool, PoolKind::Model, &place, pools, faults);
+    }
+}
+
+fn check_plan_services(
+    plan: &Plan,
+    place: &str,
+    pools: &BTreeMap<&PoolId, PoolKind>,
+    faults: &mut FaultList,
+) {
+    let mut services = BTreeSet::new();
+    for (j, service) in plan.services.iter().enumerate() {
+        let place = format!("{place}.services[{j}]");
+        if !services.insert(&service.service) {
+            let reason = format!("service {} stands twice", service.service);
+            faults.add(ListName::Usage, format!("{place}.service"), reason);
+        }
+        check_pool_use(&service.pool, PoolKind::Service, &place, pools, faults);
+        let call_place = format!("{place}.call_tokens");
+        let call_tokens = service.call_tokens.get();
+        faults.check_range(
+            ListName::Usage,
+            call_place,
+            call_tokens,
+            0..=MAX_OUTPUT_TOKENS,
+        );
+    }
+}
+
+fn check_pool_use(
+    pool: &PoolId,
+    wanted: PoolKind,
+    place: &str,
+    pools: &BTreeMap<&PoolId, PoolKind>,
+    faults: &mut FaultList,
+) {
+    let place = format!("{place}.pool");
+    match pools.get(pool) {
+        None => faults.add(
+            ListName::Usage,
+            place,
+            format!("pool {pool} is not in the list"),
+        ),
+        Some(kind) if *kind != wanted => {
+            let reason = format!("pool {pool} runs a {kind}, not a {wanted}");
+            faults.add(ListName::Usage, place, reason);
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_teams(plans: &PlansList, plan_names: &BTreeSet<&PlanId>, faults: &mut FaultList) {
+    let mut teams = BTreeSet::new();
+    let mut budgets = BTreeSet::new();
+    let mut keys = BTreeSet::new();
+    for (i, team) in plans.teams.iter().enumerate() {
+        let place = format!("teams[{i}]");
+        if !teams.insert(&team.team) {
+            let reason = format!("team {} stands twice", team.team);
+            faults.add(ListName::Plans, format!("{place}.team"), reason);
+        }
+        if !plan_names.contains(&team.plan) {
+            let reason = format!("plan {} is not in the usage list", team.plan);
+            faults.add(ListName::Plans, format!("{place}.plan"), reason);
+        }
+        check_keys(team, &place, &mut keys, faults);
+        check_budgets(team, &place, &mut budgets, faults);
+    }
+}
+
+fn check_keys<'a>(
+    team: &'a Team,
+    place: &str,
+    keys: &mut BTreeSet<&'a CompactString>,
+    faults: &mut FaultList,
+) {
+    if team.key_sha256.is_empty() {
+        faults.add(
+            ListName::Plans,
+            format!("{place}.key_sha256"),
+            "the team has no key",
+        );
+    }
+    for (j, key) in team.key_sha256.iter().enumerate() {
+        let place = format!("{place}.key_sha256[{j}]");
+        let is_digest =
+            key.len() == 64 && key.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        if !is_digest {
+            faults.add(
+                ListName::Plans,
+                &place,
+                "not 64 lower-case hexadecimal digits",
+            );
+        }
+        if !keys.insert(key) {
+            faults.add(ListName::Plans, &place, "the key stands twice");
+        }
+    }
+}
+
+fn check_budgets<'a>(
+    team: &'a Team,
+    place: &str,
+    budgets: &mut BTreeSet<&'a BudgetId>,
+    faults: &mut FaultList,
+) {
+    if team.budgets.is_empty() {
+        faults.add(
+            ListName::Plans,
+            format!("{place}.budgets"),
+            "the team has no budget",
+        );
+    }
+    for (j, budget) in team.budgets.iter().enumerate() {
+        let place = format!("{place}.budgets[{j}]");
+        if !budgets.insert(&budget.budget) {
+            let reason = format!("budget {} stands twice", budget.budget);
+            faults.add(ListName::Plans, format!("{place}.budget"), reason);
+        }
+        let paid_place = format!("{place}.paid_tokens");
+        let paid_tokens = budget.paid_tokens.get();
+        faults.check_range(
+            ListName::Plans,
+            paid_place,
+            paid_tokens,
+            0..=MAX_PAID_TOKENS,
+        );
+    }
+}
--- /dev/null
+++ b/src/peer/rpc.rs
@@ -0,0 +1,769 @@
+//! Router to router over Cap'n Proto.
+//!
+//! The library's objects stay on one thread; calls reach it over a channel. A connection opens
+//! with a challenge both ways by the fleet's secret, and only then are the methods in reach.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{twoparty, RpcSystem};
+use futures::AsyncReadExt;
+use hmac::{Hmac, KeyInit, Mac};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use sha2::Sha256;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use super::{
+    FoundRequest, Greeting, Horizon, PeerError, PeerNetwork, PeerRouter, Transfer, TransferWish,
+};
+use crate::accepted::ListsDelta;
+use crate::core::bill::Bill;
+use crate::core::ids::{BudgetId, HolderId, RequestId, TeamId};
+use crate::core::ledger::Generation;
+use crate::core::units::Tokens;
+use crate::core::witness::WitnessRecord;
+use crate::router_capnp::{gate, router, Status};
+
+/// Bytes of a challenge.
+const NONCE_BYTES: usize = 32;
+/// Least length of the fleet's secret.
+pub const MIN_SECRET_BYTES: usize = 16;
+/// Longest time to connect and prove identity.
+const CONNECT_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait for an answer; callers set shorter ones.
+const CALL_WAIT: Duration = Duration::from_secs(5);
+/// Calls that may wait for the thread.
+const CALL_QUEUE: usize = 1_024;
+
+/// The secret that all routers of a fleet share.
+#[derive(Clone)]
+pub struct FleetSecret(Arc<[u8]>);
+
+impl std::fmt::Debug for FleetSecret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("FleetSecret")
+    }
+}
+
+/// Why the router-to-router side did not start.
+#[derive(Debug, Error)]
+pub enum RpcError {
+    /// The secret is too short.
+    #[error("the fleet's secret has fewer than {MIN_SECRET_BYTES} bytes")]
+    ShortSecret,
+    /// The address cannot be bound.
+    #[error("{listen}: {source}")]
+    Listen {
+        /// The address.
+        listen: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The thread cannot be started.
+    #[error("router-to-router thread: {0}")]
+    Thread(std::io::Error),
+}
+
+impl FleetSecret {
+    /// Wraps a secret.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is too short.
+    pub fn new(bytes: &[u8]) -> Result<Self, RpcError> {
+        if bytes.len() < MIN_SECRET_BYTES {
+            return Err(RpcError::ShortSecret);
+        }
+        Ok(Self(bytes.into()))
+    }
+
+    fn proof(&self, role: &[u8], nonce: &[u8], other_nonce: &[u8]) -> Hmac<Sha256> {
+        let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(&self.0)
+            .unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
+        mac.update(role);
+        mac.update(nonce);
+        mac.update(other_nonce);
+        mac
+    }
+}
+
+fn new_nonce() -> [u8; NONCE_BYTES] {
+    let mut nonce = [0; NONCE_BYTES];
+    rand::rng().fill_bytes(&mut nonce);
+    nonce
+}
+
+#[allow(clippy::needless_pass_by_value, reason = "handed to map_err")]
+fn failed<T>(error: T) -> capnp::Error
+where
+    T: ToString,
+{
+    capnp::Error::failed(error.to_string())
+}
+
+fn to_json<T>(value: &T) -> Result<Vec<u8>, capnp::Error>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(value).map_err(failed)
+}
+
+fn from_json<T>(data: &[u8]) -> Result<T, capnp::Error>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(data).map_err(failed)
+}
+
+fn status_of<T>(result: &Result<T, PeerError>) -> Status {
+    match result {
+        Ok(_) => Status::Ok,
+        Err(PeerError::OtherProcess { .. }) => Status::OtherProcess,
+        Err(PeerError::NoAnswer { .. }) => Status::Refused,
+    }
+}
+
+/// Hands out the methods to callers that know the secret.
+struct GateServer {
+    secret: FleetSecret,
+    service: Arc<dyn PeerRouter>,
+    nonce: std::cell::Cell<Option<[u8; NONCE_BYTES]>>,
+}
+
+impl gate::Server for GateServer {
+    async fn challenge(
+        self: Rc<Self>,
+        _: gate::ChallengeParams,
+        mut results: gate::ChallengeResults,
+    ) -> Result<(), capnp::Error> {
+        let nonce = new_nonce();
+        self.nonce.set(Some(nonce));
+        results.get().set_nonce(&nonce);
+        Ok(())
+    }
+
+    async fn open(
+        self: Rc<Self>,
+        params: gate::OpenParams,
+        mut results: gate::OpenResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let nonce = self
+            .nonce
+            .take()
+            .ok_or_else(|| failed("no challenge was asked for"))?;
+        let caller_nonce = params.get_caller_nonce()?;
+        let mac = self.secret.proof(b"caller", &nonce, caller_nonce);
+        mac.verify_slice(params.get_proof()?)
+            .map_err(|_| failed("proof does not fit"))?;
+        let proof = self
+            .secret
+            .proof(b"router", caller_nonce, &nonce)
+            .finalize()
+            .into_bytes();
+        let server = RouterServer {
+            service: Arc::clone(&self.service),
+        };
+        results.get().set_router(capnp_rpc::new_client(server));
+        results.get().set_proof(&proof);
+        Ok(())
+    }
+}
+
+/// Passes calls on to the router.
+struct RouterServer {
+    service: Arc<dyn PeerRouter>,
+}
+
+fn read_horizons(params: router::extend_params::Reader<'_>) -> Result<Vec<Horizon>, capnp::Error> {
+    let mut horizons = Vec::new();
+    for item in params.get_horizons()? {
+        horizons.push(Horizon {
+            holder: HolderId::new(item.get_holder()),
+            budget: item.get_budget()?.to_str()?.parse().map_err(failed)?,
+            horizon_tokens: Tokens::new(item.get_horizon_tokens()),
+        });
+    }
+    Ok(horizons)
+}
+
+impl router::Server for RouterServer {
+    async fn hello(
+        self: Rc<Self>,
+        params: router::HelloParams,
+        mut results: router::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let greeting = from_json(params.get()?.get_greeting_json()?)?;
+        let answer = self.service.hello(greeting).await.map_err(failed)?;
+        results.get().set_greeting_json(&to_json(&answer)?);
+        Ok(())
+    }
+
+    async fn extend(
+        self: Rc<Self>,
+        params: router::ExtendParams,
+        mut results: router::ExtendResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let horizons = read_horizons(params)?;
+        let witness = HolderId::new(params.get_witness());
+        let answer = self.service.extend(witness, horizons).await;
+        results.get().set_status(status_of(&answer));
+        let records = answer.unwrap_or_default();
+        let length = u32::try_from(records.len()).map_err(failed)?;
+        let mut list = results.get().init_records(length);
+        for (index, record) in (0..).zip(&records) {
+            let mut item = list.reborrow().get(index);
+            item.set_horizon_tokens(record.horizon_tokens.get());
+            item.set_sealed(record.sealed);
+        }
+        Ok(())
+    }
+
+    async fn seal(
+        self: Rc<Self>,
+        params: router::SealParams,
+        mut results: router::SealResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let witness = HolderId::new(params.get_witness());
+        let holder = HolderId::new(params.get_holder());
+        let budget: BudgetId = params.get_budget()?.to_str()?.parse().map_err(failed)?;
+        let answer = self.service.seal(witness, holder, budget).await;
+        results.get().set_status(status_of(&answer));
+        let record = answer.unwrap_or_default();
+        let mut item = results.get().init_record();
+        item.set_horizon_tokens(record.horizon_tokens.get());
+        item.set_sealed(record.sealed);
+        Ok(())
+    }
+
+    async fn keep_bills(
+        self: Rc<Self>,
+        params: router::KeepBillsParams,
+        mut results: router::KeepBillsResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let holder = HolderId::new(params.get_holder());
+        let bills: Vec<Bill> = from_json(params.get_bills_json()?)?;
+        let through = params.get_flushed_through();
+        let answer = self.service.keep_bills(holder, through, bills).await;
+        results.get().set_status(status_of(&answer));
+        Ok(())
+    }
+
+    async fn take_tokens(
+        self: Rc<Self>,
+        params: router::TakeTokensParams,
+        mut results: router::TakeTokensResults,
+    ) -> Result<(), capnp::Error> {
+        let wish = params.get()?.get_wish()?;
+        let wish = TransferWish {
+            receiver: HolderId::new(wish.get_receiver()),
+            budget: wish.get_budget()?.to_str()?.parse().map_err(failed)?,
+            sender: wish
+                .get_has_sender()
+                .then(|| HolderId::new(wish.get_sender())),
+            received_tokens: Tokens::new(wish.get_received_tokens()),
+            wanted_tokens: Tokens::new(wish.get_wanted_tokens()),
+        };
+        let answer = self.service.take_tokens(wish).await;
+        results.get().set_status(status_of(&answer));
+        if let Ok(transfer) = answer {
+            results.get().set_sender(transfer.sender.get());
+            results.get().set_total_tokens(transfer.total_tokens.get());
+        }
+        Ok(())
+    }
+
+    async fn lists_since(
+        self: Rc<Self>,
+        params: router::ListsSinceParams,
+        mut results: router::ListsSinceResults,
+    ) -> Result<(), capnp::Error> {
+        let answer = self
+            .service
+            .lists_since(params.get()?.get_generation())
+            .await;
+        results.get().set_status(status_of(&answer));
+        if let Ok(delta) = answer {
+            results.get().set_delta_json(&to_json(&delta)?);
+        }
+        Ok(())
+    }
+
+    async fn find_request(
+        self: Rc<Self>,
+        params: router::FindRequestParams,
+        mut results: router::FindRequestResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let team: TeamId = params.get_team()?.to_str()?.parse().map_err(failed)?;
+        let request: RequestId = params.get_request()?.to_str()?.parse().map_err(failed)?;
+        let answer = self.service.find_request(team, request).await;
+        results.get().set_status(status_of(&answer));
+        if let Ok(found) = answer {
+            results.get().set_found_json(&to_json(&found)?);
+        }
+        Ok(())
+    }
+}
+
+/// A call on its way to the thread.
+enum Call {
+    Hello(Greeting),
+    Extend(HolderId, Vec<Horizon>),
+    Seal(HolderId, HolderId, BudgetId),
+    KeepBills(HolderId, u64, Vec<Bill>),
+    TakeTokens(TransferWish),
+    ListsSince(Generation),
+    FindRequest(TeamId, RequestId),
+}
+
+enum Answer {
+    Greeting(Greeting),
+    Records(Vec<WitnessRecord>),
+    Done,
+    Transfer(Transfer),
+    Delta(ListsDelta),
+    Found(FoundRequest),
+    OtherProcess,
+}
+
+struct Outgoing {
+    address: SocketAddr,
+    call: Call,
+    answer: oneshot::Sender<Result<Answer, String>>,
+}
+
+/// The router-to-router side of one process: serves its own router and reaches the others.
+#[derive(Clone, Debug)]
+pub struct RpcNetwork {
+    calls: mpsc::Sender<Outgoing>,
+    services: mpsc::Sender<Arc<dyn PeerRouter>>,
+    address: SocketAddr,
+}
+
+impl std::fmt::Debug for Outgoing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Outgoing({})", self.address)
+    }
+}
+
+impl RpcNetwork {
+    /// Binds the address and starts the thread. Connections are served once a router is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the thread cannot be started.
+    pub fn start(listen: SocketAddr, secret: FleetSecret) -> Result<Self, RpcError> {
+        let fail = |source| RpcError::Listen { listen, source };
+        let listener = std::net::TcpListener::bind(listen).map_err(fail)?;
+        listener.set_nonblocking(true).map_err(fail)?;
+        let address = listener.local_addr().map_err(fail)?;
+        let (calls, call_receiver) = mpsc::channel(CALL_QUEUE);
+        let (services, service_receiver) = mpsc::channel(1);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(RpcError::Thread)?;
+        std::thread::Builder::new()
+            .name("peer-rpc".to_owned())
+            .spawn(move || {
+                let local = LocalSet::new();
+                local.block_on(&runtime, async move {
+                    tokio::task::spawn_local(serve(listener, service_receiver, secret.clone()));
+                    run_calls(call_receiver, secret).await;
+                });
+            })
+            .map_err(RpcError::Thread)?;
+        Ok(Self {
+            calls,
+            services,
+            address,
+        })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gives the router that serves other routers' calls.
+    pub async fn serve(&self, router: Arc<dyn PeerRouter>) {
+        let _ = self.services.send(router).await;
+    }
+}
+
+impl PeerNetwork for RpcNetwork {
+    fn peer(&self, address: SocketAddr) -> Arc<dyn PeerRouter> {
+        Arc::new(RpcPeer {
+            calls: self.calls.clone(),
+            address,
+        })
+    }
+}
+
+async fn serve(
+    listener: std::net::TcpListener,
+    mut services: mpsc::Receiver<Arc<dyn PeerRouter>>,
+    secret: FleetSecret,
+) {
+    let Some(service) = services.recv().await else {
+        return;
+    };
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let nonce = std::cell::Cell::new(None);
+        let gate = GateServer {
+            secret: secret.clone(),
+            service: Arc::clone(&service),
+            nonce,
+        };
+        let client: gate::Client = capnp_rpc::new_client(gate);
+        let network = network_on(stream, Side::Server);
+        tokio::task::spawn_local(RpcSystem::new(network, Some(client.client)));
+    }
+}
+
+fn network_on(stream: TcpStream, side: Side) -> Box<dyn capnp_rpc::VatNetwork<Side>> {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    let reader = futures::io::BufReader::new(reader);
+    let writer = futures::io::BufWriter::new(writer);
+    Box::new(twoparty::VatNetwork::new(
+        reader,
+        writer,
+        side,
+        capnp::message::ReaderOptions::new(),
+    ))
+}
+
+type Connections = Rc<tokio::sync::Mutex<HashMap<SocketAddr, Rc<Slot>>>>;
+type Slot = tokio::sync::Mutex<Option<router::Client>>;
+
+async fn run_calls(mut calls: mpsc::Receiver<Outgoing>, secret: FleetSecret) {
+    let connections = Connections::default();
+    while let Some(outgoing) = calls.recv().await {
+        let connections = Rc::clone(&connections);
+        let secret = secret.clone();
+        tokio::task::spawn_local(async move {
+            let work = make_call(&connections, &secret, outgoing.address, outgoing.call);
+            let result = if let Ok(result) = tokio::time::timeout(CALL_WAIT, work).await {
+                result.map_err(|error| error.to_string())
+            } else {
+                connections.lock().await.remove(&outgoing.address);
+                Err("timeout".to_owned())
+            };
+            let _ = outgoing.answer.send(result);
+        });
+    }
+}
+
+/// Makes a call on the connection at hand, or on a new one.
+async fn make_call(
+    connections: &Connections,
+    secret: &FleetSecret,
+    address: SocketAddr,
+    call: Call,
+) -> Result<Answer, capnp::Error> {
+    let slot = Rc::clone(connections.lock().await.entry(address).or_default());
+    let client = {
+        let mut client = slot.lock().await;
+        if let Some(client) = client.as_ref() {
+            client.clone()
+        } else {
+            let connected = tokio::time::timeout(CONNECT_WAIT, connect(address, secret));
+            let opened = connected
+                .await
+                .map_err(|_| failed("timeout while connecting"))??;
+            client.insert(opened).clone()
+        }
+    };
+    let result = send(&client, call).await;
+    if result.is_err() {
+        slot.lock().await.take();
+    }
+    result
+}
+
+async fn connect(
+    address: SocketAddr,
+    secret: &FleetSecret,
+) -> Result<router::Client, capnp::Error> {
+    let stream = TcpStream::connect(address).await.map_err(failed)?;
+    let mut system = RpcSystem::new(network_on(stream, Side::Client), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    tokio::task::spawn_local(system);
+    let challenge = gate.challenge_request().send().promise.await?;
+    let nonce = challenge.get()?.get_nonce()?;
+    let own_nonce = new_nonce();
+    let mut request = gate.open_request();
+    let proof = secret
+        .proof(b"caller", nonce, &own_nonce)
+        .finalize()
+        .into_bytes();
+    request.get().set_caller_nonce(&own_nonce);
+    request.get().set_proof(&proof);
+    let opened = request.send().promise.await?;
+    let opened = opened.get()?;
+    let mac = secret.proof(b"router", &own_nonce, nonce);
+    mac.verify_slice(opened.get_proof()?)
+        .map_err(|_| failed("peer's proof does not fit"))?;
+    opened.get_router()
+}
+
+async fn send(client: &router::Client, call: Call) -> Result<Answer, capnp::Error> {
+    match call {
+        Call::Hello(greeting) => {
+            let mut request = client.hello_request();
+            request.get().set_greeting_json(&to_json(&greeting)?);
+            let response = request.send().promise.await?;
+            from_json(response.get()?.get_greeting_json()?).map(Answer::Greeting)
+        }
+        Call::Extend(witness, horizons) => send_extend(client, witness, &horizons).await,
+        Call::Seal(witness, holder, budget) => send_seal(client, witness, holder, &budget).await,
+        Call::KeepBills(holder, through, bills) => {
+            let mut request = client.keep_bills_request();
+            request.get().set_holder(holder.get());
+            request.get().set_flushed_through(through);
+            request.get().set_bills_json(&to_json(&bills)?);
+            let response = request.send().promise.await?;
+            checked(response.get()?.get_status()?, || Ok(Answer::Done))
+        }
+        Call::TakeTokens(wish) => send_take(client, &wish).await,
+        Call::ListsSince(generation) => {
+            let mut request = client.lists_since_request();
+            request.get().set_generation(generation);
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            checked(response.get_status()?, || {
+                from_json(response.get_delta_json()?).map(Answer::Delta)
+            })
+        }
+        Call::FindRequest(team, name) => {
+            let mut request = client.find_request_request();
+            request.get().set_team(team.as_str());
+            request.get().set_request(name.as_str());
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            checked(response.get_status()?, || {
+                from_json(response.get_found_json()?).map(Answer::Found)
+            })
+        }
+    }
+}
+
+fn checked<F>(status: Status, read: F) -> Result<Answer, capnp::Error>
+where
+    F: FnOnce() -> Result<Answer, capnp::Error>,
+{
+    match status {
+        Status::Ok => read(),
+        Status::OtherProcess => Ok(Answer::OtherProcess),
+        Status::Refused => Err(failed("peer refused")),
+    }
+}
+
+fn read_record(record: crate::router_capnp::record::Reader<'_>) -> WitnessRecord {
+    let horizon_tokens = Tokens::new(record.get_horizon_tokens());
+    WitnessRecord {
+        horizon_tokens,
+        sealed: record.get_sealed(),
+    }
+}
+
+async fn send_extend(
+    client: &router::Client,
+    witness: HolderId,
+    horizons: &[Horizon],
+) -> Result<Answer, capnp::Error> {
+    let mut request = client.extend_request();
+    request.get().set_witness(witness.get());
+    let length = u32::try_from(horizons.len()).map_err(failed)?;
+    let mut list = request.get().init_horizons(length);
+    for (index, horizon) in (0..).zip(horizons) {
+        let mut item = list.reborrow().get(index);
+        item.set_holder(horizon.holder.get());
+        item.set_budget(horizon.budget.as_str());
+        item.set_horizon_tokens(horizon.horizon_tokens.get());
+    }
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+    checked(response.get_status()?, || {
+        Ok(Answer::Records(
+            response.get_records()?.iter().map(read_record).collect(),
+        ))
+    })
+}
+
+async fn send_seal(
+    client: &router::Client,
+    witness: HolderId,
+    holder: HolderId,
+    budget: &BudgetId,
+) -> Result<Answer, capnp::Error> {
+    let mut request = client.seal_request();
+    request.get().set_witness(witness.get());
+    request.get().set_holder(holder.get());
+    request.get().set_budget(budget.as_str());
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+    checked(response.get_status()?, || {
+        Ok(Answer::Records(vec![read_record(response.get_record()?)]))
+    })
+}
+
+async fn send_take(client: &router::Client, wish: &TransferWish) -> Result<Answer, capnp::Error> {
+    let mut request = client.take_tokens_request();
+    let mut item = request.get().init_wish();
+    item.set_receiver(wish.receiver.get());
+    item.set_budget(wish.budget.as_str());
+    item.set_has_sender(wish.sender.is_some());
+    item.set_sender(wish.sender.map_or(0, HolderId::get));
+    item.set_received_tokens(wish.received_tokens.get());
+    item.set_wanted_tokens(wish.wanted_tokens.get());
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+    checked(response.get_status()?, || {
+        Ok(Answer::Transfer(Transfer {
+            sender: HolderId::new(response.get_sender()),
+            total_tokens: Tokens::new(response.get_total_tokens()),
+        }))
+    })
+}
+
+/// A client of the router at one address.
+#[derive(Debug)]
+struct RpcPeer {
+    calls: mpsc::Sender<Outgoing>,
+    address: SocketAddr,
+}
+
+impl RpcPeer {
+    async fn call(&self, call: Call) -> Result<Answer, PeerError> {
+        let (answer, receiver) = oneshot::channel();
+        let outgoing = Outgoing {
+            address: self.address,
+            call,
+            answer,
+        };
+        if self.calls.send(outgoing).await.is_err() {
+            return Err(self.no_answer("the router-to-router thread has ended"));
+        }
+        match receiver.await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(reason)) => Err(self.no_answer(&reason)),
+            Err(_) => Err(self.no_answer("call was dropped")),
+        }
+    }
+
+    fn no_answer(&self, reason: &str) -> PeerError {
+        PeerError::NoAnswer {
+            address: self.address,
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn unexpected<T>(&self, answer: &Answer, wanted: HolderId) -> Result<T, PeerError> {
+        if matches!(answer, Answer::OtherProcess) {
+            return Err(PeerError::OtherProcess {
+                address: self.address,
+                wanted,
+            });
+        }
+        Err(self.no_answer("answer of another kind"))
+    }
+}
+
+#[async_trait]
+impl PeerRouter for RpcPeer {
+    async fn hello(&self, greeting: Greeting) -> Result<Greeting, PeerError> {
+        let holder = greeting.holder;
+        match self.call(Call::Hello(greeting)).await? {
+            Answer::Greeting(greeting) => Ok(greeting),
+            other => self.unexpected(&other, holder),
+        }
+    }
+
+    async fn extend(
+        &self,
+        witness: HolderId,
+        horizons: Vec<Horizon>,
+    ) -> Result<Vec<WitnessRecord>, PeerError> {
+        match self.call(Call::Extend(witness, horizons)).await? {
+            Answer::Records(records) => Ok(records),
+            other => self.unexpected(&other, witness),
+        }
+    }
+
+    async fn seal(
+        &self,
+        witness: HolderId,
+        holder: HolderId,
+        budget: BudgetId,
+    ) -> Result<WitnessRecord, PeerError> {
+        match self.call(Call::Seal(witness, holder, budget)).await? {
+            Answer::Records(records) if records.len() == 1 => Ok(records[0]),
+            other => self.unexpected(&other, witness),
+        }
+    }
+
+    async fn keep_bills(
+        &self,
+        holder: HolderId,
+        flushed_through: u64,
+        bills: Vec<Bill>,
+    ) -> Result<(), PeerError> {
+        match self
+            .call(Call::KeepBills(holder, flushed_through, bills))
+            .await?
+        {
+            Answer::Done => Ok(()),
+            other => self.unexpected(&other, holder),
+        }
+    }
+
+    async fn take_tokens(&self, wish: TransferWish) -> Result<Transfer, PeerError> {
+        let receiver = wish.receiver;
+        match self.call(Call::TakeTokens(wish)).await? {
+            Answer::Transfer(transfer) => Ok(transfer),
+            other => self.unexpected(&other, receiver),
+        }
+    }
+
+    async fn lists_since(&self, generation: Generation) -> Result<ListsDelta, PeerError> {
+        match self.call(Call::ListsSince(generation)).await? {
+            Answer::Delta(delta) => Ok(delta),
+            _ => Err(self.no_answer("answer of another kind")),
+        }
+    }
+
+    async fn find_request(
+        &self,
+        team: TeamId,
+        request: RequestId,
+    ) -> Result<FoundRequest, PeerError> {
+        match self.call(Call::FindRequest(team, request)).await? {
+            Answer::Found(found) => Ok(found),
+            _ => Err(self.no_answer("answer of another kind")),
+        }
+    }
+}
--- /dev/null
+++ b/src/router/fleet.rs
@@ -0,0 +1,265 @@
+//! The other routers as far as this one knows. Only ever a hint: no safety depends on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use crate::core::ids::{FailureDomain, HolderId, TeamId, VmId};
+use crate::core::ledger::Generation;
+use crate::peer::Greeting;
+use crate::util::{lock, stable_hash};
+use crate::vm_list::{VmRecord, VmRole, VmState};
+
+/// Failed probes in a row after which a router counts as gone.
+const FAILURES_TO_GONE: u32 = 3;
+
+/// One router of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for routers.
+    pub peer_address: SocketAddr,
+    /// The process there, once it has answered.
+    pub holder: Option<HolderId>,
+    /// Generation of its lists when it last answered.
+    pub generation: Generation,
+    /// True when it drains or its VM is leaving.
+    pub leaving: bool,
+    /// Failed probes in a row.
+    pub failures: u32,
+}
+
+impl Member {
+    /// True when the router seems to be in reach.
+    #[must_use]
+    pub const fn is_reachable(&self) -> bool {
+        self.holder.is_some() && self.failures < FAILURES_TO_GONE
+    }
+}
+
+/// What a router knows about itself and tells others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// This process start.
+    pub holder: HolderId,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    members: BTreeMap<VmId, Member>,
+    draining: bool,
+    own_address: Option<SocketAddr>,
+}
+
+/// The fleet from one router's point of view.
+#[derive(Debug)]
+pub struct Fleet {
+    identity: Identity,
+    known: Mutex<Known>,
+}
+
+impl Fleet {
+    /// A fleet of which only this router is known.
+    #[must_use]
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            known: Mutex::default(),
+        }
+    }
+
+    /// This router.
+    #[must_use]
+    pub const fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Notes the address at which this router serves callers.
+    pub fn set_address(&self, address: SocketAddr) {
+        lock(&self.known).own_address = Some(address);
+    }
+
+    /// True once this router drains.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        lock(&self.known).draining
+    }
+
+    /// Takes this router out of the answers that it gives.
+    pub fn start_draining(&self) {
+        lock(&self.known).draining = true;
+    }
+
+    /// Takes in the VM list.
+    pub fn learn_vms(&self, vms: &[VmRecord]) {
+        let mut known = lock(&self.known);
+        let mut listed = BTreeSet::new();
+        for record in vms {
+            let VmRole::Entry {
+                address,
+                peer_address,
+            } = record.role
+            else {
+                continue;
+            };
+            if record.vm == self.identity.vm {
+                continue;
+            }
+            listed.insert(record.vm.clone());
+            let is_leaving = record.state == VmState::Leaving;
+            let member = known
+                .members
+                .entry(record.vm.clone())
+                .or_insert_with(|| Member {
+                    vm: record.vm.clone(),
+                    failure_domain: record.failure_domain.clone(),
+                    address,
+                    peer_address,
+                    holder: None,
+                    generation: 0,
+                    leaving: is_leaving,
+                    failures: 0,
+                });
+            if member.peer_address != peer_address {
+                member.holder = None;
+                member.failures = 0;
+            }
+            member.address = address;
+            member.peer_address = peer_address;
+            member.leaving |= is_leaving;
+        }
+        known.members.retain(|vm, _| listed.contains(vm));
+    }
+
+    /// Takes in a greeting from a router, in answer to a probe or with one.
+    pub fn learn_greeting(&self, greeting: &Greeting) {
+        let mut known = lock(&self.known);
+        let Some(member) = known.members.get_mut(&greeting.vm) else {
+            return;
+        };
+        member.holder = Some(greeting.holder);
+        member.generation = greeting.generation;
+        member.leaving = greeting.draining;
+        member.failures = 0;
+    }
+
+    /// Notes that a router did not answer.
+    pub fn learn_failure(&self, vm: &VmId) {
+        if let Some(member) = lock(&self.known).members.get_mut(vm) {
+            member.failures = member.failures.saturating_add(1);
+        }
+    }
+
+    /// All other routers.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        lock(&self.known).members.values().cloned().collect()
+    }
+
+    /// The router that runs as a given process.
+    #[must_use]
+    pub fn member_of(&self, holder: HolderId) -> Option<Member> {
+        let holder = holder.process();
+        let known = lock(&self.known);
+        known
+            .members
+            .values()
+            .find(|member| member.holder == Some(holder))
+            .cloned()
+    }
+
+    /// True when a process seems to be gone for good or out of reach.
+    ///
+    /// A process that no listed router runs as counts as gone once all of them were heard.
+    #[must_use]
+    pub fn seems_gone(&self, holder: HolderId) -> bool {
+        let holder = holder.process();
+        if holder == self.identity.holder {
+            return false;
+        }
+        let known = lock(&self.known);
+        match known
+            .members
+            .values()
+            .find(|member| member.holder == Some(holder))
+        {
+            Some(member) => !member.is_reachable(),
+            None => known.members.values().all(|member| member.holder.is_some()),
+        }
+    }
+
+    /// Reachable routers in other failure domains, in this router's order of choice.
+    #[must_use]
+    pub fn witness_candidates(&self) -> Vec<Member> {
+        let mut members = self.members();
+        members.retain(|member| {
+            member.is_reachable() && member.failure_domain != self.identity.failure_domain
+        });
+        members.sort_by_key(|member| {
+            let rank = stable_hash(&[self.identity.vm.as_str(), member.vm.as_str()]);
+            (member.leaving, member.failures > 0, rank)
+        });
+        members
+    }
+
+    /// True when this router is one of the few that watch the platform for all.
+    #[must_use]
+    pub fn is_watcher(&self, watcher_count: usize) -> bool {
+        let own = stable_hash(&["watcher", self.identity.vm.as_str()]);
+        let members = self.members();
+        let before = members.iter().filter(|member| {
+            member.is_reachable() && stable_hash(&["watcher", member.vm.as_str()]) < own
+        });
+        before.count() < watcher_count
+    }
+
+    /// Addresses that a team's callers should use, spread over failure domains.
+    ///
+    /// The order depends on the team and the fleet alone, so all routers answer alike and a
+    /// smaller answer is the start of a larger one.
+    #[must_use]
+    pub fn addresses_for(&self, team: &TeamId, count: usize) -> Vec<SocketAddr> {
+        let mut candidates: Vec<(u64, FailureDomain, SocketAddr)> = Vec::new();
+        let is_draining = self.is_draining();
+        let own_address = lock(&self.known).own_address.filter(|_| !is_draining);
+        if let Some(address) = own_address {
+            let own = stable_hash(&[team.as_str(), self.identity.vm.as_str()]);
+            candidates.push((own, self.identity.failure_domain.clone(), address));
+        }
+        for member in self.members() {
+            if member.is_reachable() && !member.leaving {
+                let rank = stable_hash(&[team.as_str(), member.vm.as_str()]);
+                candidates.push((rank, member.failure_domain, member.address));
+            }
+        }
+        candidates.sort();
+        spread_over_domains(candidates)
+            .into_iter()
+            .take(count)
+            .collect()
+    }
+}
+
+fn spread_over_domains(ranked: Vec<(u64, FailureDomain, SocketAddr)>) -> Vec<SocketAddr> {
+    let mut round_of: BTreeMap<FailureDomain, usize> = BTreeMap::new();
+    let mut in_rounds: Vec<(usize, u64, SocketAddr)> = Vec::with_capacity(ranked.len());
+    for (rank, domain, address) in ranked {
+        let round = round_of.entry(domain).or_default();
+        in_rounds.push((*round, rank, address));
+        *round += 1;
+    }
+    in_rounds.sort();
+    in_rounds
+        .into_iter()
+        .map(|(_, _, address)| address)
+        .collect()
+}
--- /dev/null
+++ b/src/router/ledger_client.rs
@@ -0,0 +1,192 @@
+//! The ledger in the platform.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use super::combine::{Change, CombinedWriter};
+use crate::core::ids::{BudgetId, HolderId};
+use crate::core::ledger::{
+    BudgetEntry, GrantRow, HolderUpdate, LedgerError, LedgerShard, UpdateOutcome,
+};
+use crate::core::units::Tokens;
+use crate::platform::update::{read_json, UpdateError};
+use crate::platform::{ObjectKey, ObjectStore};
+use crate::util::{lock, stable_hash};
+
+/// Ledger objects over which the budgets are spread.
+pub const LEDGER_SHARD_COUNT: u64 = 256;
+/// Start of the names of ledger objects.
+pub const LEDGER_PREFIX: &str = "ledger/";
+
+/// What a holder learns from the ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryView {
+    /// The holder's own row.
+    pub row: GrantRow,
+    /// Tokens that can still be granted.
+    pub available_tokens: Tokens,
+    /// Other holders with tokens left, most first.
+    pub others: Vec<OtherHolder>,
+}
+
+/// Another holder's row, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OtherHolder {
+    /// The holder.
+    pub holder: HolderId,
+    /// Its witness.
+    pub witness: Option<HolderId>,
+    /// Tokens that it had left when it last wrote.
+    pub unspent_tokens: Tokens,
+    /// True when the row is sealed.
+    pub sealed: bool,
+}
+
+/// A change of one budget's entry.
+#[derive(Clone, Debug)]
+pub enum LedgerChange {
+    /// A holder's update of its own row.
+    Update {
+        /// The budget.
+        budget: BudgetId,
+        /// The update.
+        update: HolderUpdate,
+    },
+    /// Closing another holder's grant after its witness was sealed.
+    Reclaim {
+        /// The budget.
+        budget: BudgetId,
+        /// The holder whose grant is closed.
+        holder: HolderId,
+        /// The witness that was sealed.
+        witness: HolderId,
+        /// The horizon at which it was sealed.
+        horizon_tokens: Tokens,
+    },
+}
+
+/// What a ledger change led to: the refusal if any, and the entry as it stands.
+#[derive(Clone, Debug)]
+pub struct LedgerAnswer {
+    /// Why nothing was changed, if so.
+    pub refusal: Option<LedgerError>,
+    /// The entry from the changer's point of view.
+    pub view: EntryView,
+}
+
+impl Change<LedgerShard> for LedgerChange {
+    type Output = LedgerAnswer;
+
+    fn apply(&self, shard: &mut LedgerShard) -> (LedgerAnswer, bool) {
+        match self {
+            Self::Update { budget, update } => {
+                let entry = shard.entries.entry(budget.clone()).or_default();
+                let result = entry.apply(update);
+                let is_changed = matches!(result, Ok(UpdateOutcome::Applied));
+                let answer = LedgerAnswer {
+                    refusal: result.err(),
+                    view: view_of(entry, update.holder),
+                };
+                (answer, is_changed)
+            }
+            Self::Reclaim {
+                budget,
+                holder,
+                witness,
+                horizon_tokens,
+            } => {
+                let entry = shard.entries.entry(budget.clone()).or_default();
+                let was_sealed = entry.rows.get(holder).is_some_and(|row| row.sealed);
+                let result = entry.reclaim(*holder, *witness, *horizon_tokens);
+                let is_changed = result.is_ok() && !was_sealed;
+                let answer = LedgerAnswer {
+                    refusal: result.err(),
+                    view: view_of(entry, *holder),
+                };
+                (answer, is_changed)
+            }
+        }
+    }
+}
+
+fn view_of(entry: &BudgetEntry, holder: HolderId) -> EntryView {
+    let others = entry.rows.iter().filter(|(id, _)| **id != holder);
+    let mut others: Vec<OtherHolder> = others
+        .map(|(id, row)| OtherHolder {
+            holder: *id,
+            witness: row.witness,
+            unspent_tokens: row.unspent_tokens(),
+            sealed: row.sealed,
+        })
+        .filter(|other| other.unspent_tokens > Tokens::ZERO)
+        .collect();
+    others.sort_by_key(|other| std::cmp::Reverse(other.unspent_tokens));
+    EntryView {
+        row: entry.rows.get(&holder).cloned().unwrap_or_default(),
+        available_tokens: entry.available_tokens(),
+        others,
+    }
+}
+
+type ShardWriter = CombinedWriter<LedgerShard, LedgerChange>;
+
+/// Reads and changes the ledger.
+#[derive(Debug)]
+pub struct LedgerClient {
+    store: Arc<dyn ObjectStore>,
+    writers: Mutex<HashMap<ObjectKey, Arc<ShardWriter>>>,
+}
+
+/// The ledger object that holds a budget's entry.
+#[must_use]
+pub fn ledger_key(budget: &BudgetId) -> ObjectKey {
+    let shard = stable_hash(&[budget.as_str()]) % LEDGER_SHARD_COUNT;
+    ObjectKey::new(format!("{LEDGER_PREFIX}{shard:03}"))
+}
+
+impl LedgerClient {
+    /// A client on a platform.
+    #[must_use]
+    pub fn new(store: Arc<dyn ObjectStore>) -> Self {
+        Self {
+            store,
+            writers: Mutex::default(),
+        }
+    }
+
+    /// Applies a change, in one write with others of the same shard that wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer. The change may have taken effect then.
+    pub async fn apply(&self, change: LedgerChange) -> Result<LedgerAnswer, UpdateError> {
+        let budget = match &change {
+            LedgerChange::Update { budget, .. } | LedgerChange::Reclaim { budget, .. } => budget,
+        };
+        let writer = self.writer(ledger_key(budget));
+        writer.apply(change).await
+    }
+
+    /// Reads all entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer or an object is not readable.
+    pub async fn read_all(&self) -> Result<LedgerShard, UpdateError> {
+        let mut all = LedgerShard::default();
+        for key in self.store.list(LEDGER_PREFIX).await? {
+            let (shard, _) = read_json::<LedgerShard>(self.store.as_ref(), &key).await?;
+            all.entries.extend(shard.entries);
+        }
+        Ok(all)
+    }
+
+    fn writer(&self, key: ObjectKey) -> Arc<ShardWriter> {
+        let mut writers = lock(&self.writers);
+        let store = Arc::clone(&self.store);
+        let writer = writers
+            .entry(key.clone())
+            .or_insert_with(|| Arc::new(CombinedWriter::new(store, key)));
+        Arc::clone(writer)
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,24 @@
+//! The router: the parts that one process runs and how they are put together.
+
+pub mod admission;
+pub mod billing;
+pub mod chat;
+pub mod claims;
+pub mod combine;
+pub mod configuration;
+pub mod drain;
+pub mod fleet;
+pub mod ledger_client;
+pub mod probing;
+pub mod reclaim;
+pub mod refusal;
+pub mod replicas;
+pub mod requests;
+pub mod service;
+pub mod spending;
+pub mod web;
+
+mod assembly;
+mod peer_service;
+
+pub use assembly::{Borders, Router, RouterOptions};
--- /dev/null
+++ b/src/router/replicas.rs
@@ -0,0 +1,343 @@
+//! The pools of replicas as this router sees them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use tokio::time::Instant;
+
+use crate::catalog::Catalog;
+use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
+use crate::core::routing::{PoolState, PrefixKey, ReplicaState, RouteWish, RoutingPolicy};
+use crate::peer::CrashReport;
+use crate::util::lock;
+use crate::vm_list::{VmRecord, VmRole, VmState};
+
+/// Time for which a replica that was found gone is told to peers, unless it answers again.
+const GONE_MEMORY: Duration = Duration::from_secs(30);
+
+/// A replica chosen for one try of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// Its pool.
+    pub pool: PoolId,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its address.
+    pub address: SocketAddr,
+    fingerprint: Fingerprint,
+    is_suspect: bool,
+}
+
+/// What a request wants of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaWish<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// Starts of the prompt, longest first.
+    pub prefixes: &'a [PrefixKey],
+    /// Replicas that were tried already.
+    pub avoid: &'a [ReplicaId],
+    /// Digest of the request's content.
+    pub fingerprint: Fingerprint,
+}
+
+/// A replica that refused connections.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    since: Instant,
+    /// True when this router saw it itself; only such findings are told to peers.
+    is_own: bool,
+}
+
+#[derive(Debug, Default)]
+struct Pools {
+    pools: HashMap<PoolId, PoolState>,
+    addresses: HashMap<ReplicaId, SocketAddr>,
+    in_flight: HashMap<ReplicaId, Vec<Fingerprint>>,
+    gone: BTreeMap<ReplicaId, Gone>,
+}
+
+/// The replicas of all pools.
+#[derive(Debug)]
+pub struct Replicas {
+    failure_domain: FailureDomain,
+    policy: Box<dyn RoutingPolicy>,
+    started: Instant,
+    pools: Mutex<Pools>,
+    rng: Mutex<StdRng>,
+    quarantine: Mutex<Quarantine>,
+}
+
+impl Replicas {
+    /// No replicas yet.
+    #[must_use]
+    pub fn new(failure_domain: FailureDomain, policy: Box<dyn RoutingPolicy>, seed: u64) -> Self {
+        Self {
+            failure_domain,
+            policy,
+            started: Instant::now(),
+            pools: Mutex::default(),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            quarantine: Mutex::default(),
+        }
+    }
+
+    /// Takes in the VM list and the pools' rules.
+    pub fn learn_vms(&self, vms: &[VmRecord], catalog: &Catalog) {
+        let mut state = lock(&self.pools);
+        let mut listed = BTreeSet::new();
+        for record in vms {
+            let VmRole::Replica {
+                replica,
+                pool,
+                address,
+            } = &record.role
+            else {
+                continue;
+            };
+            let slots = catalog.pool(pool).map_or(1, |pool| pool.replica_slots);
+            let domain = record.failure_domain.clone();
+            let entry = state.pools.entry(pool.clone()).or_default();
+            let index = entry.add(ReplicaState::new(replica.clone(), domain, slots));
+            let is_leaving = record.state == VmState::Leaving;
+            entry.replica_mut(index).leaving = is_leaving;
+            let former = state.addresses.insert(replica.clone(), *address);
+            if former.is_some_and(|former| former != *address) {
+                state.gone.remove(replica);
+            }
+            listed.insert(replica.clone());
+        }
+        state.mark_unlisted(&listed);
+        state.mark_gone();
+    }
+
+    /// Chooses a replica and counts the request as in progress there.
+    pub fn start(&self, wish: &ReplicaWish<'_>) -> Option<Chosen> {
+        let is_suspect = self.suspicion(wish.fingerprint) == Suspicion::Suspect;
+        let mut state = lock(&self.pools);
+        let pool = state.pools.get_mut(wish.pool)?;
+        let route = RouteWish {
+            now_ms: self.now_ms(),
+            failure_domain: &self.failure_domain,
+            prefixes: wish.prefixes,
+            avoid: wish.avoid,
+            keep_apart: is_suspect,
+        };
+        let index = self.policy.choose(pool, &route, &mut *lock(&self.rng))?;
+        pool.start(index, wish.prefixes, is_suspect);
+        let replica = pool.replica(index).id.clone();
+        let address = *state.addresses.get(&replica)?;
+        state
+            .in_flight
+            .entry(replica.clone())
+            .or_default()
+            .push(wish.fingerprint);
+        let fingerprint = wish.fingerprint;
+        Some(Chosen {
+            pool: wish.pool.clone(),
+            replica,
+            address,
+            fingerprint,
+            is_suspect,
+        })
+    }
+
+    /// Counts a request as ended.
+    pub fn end(&self, chosen: &Chosen) {
+        let mut state = lock(&self.pools);
+        if let Some(pool) = state.pools.get_mut(&chosen.pool) {
+            if let Some(index) = pool.index_of(&chosen.replica) {
+                pool.end(index, chosen.is_suspect);
+            }
+        }
+        if let Some(in_flight) = state.in_flight.get_mut(&chosen.replica) {
+            if let Some(place) = in_flight.iter().position(|f| *f == chosen.fingerprint) {
+                in_flight.swap_remove(place);
+            }
+        }
+    }
+
+    /// Notes that a replica answered a request whole.
+    pub fn learn_success(&self, chosen: &Chosen) {
+        let mut state = lock(&self.pools);
+        if state.gone.remove(&chosen.replica).is_some() {
+            state.mark_gone();
+        }
+        state.with_replica(&chosen.pool, &chosen.replica, |pool, index| {
+            pool.learn_success(index);
+        });
+        drop(state);
+        lock(&self.quarantine).clear(chosen.fingerprint);
+    }
+
+    /// Notes that a replica failed a request but is there.
+    pub fn learn_failure(&self, chosen: &Chosen) {
+        let now_ms = self.now_ms();
+        lock(&self.pools).with_replica(&chosen.pool, &chosen.replica, |pool, index| {
+            pool.learn_failure(index, now_ms);
+        });
+    }
+
+    /// Notes that a replica refuses connections: it gets no new work, and peers are told.
+    pub fn learn_gone(&self, replica: &ReplicaId) {
+        let mut state = lock(&self.pools);
+        state.gone.insert(
+            replica.clone(),
+            Gone {
+                since: Instant::now(),
+                is_own: true,
+            },
+        );
+        state.mark_gone();
+    }
+
+    /// Notes a crash: all requests in progress there come under suspicion.
+    pub fn learn_crash(&self, chosen: &Chosen) {
+        let in_flight = lock(&self.pools).in_flight.get(&chosen.replica).cloned();
+        let mut quarantine = lock(&self.quarantine);
+        for fingerprint in in_flight.unwrap_or_default() {
+            quarantine.record(fingerprint, chosen.replica.clone());
+        }
+        quarantine.record(chosen.fingerprint, chosen.replica.clone());
+        drop(quarantine);
+        self.learn_gone(&chosen.replica);
+    }
+
+    /// Takes in what a peer found.
+    pub fn learn_from_peer(&self, gone: &[ReplicaId], crashes: &[CrashReport]) {
+        let mut quarantine = lock(&self.quarantine);
+        for crash in crashes {
+            quarantine.record(crash.fingerprint, crash.replica.clone());
+        }
+        drop(quarantine);
+        let mut state = lock(&self.pools);
+        for replica in gone {
+            let found = Gone {
+                since: Instant::now(),
+                is_own: false,
+            };
+            state.gone.entry(replica.clone()).or_insert(found);
+        }
+        state.mark_gone();
+    }
+
+    /// True while a replica counts as gone.
+    #[must_use]
+    pub fn is_gone(&self, replica: &ReplicaId) -> bool {
+        lock(&self.pools).gone.contains_key(replica)
+    }
+
+    /// Notes that a replica answers, whatever it was said to be.
+    pub fn learn_alive(&self, replica: &ReplicaId) {
+        let mut state = lock(&self.pools);
+        if state.gone.remove(replica).is_some() {
+            state.mark_gone();
+        }
+    }
+
+    /// Replicas that this router itself found gone.
+    #[must_use]
+    pub fn gone(&self) -> Vec<ReplicaId> {
+        let state = lock(&self.pools);
+        let own = state.gone.iter().filter(|(_, gone)| gone.is_own);
+        own.map(|(replica, _)| replica.clone()).collect()
+    }
+
+    /// All crashes known.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<CrashReport> {
+        let quarantine = lock(&self.quarantine);
+        let reports = quarantine.reports();
+        reports
+            .map(|(fingerprint, replica)| CrashReport {
+                fingerprint,
+                replica: replica.clone(),
+            })
+            .collect()
+    }
+
+    /// How far a request is under suspicion.
+    #[must_use]
+    pub fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
+        lock(&self.quarantine).suspicion(fingerprint)
+    }
+
+    /// Addresses of all replicas in service, to ask them for their load.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<(PoolId, ReplicaId, SocketAddr)> {
+        let state = lock(&self.pools);
+        let mut found = Vec::new();
+        for (pool, entry) in &state.pools {
+            for replica in entry.replicas().iter().filter(|replica| !replica.leaving) {
+                if let Some(address) = state.addresses.get(&replica.id) {
+                    found.push((pool.clone(), replica.id.clone(), *address));
+                }
+            }
+        }
+        found
+    }
+
+    /// This router's requests in progress at a replica.
+    #[must_use]
+    pub fn own_in_flight(&self, replica: &ReplicaId) -> u32 {
+        let state = lock(&self.pools);
+        let count = state.in_flight.get(replica).map_or(0, Vec::len);
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Takes in a load report.
+    pub fn learn_load(&self, pool: &PoolId, replica: &ReplicaId, requests: u32, own: u32) {
+        lock(&self.pools).with_replica(pool, replica, |pool, index| {
+            pool.learn_load(index, requests, own);
+        });
+    }
+
+    /// Requests that this router may have in progress in a pool: its slots less what others use.
+    #[must_use]
+    pub fn pool_room(&self, pool: &PoolId) -> u64 {
+        lock(&self.pools).pools.get(pool).map_or(0, PoolState::room)
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl Pools {
+    fn with_replica<F>(&mut self, pool: &PoolId, replica: &ReplicaId, action: F)
+    where
+        F: FnOnce(&mut PoolState, usize),
+    {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            if let Some(index) = pool.index_of(replica) {
+                action(pool, index);
+            }
+        }
+    }
+
+    fn mark_unlisted(&mut self, listed: &BTreeSet<ReplicaId>) {
+        for pool in self.pools.values_mut() {
+            for index in 0..pool.replicas().len() {
+                if !listed.contains(&pool.replica(index).id) {
+                    pool.replica_mut(index).leaving = true;
+                }
+            }
+        }
+    }
+
+    fn mark_gone(&mut self) {
+        self.gone
+            .retain(|_, gone| gone.since.elapsed() < GONE_MEMORY);
+        for pool in self.pools.values_mut() {
+            for index in 0..pool.replicas().len() {
+                let is_gone = self.gone.contains_key(&pool.replica(index).id);
+                pool.replica_mut(index).gone = is_gone;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,176 @@
+//! Settings of one router process, read from a JSON file.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::core::ids::{FailureDomain, VmId};
+
+/// Settings of a router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Address for callers and operators.
+    pub listen: SocketAddr,
+    /// Address for other routers.
+    pub peer_listen: SocketAddr,
+    /// Address that callers are told to use; `listen` if absent.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Address that other routers are told to use; `peer_listen` if absent.
+    #[serde(default)]
+    pub peer_advertise: Option<SocketAddr>,
+    /// Base URL of the platform's object API.
+    pub platform_url: CompactString,
+    /// File with the secret by which routers prove themselves to one another.
+    pub fleet_secret_file: PathBuf,
+    /// Certificate and key for callers; plain HTTP if absent.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
+    /// Largest request body.
+    #[serde(default = "defaults::max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// Time between two looks at the grants.
+    #[serde(default = "defaults::refill_ms")]
+    pub refill_ms: u64,
+    /// Time between two writes of bills to the platform.
+    #[serde(default = "defaults::bill_flush_ms")]
+    pub bill_flush_ms: u64,
+    /// Time for which a caller may keep the addresses that it was told.
+    #[serde(default = "defaults::address_ttl_ms")]
+    pub address_ttl_ms: u64,
+    /// Longest time that a draining router waits for its callers.
+    #[serde(default = "defaults::drain_ms")]
+    pub drain_ms: u64,
+}
+
+/// Files for TLS towards callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// PEM file with the certificate chain.
+    pub certificate_file: PathBuf,
+    /// PEM file with the private key.
+    pub key_file: PathBuf,
+}
+
+mod defaults {
+    pub(super) const fn max_body_bytes() -> u64 {
+        1 << 20
+    }
+
+    pub(super) const fn refill_ms() -> u64 {
+        250
+    }
+
+    pub(super) const fn bill_flush_ms() -> u64 {
+        500
+    }
+
+    pub(super) const fn address_ttl_ms() -> u64 {
+        5_000
+    }
+
+    pub(super) const fn drain_ms() -> u64 {
+        600_000
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is not JSON of the right shape.
+    #[error("{}: {place}: {reason}", path.display())]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// Path of the field.
+        place: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// A value is out of its range.
+    #[error("{place}: {reason}")]
+    Range {
+        /// Path of the field.
+        place: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the place and reason of the first fault.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        let mut deserializer = serde_json::Deserializer::from_slice(&text);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+                SettingsError::Parse {
+                    path: path.to_owned(),
+                    place: error.path().to_string(),
+                    reason: error.inner().to_string(),
+                }
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the ranges of all values.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the place and reason of the first fault.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_range("max_body_bytes", self.max_body_bytes, 1_024, 64 << 20)?;
+        check_range("refill_ms", self.refill_ms, 10, 10_000)?;
+        check_range("bill_flush_ms", self.bill_flush_ms, 10, 10_000)?;
+        check_range("address_ttl_ms", self.address_ttl_ms, 100, 3_600_000)?;
+        check_range("drain_ms", self.drain_ms, 1_000, 86_400_000)?;
+        if !self.platform_url.starts_with("http://") && !self.platform_url.starts_with("https://") {
+            let reason = format!("{:?} is no http or https URL", self.platform_url.as_str());
+            return Err(SettingsError::Range {
+                place: "platform_url",
+                reason,
+            });
+        }
+        Ok(())
+    }
+
+    /// The address that other routers are told to use.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_advertise.unwrap_or(self.peer_listen)
+    }
+}
+
+fn check_range(place: &'static str, value: u64, low: u64, high: u64) -> Result<(), SettingsError> {
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    let reason = format!("{value} is outside {low} to {high}");
+    Err(SettingsError::Range { place, reason })
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,29 @@
+//! Small helpers that several modules share.
+
+use std::hash::Hasher;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use twox_hash::XxHash64;
+
+/// Locks a mutex, also after a thread panicked while it held the lock.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Hash of several texts that is the same on all routers.
+pub(crate) fn stable_hash(parts: &[&str]) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    for part in parts {
+        hasher.write(part.as_bytes());
+        hasher.write_u8(0);
+    }
+    hasher.finish()
+}
+
+/// Seconds since the Unix epoch, for records that people read and for dropping old ones.
+pub(crate) fn unix_time_s() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_secs())
+}
