--- /dev/null
+++ b/tests/lists.rs
@@ -0,0 +1,137 @@
+//! Reading and checking of the two lists: bad input gets an error that names the place.
+
+// Properties take their input by value.
+#![allow(clippy::needless_pass_by_value)]
+
+use currantlever::fakes::fleet::{plans_list, usage_list};
+use currantlever::{find_faults, parse_list, ListName, PlansList, UsageList};
+use quickcheck::{Gen, QuickCheck};
+
+fn good() -> (PlansList, UsageList) {
+    (
+        plans_list(&[("one", 100), ("two", 200)]).unwrap(),
+        usage_list().unwrap(),
+    )
+}
+
+fn places(plans: &PlansList, usage: &UsageList) -> Vec<String> {
+    find_faults(plans, usage)
+        .into_iter()
+        .map(|fault| fault.place)
+        .collect()
+}
+
+#[test]
+fn good_lists_have_no_faults() {
+    let (plans, usage) = good();
+    assert!(places(&plans, &usage).is_empty());
+}
+
+/// Makes one mistake in the lists.
+type Spoil = fn(&mut PlansList, &mut UsageList);
+
+#[test]
+fn each_fault_names_its_place() {
+    let cases: [(&str, Spoil); 12] = [
+        ("teams[1].team", |plans, _| {
+            plans.teams[1].team = plans.teams[0].team.clone();
+        }),
+        ("teams[0].plan", |plans, _| {
+            plans.teams[0].plan = "none".parse().unwrap();
+        }),
+        ("teams[0].key_sha256", |plans, _| {
+            plans.teams[0].key_sha256.clear();
+        }),
+        ("teams[0].key_sha256[0]", |plans, _| {
+            plans.teams[0].key_sha256[0] = "XY".into();
+        }),
+        ("teams[0].budgets", |plans, _| {
+            plans.teams[0].budgets.clear();
+        }),
+        ("teams[1].budgets[0].budget", |plans, _| {
+            plans.teams[1].budgets[0].budget = plans.teams[0].budgets[0].budget.clone();
+        }),
+        ("plans[0]", |_, usage| {
+            usage.plans[0].models.clear();
+            usage.plans[0].services.clear();
+        }),
+        ("plans[0].models[0].pool", |_, usage| {
+            usage.plans[0].models[0].pool = "none".parse().unwrap();
+        }),
+        ("plans[0].services[0].pool", |_, usage| {
+            usage.plans[0].services[0].pool = "assistant".parse().unwrap();
+        }),
+        ("plans[0].deadline_ms", |_, usage| {
+            usage.plans[0].deadline_ms = 0;
+        }),
+        ("pools[0].replica_slots", |_, usage| {
+            usage.pools[0].replica_slots = 0;
+        }),
+        ("pools[1].pool", |_, usage| {
+            usage.pools[1].pool = usage.pools[0].pool.clone();
+        }),
+    ];
+    for (place, spoil) in cases {
+        let (mut plans, mut usage) = good();
+        spoil(&mut plans, &mut usage);
+        let found = places(&plans, &usage);
+        assert!(
+            found.iter().any(|found| found == place),
+            "{place} not in {found:?}"
+        );
+    }
+}
+
+#[test]
+fn unknown_fields_and_wrong_types_name_their_place() {
+    let cases = [
+        (
+            r#"{"generation":0,"teams":[{"team":"a b"}]}"#,
+            "teams[0].team",
+        ),
+        (r#"{"generation":0,"teams":[],"extra":1}"#, "extra"),
+        (r#"{"generation":"no","teams":[]}"#, "generation"),
+        (
+            r#"{"generation":0,"teams":[{"team":"a","plan":"p","key_sha256":[],
+               "budgets":[{"budget":"b","paid_tokens":-1}]}]}"#,
+            "teams[0].budgets[0].paid_tokens",
+        ),
+    ];
+    for (text, place) in cases {
+        let fault = parse_list::<PlansList>(ListName::Plans, text.as_bytes()).unwrap_err();
+        assert_eq!(fault.place, place, "{fault}");
+    }
+}
+
+#[test]
+fn any_bytes_are_read_or_refused() {
+    fn is_handled(bytes: Vec<u8>) -> bool {
+        let _ = parse_list::<PlansList>(ListName::Plans, &bytes);
+        let _ = parse_list::<UsageList>(ListName::Usage, &bytes);
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 1))
+        .tests(500)
+        .quickcheck(is_handled as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_spoiled_list_is_read_or_refused_but_never_half_read() {
+    fn is_handled(spoils: Vec<(u16, u8)>) -> bool {
+        let (plans, _) = good();
+        let mut text = serde_json::to_vec(&plans).unwrap();
+        for (place, byte) in spoils {
+            let place = usize::from(place) % text.len();
+            text[place] = byte;
+        }
+        match parse_list::<PlansList>(ListName::Plans, &text) {
+            Ok(list) => serde_json::to_vec(&list).is_ok(),
+            Err(fault) => !fault.reason.is_empty(),
+        }
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(4, 2))
+        .tests(500)
+        .quickcheck(is_handled as fn(Vec<(u16, u8)>) -> bool);
+}
