--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Experiments on the decision core: plain loops on an injected clock.
+
+pub mod budgets;
+pub mod sites;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod apply;
+mod bench;
 mod check;
 mod demo;
 mod get;
@@ -33,6 +34,7 @@
 
 Commands:
     apply       Put an edited list into the platform
+    bench       Measure policies and costs
     check       Validate settings and lists
     demo        Run a whole site in one process and reconcile its budgets
     get         Print a list as it stands in the platform
@@ -54,6 +56,7 @@
 #[strum(serialize_all = "kebab-case")]
 enum Command {
     Apply,
+    Bench,
     Check,
     Demo,
     Get,
@@ -126,6 +129,7 @@
     };
     match command {
         Command::Apply => apply::run(parser),
+        Command::Bench => bench::run(parser),
         Command::Check => check::run(parser),
         Command::Demo => demo::run(parser),
         Command::Get => get::run(parser),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accepted;
 mod backend;
+pub mod bench;
 mod catalog;
 pub mod cmd;
 mod core;
