--- a/src/bench/budgets.rs
+++ b/src/bench/budgets.rs
@@ -6,7 +6,7 @@
 //! neither spent nor reserved anywhere at that moment.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -16,8 +16,8 @@
 use super::sites::{Deployment, SiteSize};
 use crate::core::holder::{Holder, UpdateWish};
 use crate::core::ids::{BudgetId, HolderId};
-use crate::core::ledger::BudgetEntry;
-use crate::core::policy::{GrantDecision, GrantPolicy, GrantView, PolicyName};
+use crate::core::ledger::{BudgetEntry, GrantRow, SealedHorizons};
+use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 use crate::core::units::Tokens;
 use crate::core::witness::Witness;
 
@@ -86,6 +86,8 @@
     pub overspent_tokens: u64,
     /// Falsely refused requests in a million.
     pub false_refusals_per_million: f64,
+    /// The same without those for which only stranded tokens would have sufficed.
+    pub avoidable_refusals_per_million: f64,
     /// Tokens stranded at the end.
     pub stranded_tokens: u64,
     /// Writes to the platform.
@@ -131,6 +133,7 @@
     requests: u64,
     refused: u64,
     falsely_refused: u64,
+    avoidably_refused: u64,
     overspent: u64,
     stranded: u64,
     writes: u64,
@@ -141,6 +144,7 @@
         self.requests += other.requests;
         self.refused += other.refused;
         self.falsely_refused += other.falsely_refused;
+        self.avoidably_refused += other.avoidably_refused;
         self.overspent += other.overspent;
         self.stranded += other.stranded;
         self.writes += other.writes;
@@ -156,8 +160,8 @@
             requests: self.requests,
             refused: self.refused,
             overspent_tokens: self.overspent,
-            false_refusals_per_million: self.falsely_refused as f64 * 1e6
-                / self.requests.max(1) as f64,
+            false_refusals_per_million: per_million(self.falsely_refused, self.requests),
+            avoidable_refusals_per_million: per_million(self.avoidably_refused, self.requests),
             stranded_tokens: self.stranded,
             platform_writes_per_s: self.writes as f64 / seconds,
         }
@@ -186,9 +190,7 @@
 #[derive(Debug, Default)]
 struct Account {
     holder: Option<Holder>,
-    interval_tokens: u64,
-    demand_per_s: u64,
-    largest: u64,
+    demand: DemandMeter,
     waiting: VecDeque<Request>,
 }
 
@@ -208,9 +210,29 @@
     served: u64,
     reserved: u64,
     ideal_served: u64,
+    served_by: BTreeMap<HolderId, u64>,
     ideal_reserved: u64,
 }
 
+impl Budget {
+    fn serve(&mut self, holder: HolderId, tokens: u64) {
+        self.served += tokens;
+        *self.served_by.entry(holder).or_default() += tokens;
+    }
+
+    /// What sealed holders may have used beyond what they are known to have served.
+    fn stranded(&self) -> u64 {
+        let sealed = self.entry.rows.iter().filter(|(_, row)| row.sealed);
+        let left = sealed.map(|(id, row)| {
+            let served = self.served_by.get(id).copied().unwrap_or(0);
+            (row.limit_tokens() - row.sent_tokens)
+                .get()
+                .saturating_sub(served)
+        });
+        left.sum()
+    }
+}
+
 struct Run {
     size: SiteSize,
     case: Case,
@@ -361,7 +383,7 @@
         }
         for budget in &self.budgets {
             self.sums.overspent += budget.served.saturating_sub(budget.paid);
-            self.sums.stranded += budget.entry.stranded_tokens().get();
+            self.sums.stranded += budget.stranded();
         }
     }
 
@@ -423,17 +445,12 @@
 
     fn tend_account(&mut self, router: usize, budget: usize) {
         let account = &mut self.routers[router].accounts[budget];
-        let newest = account.interval_tokens * 1_000 / TEND_MS;
-        account.demand_per_s = (account.demand_per_s * 80 + newest * 20) / 100;
-        account.interval_tokens = 0;
-        if account.demand_per_s == 0 {
-            account.largest = 0;
-        }
+        account.demand.end_interval(TEND_MS);
         if account.holder.is_none() {
             return;
         }
         let decision = self.policy.decide(&self.view(router, budget));
-        if decision != GrantDecision::default() {
+        if decision != GrantDecision::default() || self.lacks_witness(router, budget) {
             self.sync(router, budget, decision);
         }
         self.extend(router, budget, 0);
@@ -445,7 +462,7 @@
         let entry = &self.budgets[budget].entry;
         let holder = account.holder.as_ref();
         let id = self.routers[router].id;
-        let has_rest = |row: &&crate::core::ledger::GrantRow| row.unspent_tokens() > Tokens::ZERO;
+        let has_rest = |row: &&GrantRow| row.unspent_tokens() > Tokens::ZERO;
         let others = entry
             .rows
             .iter()
@@ -456,9 +473,9 @@
             paid_tokens: entry.paid_tokens,
             free_tokens: holder.map(Holder::free_tokens).unwrap_or_default(),
             reserved_tokens: holder.map(Holder::reserved_tokens).unwrap_or_default(),
-            demand_tokens_per_s: account.demand_per_s,
-            largest_request_tokens: Tokens::new(account.largest),
-            holder_count: others.filter(has_rest).count() as u64 + 1,
+            demand_tokens_per_s: account.demand.tokens_per_s(),
+            largest_request_tokens: account.demand.largest_tokens(),
+            holder_count: (others.filter(has_rest).count() + 1).max(ROUTERS_PER_TEAM) as u64,
         }
     }
 
@@ -467,7 +484,7 @@
         if !self.reaches_platform(router) {
             return false;
         }
-        let witness = self.choose_witness(router, budget);
+        let witnesses = self.choose_witnesses(router, budget);
         let id = self.routers[router].id;
         let state = &mut self.budgets[budget];
         let account = &mut self.routers[router].accounts[budget];
@@ -477,7 +494,7 @@
             paid_tokens: Tokens::new(state.paid),
             draw_tokens: decision.draw_tokens,
             return_tokens: decision.return_tokens,
-            witness,
+            witnesses,
         });
         self.sums.writes += 1;
         let is_applied = state.entry.apply(&update).is_ok();
@@ -487,27 +504,40 @@
         is_applied
     }
 
-    /// The present witness while it is in reach, else a router in another failure domain.
-    fn choose_witness(&self, router: usize, budget: usize) -> Option<HolderId> {
+    /// The present witnesses while all are in reach, else one in each other failure domain.
+    fn choose_witnesses(&self, router: usize, budget: usize) -> BTreeSet<HolderId> {
         let holder = self.routers[router].accounts[budget].holder.as_ref();
-        let present = holder.and_then(Holder::witness);
-        let place = |id| self.routers.iter().position(|other| other.id == id);
-        if present
-            .and_then(place)
-            .is_some_and(|other| self.are_linked(router, other))
-        {
+        let present = holder.map(Holder::witnesses).cloned().unwrap_or_default();
+        if !present.is_empty() && present.iter().all(|id| self.is_linked_to(router, *id)) {
             return present;
         }
         let count = self.routers.len();
+        let mut domains = BTreeSet::from([self.routers[router].domain]);
         let others = (1..count).map(|step| (router + step) % count);
-        let mut candidates = others.filter(|other| {
-            self.routers[*other].domain != self.routers[router].domain
-                && self.are_linked(router, *other)
-        });
-        candidates
-            .next()
-            .map(|other| self.routers[other].id)
-            .or(present)
+        let mut best = BTreeSet::new();
+        for other in others.filter(|other| self.are_linked(router, *other)) {
+            if domains.insert(self.routers[other].domain) {
+                best.insert(self.routers[other].id);
+            }
+        }
+        if best.is_empty() {
+            return present;
+        }
+        best
+    }
+
+    /// True when a witness of a grant is gone or out of reach.
+    fn lacks_witness(&self, router: usize, budget: usize) -> bool {
+        let holder = self.routers[router].accounts[budget].holder.as_ref();
+        holder.is_some_and(|holder| {
+            let is_lost = |id: &HolderId| !self.is_linked_to(router, *id);
+            holder.limit_tokens() > Tokens::ZERO && holder.witnesses().iter().any(is_lost)
+        })
+    }
+
+    fn is_linked_to(&self, router: usize, id: HolderId) -> bool {
+        let place = self.routers.iter().position(|other| other.id == id);
+        place.is_some_and(|other| self.are_linked(router, other))
     }
 
     /// Has the witness acknowledge some seconds of demand, or what one request needs.
@@ -516,25 +546,28 @@
         let Some(holder) = &account.holder else {
             return;
         };
-        let ahead = (account.largest * 4)
-            .max(account.demand_per_s * 2)
+        let largest = account.demand.largest_tokens().get();
+        let ahead = (largest * 4)
+            .max(account.demand.tokens_per_s() * 2)
             .max(needed);
         let wanted = (holder.consumed_tokens() + Tokens::new(ahead)).min(holder.limit_tokens());
         let rest = holder.horizon_tokens() - holder.consumed_tokens();
         let is_low = rest < Tokens::new(ahead / 2) || rest < Tokens::new(needed);
-        let (id, witness) = (holder.id(), holder.witness());
-        let Some(witness) = witness.filter(|_| is_low && wanted > holder.horizon_tokens()) else {
+        if !is_low || wanted <= holder.horizon_tokens() {
             return;
-        };
-        let Some(place) = self.routers.iter().position(|other| other.id == witness) else {
+        }
+        let id = holder.id();
+        let mut witnesses = holder.witnesses().iter().copied();
+        let Some(witness) = witnesses.find(|witness| self.is_linked_to(router, *witness)) else {
             return;
         };
-        if !self.are_linked(router, place) {
-            return;
-        }
         let name = self.budget_ids[budget].clone();
-        let record = self.routers[place].witness.extend(id, &name, wanted);
-        if let Some(holder) = &mut self.routers[router].accounts[budget].holder {
+        let mut others = self.routers.iter_mut();
+        let record = others
+            .find(|other| other.id == witness)
+            .map(|other| other.witness.extend(id, &name, wanted));
+        let account = &mut self.routers[router].accounts[budget];
+        if let (Some(holder), Some(record)) = (&mut account.holder, record) {
             holder.acknowledge(witness, record);
         }
     }
@@ -569,8 +602,7 @@
             ..
         } = request;
         let account = &mut self.routers[router].accounts[budget];
-        account.interval_tokens += reserve;
-        account.largest = account.largest.max(reserve);
+        account.demand.note(Tokens::new(reserve));
         if self.try_start(request) {
             return true;
         }
@@ -655,6 +687,9 @@
         let rest = budget.paid.saturating_sub(budget.served + budget.reserved);
         self.sums.refused += 1;
         self.sums.falsely_refused += u64::from(rest >= request.reserve);
+        let stranded = budget.stranded();
+        let is_avoidable = rest.saturating_sub(stranded) >= request.reserve;
+        self.sums.avoidably_refused += u64::from(is_avoidable);
     }
 
     fn retry_waiting(&mut self, router: usize, budget: usize) {
@@ -672,10 +707,10 @@
         let router = &mut self.routers[request.router];
         if router.id != holder_id {
             // Its router died: about half of the answer had been served.
-            budget.served += request.actual / 2;
+            budget.serve(holder_id, request.actual / 2);
             return;
         }
-        budget.served += request.actual;
+        budget.serve(holder_id, request.actual);
         if let Some(holder) = &mut router.accounts[request.budget].holder {
             holder.settle(Tokens::new(request.reserve), Tokens::new(request.actual));
         }
@@ -688,22 +723,24 @@
         self.push(self.now_ms + RECLAIM_MS, Event::Replace { router, dead });
     }
 
+    /// Seals a dead router's grants at their witnesses; without all of them nothing is freed.
     fn reclaim(&mut self, router: usize, dead: HolderId) {
+        if !self.reaches_platform(router) {
+            return;
+        }
         for budget in 0..self.budgets.len() {
             let Some(row) = self.budgets[budget].entry.rows.get(&dead) else {
                 continue;
             };
-            let Some(witness) = row.witness else {
-                continue;
-            };
-            let place = self.routers.iter().position(|other| other.id == witness);
-            if let Some(place) = place.filter(|_| self.reaches_platform(router)) {
-                let id = self.budget_ids[budget].clone();
-                let record = self.routers[place].witness.seal(dead, &id);
-                let entry = &mut self.budgets[budget].entry;
-                let _ = entry.reclaim(dead, witness, record.horizon_tokens);
-                self.sums.writes += 1;
+            let name = &self.budget_ids[budget];
+            let mut sealed = SealedHorizons::new();
+            for other in &mut self.routers {
+                if row.witnesses.contains(&other.id) {
+                    sealed.insert(other.id, other.witness.seal(dead, name).horizon_tokens);
+                }
             }
+            let _ = self.budgets[budget].entry.reclaim(dead, &sealed);
+            self.sums.writes += 1;
         }
     }
 }
@@ -717,6 +754,10 @@
     (scaled_f64(amount) * factor) as u64
 }
 
+fn per_million(count: u64, of: u64) -> f64 {
+    scaled_f64(count) * 1e6 / scaled_f64(of.max(1))
+}
+
 #[allow(clippy::cast_precision_loss, reason = "amounts are far below 2^52")]
 fn scaled_f64(amount: u64) -> f64 {
     amount as f64
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -80,7 +80,7 @@
         return Ok(());
     }
     println!(
-        "{:<12} {:<14} {:<13} {:>9} {:>8} {:>9} {:>11} {:>10} {:>8}",
+        "{:<12} {:<14} {:<13} {:>9} {:>8} {:>9} {:>11} {:>11} {:>10} {:>8}",
         "deployment",
         "case",
         "policy",
@@ -88,12 +88,13 @@
         "refused",
         "overspent",
         "false/M",
+        "avoidable/M",
         "stranded",
         "writes/s"
     );
     for result in results {
         println!(
-            "{:<12} {:<14} {:<13} {:>9} {:>8} {:>9} {:>11.1} {:>10} {:>8.2}",
+            "{:<12} {:<14} {:<13} {:>9} {:>8} {:>9} {:>11.1} {:>11.1} {:>10} {:>8.2}",
             result.deployment,
             result.case,
             result.policy,
@@ -101,6 +102,7 @@
             result.refused,
             result.overspent_tokens,
             result.false_refusals_per_million,
+            result.avoidable_refusals_per_million,
             result.stranded_tokens,
             result.platform_writes_per_s,
         );
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -1,10 +1,10 @@
 //! The holder's side of one grant: what a router process may still spend of one budget.
 //!
 //! Consumption is `spent + sent + reserved`. It is bounded twice: by the limit that the ledger
-//! granted, and by the horizon that the witness acknowledged. Both are enforced in memory, so a
+//! granted, and by the horizon that any one of its witnesses acknowledged. Both are enforced in memory, so a
 //! reservation makes no call.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use thiserror::Error;
 
@@ -31,7 +31,7 @@
 }
 
 /// What a holder asks of the ledger when it prepares an update.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpdateWish {
     /// Generation of the list that the holder has.
     pub generation: Generation,
@@ -41,8 +41,8 @@
     pub draw_tokens: Tokens,
     /// Tokens to give back.
     pub return_tokens: Tokens,
-    /// Witness from now on.
-    pub witness: Option<HolderId>,
+    /// Witnesses from now on.
+    pub witnesses: BTreeSet<HolderId>,
 }
 
 /// One router process's share of one budget.
@@ -55,7 +55,7 @@
     sent: BTreeMap<HolderId, Tokens>,
     spent_tokens: Tokens,
     reserved_tokens: Tokens,
-    witness: Option<HolderId>,
+    witnesses: BTreeSet<HolderId>,
     horizon_tokens: Tokens,
     seq: u64,
     pending: Option<HolderUpdate>,
@@ -81,7 +81,7 @@
             sent: BTreeMap::new(),
             spent_tokens: Tokens::ZERO,
             reserved_tokens: Tokens::ZERO,
-            witness: None,
+            witnesses: BTreeSet::new(),
             horizon_tokens: Tokens::ZERO,
             seq: 0,
             pending: None,
@@ -96,10 +96,10 @@
         self.id
     }
 
-    /// The witness by the last confirmed update.
+    /// The witnesses by the last confirmed update.
     #[must_use]
-    pub const fn witness(&self) -> Option<HolderId> {
-        self.witness
+    pub const fn witnesses(&self) -> &BTreeSet<HolderId> {
+        &self.witnesses
     }
 
     /// True once the ledger row was sealed by a reclaimer. Such a holder gets no further grants.
@@ -108,7 +108,7 @@
         self.row_sealed
     }
 
-    /// True while the present witness refuses to extend the horizon, so that another is needed.
+    /// True while a present witness refuses to extend the horizon, so that others are needed.
     #[must_use]
     pub const fn is_witness_sealed(&self) -> bool {
         self.witness_sealed
@@ -162,7 +162,8 @@
     /// Without a witness nobody can reclaim the grant, so the limit alone binds.
     #[must_use]
     pub fn horizon_tokens(&self) -> Tokens {
-        let is_unbound = self.witness.is_none() && !self.row_sealed && !self.is_changing_witness();
+        let is_unbound =
+            self.witnesses.is_empty() && !self.row_sealed && !self.is_changing_witness();
         if is_unbound {
             return self.limit_tokens().max(self.horizon_tokens);
         }
@@ -195,12 +196,12 @@
         self.spent_tokens += actual_tokens.min(reserved_tokens);
     }
 
-    /// Takes in the witness's record.
+    /// Takes in a witness's record.
     ///
-    /// While a change of witness is pending the horizon stands still: the ledger may already
-    /// name the next witness, with the present horizon as its floor.
+    /// While a change of witnesses is pending the horizon stands still: the ledger may already
+    /// name the next ones, with the present horizon as their floor.
     pub fn acknowledge(&mut self, witness: HolderId, record: WitnessRecord) {
-        if self.witness != Some(witness) || self.is_changing_witness() {
+        if !self.witnesses.contains(&witness) || self.is_changing_witness() {
             return;
         }
         self.horizon_tokens = self.horizon_tokens.max(record.horizon_tokens);
@@ -215,7 +216,7 @@
             return pending.clone();
         }
         self.returned_tokens += wish.return_tokens.min(self.free_tokens());
-        if self.row_sealed || self.witness != wish.witness {
+        if self.row_sealed || self.witnesses != wish.witnesses {
             self.horizon_tokens = self.horizon_tokens().min(self.limit_tokens());
         }
         let update = HolderUpdate {
@@ -232,11 +233,7 @@
             received_tokens: self.total_received(),
             sent_tokens: self.total_sent(),
             spent_tokens: self.spent_tokens,
-            witness: if self.row_sealed {
-                self.witness
-            } else {
-                wish.witness
-            },
+            witnesses: self.next_witnesses(wish),
             horizon_floor_tokens: self.horizon_tokens.min(self.limit_tokens()),
         };
         self.pending = Some(update.clone());
@@ -254,12 +251,12 @@
         let Some(pending) = self.pending.take_if(|pending| pending.seq <= row.seq) else {
             return false;
         };
-        if self.witness != row.witness {
+        if self.witnesses != row.witnesses {
             self.witness_sealed = false;
         }
         self.seq = pending.seq;
         self.granted_tokens = row.granted_tokens;
-        self.witness = row.witness;
+        self.witnesses.clone_from(&row.witnesses);
         true
     }
 
@@ -318,20 +315,27 @@
         self.reserved_tokens == Tokens::ZERO && self.free_tokens() == Tokens::ZERO
     }
 
+    fn next_witnesses(&self, wish: &UpdateWish) -> BTreeSet<HolderId> {
+        if self.row_sealed {
+            return self.witnesses.clone();
+        }
+        wish.witnesses.clone()
+    }
+
     fn learn_sealed(&mut self, row: &GrantRow) {
         self.row_sealed = true;
         self.returned_tokens = self.returned_tokens.max(row.returned_tokens);
         if let Some(pending) = &mut self.pending {
             pending.draw_tokens = Tokens::ZERO;
             pending.returned_tokens = self.returned_tokens;
-            pending.witness = row.witness;
+            pending.witnesses.clone_from(&row.witnesses);
         }
     }
 
     fn is_changing_witness(&self) -> bool {
         self.pending
             .as_ref()
-            .is_some_and(|pending| pending.witness != self.witness)
+            .is_some_and(|pending| pending.witnesses != self.witnesses)
     }
 
     fn total_received(&self) -> Tokens {
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -6,7 +6,7 @@
 //! Invariant: the sum over all rows of `granted_tokens - returned_tokens` never exceeds the
 //! `paid_tokens` that was in force when the newest grant was made.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -17,6 +17,9 @@
 /// Version of the accepted lists, rising by one with each accepted change.
 pub type Generation = u64;
 
+/// Horizons at which witnesses were sealed, by witness.
+pub type SealedHorizons = BTreeMap<HolderId, Tokens>;
+
 /// The value of one ledger object: the entries of a budget shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,9 +56,9 @@
     pub sent_tokens: Tokens,
     /// Cumulative tokens spent on requests, as last reported.
     pub spent_tokens: Tokens,
-    /// The router process that acknowledges the holder's horizon.
-    pub witness: Option<HolderId>,
-    /// Consumption that is allowed without an acknowledgement by the present witness.
+    /// The router processes of which any one may acknowledge the holder's horizon.
+    pub witnesses: BTreeSet<HolderId>,
+    /// Consumption that is allowed without an acknowledgement by the present witnesses.
     pub horizon_floor_tokens: Tokens,
     /// A sealed row gets no further grants.
     pub sealed: bool,
@@ -96,9 +99,9 @@
     pub sent_tokens: Tokens,
     /// Cumulative tokens spent on requests.
     pub spent_tokens: Tokens,
-    /// Witness from this update on.
-    pub witness: Option<HolderId>,
-    /// Consumption already allowed by the former witness.
+    /// Witnesses from this update on.
+    pub witnesses: BTreeSet<HolderId>,
+    /// Consumption already allowed by the former witnesses.
     pub horizon_floor_tokens: Tokens,
 }
 
@@ -142,9 +145,9 @@
         /// The holder.
         holder: HolderId,
     },
-    /// The witness in the row is not the one that was sealed.
-    #[error("the witness of holder {holder} has changed")]
-    WitnessChanged {
+    /// The row names no witness, or one that was not sealed.
+    #[error("not all witnesses of holder {holder} are sealed")]
+    NotSealed {
         /// The holder.
         holder: HolderId,
     },
@@ -218,26 +221,29 @@
         Ok(UpdateOutcome::Applied)
     }
 
-    /// Closes the grant of a holder whose witness was sealed at `horizon_tokens`, and frees what
-    /// lies beyond it.
+    /// Closes the grant of a holder whose witnesses were all sealed, and frees what lies beyond
+    /// the highest horizon that one of them acknowledged.
     ///
     /// # Errors
     ///
-    /// Fails when the row is missing or names another witness than the sealed one.
+    /// Fails when the row is missing, names no witness, or names one that was not sealed.
     pub fn reclaim(
         &mut self,
         holder: HolderId,
-        witness: HolderId,
-        horizon_tokens: Tokens,
+        sealed: &SealedHorizons,
     ) -> Result<Tokens, LedgerError> {
         let row = self
             .rows
             .get_mut(&holder)
             .ok_or(LedgerError::NoRow { holder })?;
-        if row.witness != Some(witness) {
-            return Err(LedgerError::WitnessChanged { holder });
-        }
-        let horizon_tokens = horizon_tokens.max(row.horizon_floor_tokens);
+        let horizons: Option<Vec<Tokens>> = row
+            .witnesses
+            .iter()
+            .map(|witness| sealed.get(witness).copied())
+            .collect();
+        let acknowledged = horizons.and_then(|horizons| horizons.into_iter().max());
+        let acknowledged_tokens = acknowledged.ok_or(LedgerError::NotSealed { holder })?;
+        let horizon_tokens = acknowledged_tokens.max(row.horizon_floor_tokens);
         let returned_tokens = (row.granted_tokens + row.received_tokens) - horizon_tokens;
         let freed_tokens = returned_tokens - row.returned_tokens;
         row.returned_tokens = row.returned_tokens.max(returned_tokens);
@@ -267,7 +273,7 @@
     next.sent_tokens = update.sent_tokens;
     next.spent_tokens = update.spent_tokens;
     if !row.sealed {
-        next.witness = update.witness;
+        next.witnesses.clone_from(&update.witnesses);
         next.horizon_floor_tokens = row.horizon_floor_tokens.max(update.horizon_floor_tokens);
     }
     Ok(next)
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -65,6 +65,8 @@
     Shrinking,
     /// As shrinking, with tokens handed from holder to holder.
     HandOver,
+    /// An even share of what is left, with tokens handed from holder to holder.
+    Stocked,
 }
 
 impl PolicyName {
@@ -76,6 +78,7 @@
             Self::Proportional => Box::new(ProportionalPolicy::new(COVER_S)),
             Self::Shrinking => Box::new(ShrinkingPolicy::new(COVER_S)),
             Self::HandOver => Box::new(HandOverPolicy::new(COVER_S)),
+            Self::Stocked => Box::new(StockedPolicy::new(STOCK_S)),
         }
     }
 }
@@ -84,6 +87,10 @@
 pub const FIXED_GRANT_TOKENS: Tokens = Tokens::new(200_000);
 /// Seconds of recent demand that a grant covers.
 pub const COVER_S: u64 = 20;
+/// Seconds of recent demand that a stocked grant covers, longer than most partitions.
+pub const STOCK_S: u64 = 900;
+/// A stocked holder draws when its share of the rest is at least this part of what it has.
+const LEAST_DRAW: u64 = 16;
 /// A holder gives back what exceeds this many times its target.
 const SURPLUS_FACTOR: u64 = 3;
 /// A shrinking grant leaves this many shares of the rest for each other holder.
@@ -199,6 +206,89 @@
     }
 }
 
+/// Takes an even share of the rest, up to many minutes of demand.
+///
+/// Grants can be large because horizons bound what a dead router strands; they must be large to
+/// last through a partition, which nobody can foresee.
+#[derive(Clone, Copy, Debug)]
+pub struct StockedPolicy {
+    proportional: ProportionalPolicy,
+}
+
+impl StockedPolicy {
+    /// A policy whose grants cover up to the given seconds of demand.
+    #[must_use]
+    pub const fn new(cover_s: u64) -> Self {
+        Self {
+            proportional: ProportionalPolicy::new(cover_s),
+        }
+    }
+}
+
+impl GrantPolicy for StockedPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        let wanted_tokens = self.proportional.target_tokens(view);
+        let share_tokens = view.available_tokens.scaled(1, view.holder_count.max(1));
+        let least_tokens = view
+            .largest_request_tokens
+            .max(view.free_tokens.scaled(1, LEAST_DRAW));
+        let is_worth_a_write = share_tokens > least_tokens;
+        let mut decision = move_towards(view.free_tokens, wanted_tokens);
+        decision.draw_tokens = Tokens::ZERO;
+        if is_worth_a_write {
+            decision.draw_tokens = share_tokens.min(wanted_tokens - view.free_tokens);
+        }
+        decision
+    }
+
+    fn hands_over(&self) -> bool {
+        true
+    }
+}
+
+/// Recent demand on one budget at one holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemandMeter {
+    interval_tokens: u64,
+    scaled_tokens_per_s: u64,
+    largest_tokens: Tokens,
+}
+
+/// Weight of the newest interval in the average of demand, as a divisor.
+const DEMAND_DIVISOR: u64 = 64;
+
+impl DemandMeter {
+    /// Counts a request by what it reserves.
+    pub fn note(&mut self, tokens: Tokens) {
+        self.interval_tokens = self.interval_tokens.saturating_add(tokens.get());
+        self.largest_tokens = self.largest_tokens.max(tokens);
+    }
+
+    /// Ends an interval and takes it into the average.
+    pub fn end_interval(&mut self, interval_ms: u64) {
+        let newest = self.interval_tokens.saturating_mul(1_000) / interval_ms.max(1);
+        let kept = self.scaled_tokens_per_s - self.scaled_tokens_per_s / DEMAND_DIVISOR;
+        self.scaled_tokens_per_s = kept.saturating_add(newest);
+        self.interval_tokens = 0;
+        if self.tokens_per_s() == 0 {
+            self.scaled_tokens_per_s = 0;
+            self.largest_tokens = Tokens::ZERO;
+        }
+    }
+
+    /// Tokens reserved a second.
+    #[must_use]
+    pub const fn tokens_per_s(&self) -> u64 {
+        self.scaled_tokens_per_s / DEMAND_DIVISOR
+    }
+
+    /// Largest reservation since the demand was last zero.
+    #[must_use]
+    pub const fn largest_tokens(&self) -> Tokens {
+        self.largest_tokens
+    }
+}
+
 fn move_towards(free_tokens: Tokens, target_tokens: Tokens) -> GrantDecision {
     let mut decision = GrantDecision::default();
     if free_tokens < target_tokens.scaled(1, 2) {
--- a/src/core/witness.rs
+++ b/src/core/witness.rs
@@ -1,7 +1,8 @@
 //! The witness: remembers how far other holders may consume their grants.
 //!
-//! A witness is a router process in another failure domain than the holder. It is named in the
-//! holder's ledger row by process start, so a restarted router never answers for its former self.
+//! A witness is a router process in another failure domain than the holder. A ledger row names a
+//! few of them: one acknowledgement suffices to consume, and all must be sealed to reclaim. They
+//! are named by process start, so a restarted router never answers for its former self.
 
 use std::collections::BTreeMap;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,9 +35,10 @@
     ServiceId, TeamId, VmId,
 };
 pub use crate::core::ledger::{
-    BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, UpdateOutcome,
+    BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons,
+    UpdateOutcome,
 };
-pub use crate::core::policy::{GrantDecision, GrantPolicy, GrantView, PolicyName};
+pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -12,6 +12,10 @@
 
 /// Failed probes in a row after which a router counts as gone.
 const FAILURES_TO_GONE: u32 = 3;
+/// Addresses that a team's callers are told.
+pub const ADDRESS_COUNT: usize = 3;
+/// Witnesses of one grant, each in a failure domain of its own.
+const MAX_WITNESSES: usize = 3;
 
 /// One router of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -211,6 +215,35 @@
         members
     }
 
+    /// The witnesses that a new grant gets: one in each of the nearest other failure domains.
+    #[must_use]
+    pub fn best_witnesses(&self) -> BTreeSet<HolderId> {
+        let mut domains = BTreeSet::new();
+        let mut candidates = self.witness_candidates();
+        candidates.retain(|member| domains.insert(member.failure_domain.clone()));
+        let holders = candidates.iter().filter_map(|member| member.holder);
+        holders.take(MAX_WITNESSES).collect()
+    }
+
+    /// True when all of some processes are in reach.
+    #[must_use]
+    pub fn are_all_reachable(&self, holders: &BTreeSet<HolderId>) -> bool {
+        holders.iter().all(|holder| self.is_reachable(*holder))
+    }
+
+    /// Processes with those in reach first.
+    #[must_use]
+    pub fn in_order_of_reach(&self, holders: BTreeSet<HolderId>) -> Vec<HolderId> {
+        let mut ordered: Vec<HolderId> = holders.into_iter().collect();
+        ordered.sort_by_key(|holder| !self.is_reachable(*holder));
+        ordered
+    }
+
+    fn is_reachable(&self, holder: HolderId) -> bool {
+        self.member_of(holder)
+            .is_some_and(|member| member.is_reachable())
+    }
+
     /// True when this router is one of the few that watch the platform for all.
     #[must_use]
     pub fn is_watcher(&self, watcher_count: usize) -> bool {
--- a/src/router/ledger_client.rs
+++ b/src/router/ledger_client.rs
@@ -6,7 +6,7 @@
 use super::combine::{Change, CombinedWriter};
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{
-    BudgetEntry, GrantRow, HolderUpdate, LedgerError, LedgerShard, UpdateOutcome,
+    BudgetEntry, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons, UpdateOutcome,
 };
 use crate::core::units::Tokens;
 use crate::platform::update::{read_json, UpdateError};
@@ -34,8 +34,6 @@
 pub struct OtherHolder {
     /// The holder.
     pub holder: HolderId,
-    /// Its witness.
-    pub witness: Option<HolderId>,
     /// Tokens that it had left when it last wrote.
     pub unspent_tokens: Tokens,
     /// True when the row is sealed.
@@ -52,16 +50,14 @@
         /// The update.
         update: HolderUpdate,
     },
-    /// Closing another holder's grant after its witness was sealed.
+    /// Closing another holder's grant after its witnesses were sealed.
     Reclaim {
         /// The budget.
         budget: BudgetId,
         /// The holder whose grant is closed.
         holder: HolderId,
-        /// The witness that was sealed.
-        witness: HolderId,
-        /// The horizon at which it was sealed.
-        horizon_tokens: Tokens,
+        /// The horizons at which its witnesses were sealed.
+        sealed: SealedHorizons,
     },
 }
 
@@ -92,12 +88,11 @@
             Self::Reclaim {
                 budget,
                 holder,
-                witness,
-                horizon_tokens,
+                sealed,
             } => {
                 let entry = shard.entries.entry(budget.clone()).or_default();
                 let was_sealed = entry.rows.get(holder).is_some_and(|row| row.sealed);
-                let result = entry.reclaim(*holder, *witness, *horizon_tokens);
+                let result = entry.reclaim(*holder, sealed);
                 let is_changed = result.is_ok() && !was_sealed;
                 let answer = LedgerAnswer {
                     refusal: result.err(),
@@ -114,7 +109,6 @@
     let mut others: Vec<OtherHolder> = others
         .map(|(id, row)| OtherHolder {
             holder: *id,
-            witness: row.witness,
             unspent_tokens: row.unspent_tokens(),
             sealed: row.sealed,
         })
--- a/src/router/reclaim.rs
+++ b/src/router/reclaim.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use slog::{info, warn};
 
 use super::ledger_client::LedgerChange;
 use super::Router;
 use crate::core::ids::{BudgetId, HolderId};
-use crate::core::ledger::GrantRow;
+use crate::core::ledger::{GrantRow, SealedHorizons};
 use crate::core::units::Tokens;
 
 /// Time between two looks at the ledger.
@@ -59,17 +60,18 @@
     }
 
     async fn reclaim(&self, budget: &BudgetId, holder: HolderId, row: &GrantRow) {
-        let Some(witness) = row.witness else {
-            return;
-        };
-        let Some(horizon_tokens) = self.seal(witness, holder, budget).await else {
+        let seals = row
+            .witnesses
+            .iter()
+            .map(|witness| self.seal(*witness, holder, budget));
+        let sealed: Option<SealedHorizons> = join_all(seals).await.into_iter().collect();
+        let Some(sealed) = sealed else {
             return;
         };
         let change = LedgerChange::Reclaim {
             budget: budget.clone(),
             holder,
-            witness,
-            horizon_tokens,
+            sealed,
         };
         match self.ledger.apply(change).await {
             Ok(answer) if answer.refusal.is_none() => {
@@ -84,15 +86,23 @@
         }
     }
 
-    async fn seal(&self, witness: HolderId, holder: HolderId, budget: &BudgetId) -> Option<Tokens> {
+    async fn seal(
+        &self,
+        witness: HolderId,
+        holder: HolderId,
+        budget: &BudgetId,
+    ) -> Option<(HolderId, Tokens)> {
         if witness == self.holder() {
             let record = crate::util::lock(&self.witness).seal(holder, budget);
-            return Some(record.horizon_tokens);
+            return Some((witness, record.horizon_tokens));
         }
         let member = self.fleet.member_of(witness)?;
         let peer = self.borders.network.peer(member.peer_address);
         let call = peer.seal(witness, holder, budget.clone());
         let answer = tokio::time::timeout(SEAL_WAIT, call).await;
-        answer.ok()?.ok().map(|record| record.horizon_tokens)
+        answer
+            .ok()?
+            .ok()
+            .map(|record| (witness, record.horizon_tokens))
     }
 }
--- a/src/router/spending/account.rs
+++ b/src/router/spending/account.rs
@@ -8,44 +8,16 @@
 use crate::core::holder::{Holder, ReserveError, UpdateWish};
 use crate::core::ids::HolderId;
 use crate::core::ledger::{Generation, HolderUpdate, LedgerError};
-use crate::core::policy::GrantView;
+use crate::core::policy::{DemandMeter, GrantView};
 use crate::core::units::Tokens;
+use crate::router::fleet::ADDRESS_COUNT;
 use crate::router::ledger_client::{EntryView, LedgerAnswer, OtherHolder};
 
-/// Weight of the newest interval in the average of demand, in percent.
-const DEMAND_WEIGHT_PERCENT: u64 = 20;
 /// Horizons reach this many times the largest recent request ahead.
 const HORIZON_REQUESTS: u64 = 4;
 /// Horizons reach this many seconds of demand ahead.
 const HORIZON_S: u64 = 2;
 
-/// Demand on a budget at this router.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Demand {
-    interval_tokens: u64,
-    tokens_per_s: u64,
-    largest_tokens: Tokens,
-}
-
-impl Demand {
-    fn note(&mut self, tokens: Tokens) {
-        self.interval_tokens = self.interval_tokens.saturating_add(tokens.get());
-        self.largest_tokens = self.largest_tokens.max(tokens);
-    }
-
-    fn end_interval(&mut self, interval_ms: u64) {
-        let newest = self.interval_tokens.saturating_mul(1_000) / interval_ms.max(1);
-        let old = self
-            .tokens_per_s
-            .saturating_mul(100 - DEMAND_WEIGHT_PERCENT);
-        self.tokens_per_s = (old + newest.saturating_mul(DEMAND_WEIGHT_PERCENT)) / 100;
-        self.interval_tokens = 0;
-        if self.tokens_per_s == 0 {
-            self.largest_tokens = Tokens::ZERO;
-        }
-    }
-}
-
 /// Tokens set aside for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reserved {
@@ -60,7 +32,7 @@
 pub(super) struct Account {
     current: Holder,
     former: Vec<Holder>,
-    demand: Demand,
+    demand: DemandMeter,
     available_tokens: Tokens,
     others: Vec<OtherHolder>,
     reported_spent_tokens: Tokens,
@@ -81,7 +53,7 @@
         Self {
             current: Holder::new(holder),
             former: Vec::new(),
-            demand: Demand::default(),
+            demand: DemandMeter::default(),
             available_tokens: Tokens::ZERO,
             others: Vec::new(),
             reported_spent_tokens: Tokens::ZERO,
@@ -166,9 +138,9 @@
             paid_tokens,
             free_tokens: self.current.free_tokens(),
             reserved_tokens: self.current.reserved_tokens(),
-            demand_tokens_per_s: self.demand.tokens_per_s,
-            largest_request_tokens: self.demand.largest_tokens,
-            holder_count: self.others.len() as u64 + 1,
+            demand_tokens_per_s: self.demand.tokens_per_s(),
+            largest_request_tokens: self.demand.largest_tokens(),
+            holder_count: (self.others.len() as u64 + 1).max(ADDRESS_COUNT as u64),
         }
     }
 
@@ -184,7 +156,7 @@
     pub(super) fn is_forgettable(&self) -> bool {
         self.former.is_empty()
             && self.current.limit_tokens() == Tokens::ZERO
-            && self.demand.tokens_per_s == 0
+            && self.demand.tokens_per_s() == 0
             && !self.has_pending()
             && self.current.consumed_tokens() == Tokens::ZERO
     }
@@ -205,7 +177,7 @@
                 paid_tokens,
                 draw_tokens: Tokens::ZERO,
                 return_tokens: holder.free_tokens(),
-                witness: holder.witness(),
+                witnesses: holder.witnesses().clone(),
             };
             holder.prepare_update(&wish)
         };
@@ -250,11 +222,11 @@
     /// The horizon that should be acknowledged, if it is higher than the present one by enough.
     pub(super) fn wanted_horizon(&self, needed_tokens: Tokens) -> Option<Tokens> {
         let holder = &self.current;
-        if holder.witness().is_none() || holder.is_witness_sealed() {
+        if holder.witnesses().is_empty() || holder.is_witness_sealed() {
             return None;
         }
-        let requests_tokens = self.demand.largest_tokens.scaled(HORIZON_REQUESTS, 1);
-        let seconds_tokens = Tokens::new(self.demand.tokens_per_s.saturating_mul(HORIZON_S));
+        let requests_tokens = self.demand.largest_tokens().scaled(HORIZON_REQUESTS, 1);
+        let seconds_tokens = Tokens::new(self.demand.tokens_per_s().saturating_mul(HORIZON_S));
         let ahead_tokens = requests_tokens.max(seconds_tokens).max(needed_tokens);
         let wanted_tokens = (holder.consumed_tokens() + ahead_tokens).min(holder.limit_tokens());
         let rest_tokens = holder.horizon_tokens() - holder.consumed_tokens();
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -1,6 +1,6 @@
 //! Keeping grants and horizons ahead of demand, off the path of requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -20,8 +20,6 @@
 const LEDGER_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for a witness.
 const WITNESS_WAIT: Duration = Duration::from_millis(500);
-/// Witnesses tried before a horizon counts as out of reach.
-const MAX_WITNESS_CHANGES: usize = 3;
 /// Intervals after which a budget's spending is reported although its grant needs nothing.
 const REPORT_INTERVALS: u64 = 20;
 
@@ -86,31 +84,39 @@
         is_heard
     }
 
-    /// Raises one budget's horizon now, with another witness where the present one is silent.
+    /// Raises one budget's horizon now, with other witnesses where all present ones are silent.
     pub(super) async fn extend_for(&self, budget: &BudgetId, tokens: Tokens, deadline: Instant) {
-        for _ in 0..MAX_WITNESS_CHANGES {
-            let wanted = self.with_account(budget, |account| {
-                let witness = account.holder().witness()?;
-                let horizon_tokens = account.wanted_horizon(tokens)?;
-                let holder = account.holder().id();
-                Some((
-                    witness,
-                    Horizon {
-                        holder,
-                        budget: budget.clone(),
-                        horizon_tokens,
-                    },
-                ))
-            });
-            if let Some((witness, horizon)) = wanted {
-                if self.extend_at(witness, vec![horizon]).await {
-                    return;
-                }
-            }
-            if Instant::now() >= deadline || !self.sync(budget, GrantDecision::default()).await {
+        let wanted = self.with_account(budget, |account| account.wanted_horizon(tokens));
+        if let Some(horizon_tokens) = wanted {
+            if self.extend_at_any(budget, horizon_tokens).await {
                 return;
             }
         }
+        if Instant::now() >= deadline || !self.sync(budget, GrantDecision::default()).await {
+            return;
+        }
+        let wanted = self.with_account(budget, |account| account.wanted_horizon(tokens));
+        if let Some(horizon_tokens) = wanted {
+            self.extend_at_any(budget, horizon_tokens).await;
+        }
+    }
+
+    /// Asks the witnesses one after the other, those in reach first.
+    async fn extend_at_any(&self, budget: &BudgetId, horizon_tokens: Tokens) -> bool {
+        let (holder, witnesses) = self.with_account(budget, |account| {
+            (account.holder().id(), account.holder().witnesses().clone())
+        });
+        for witness in self.parts.fleet.in_order_of_reach(witnesses) {
+            let horizon = Horizon {
+                holder,
+                budget: budget.clone(),
+                horizon_tokens,
+            };
+            if self.extend_at(witness, vec![horizon]).await {
+                return true;
+            }
+        }
+        false
     }
 
     fn decide(
@@ -136,9 +142,15 @@
             } else {
                 decision
             };
+            let has_grant = account.holder().limit_tokens() > Tokens::ZERO;
             let is_due = decision != GrantDecision::default()
                 || account.has_pending()
                 || account.holder().is_witness_sealed()
+                || (has_grant
+                    && !self
+                        .parts
+                        .fleet
+                        .are_all_reachable(account.holder().witnesses()))
                 || (is_report_round && account.is_spent_unreported());
             is_due.then_some(decision)
         })
@@ -150,13 +162,13 @@
         let generation = catalog.generation();
         let paid_tokens = catalog.paid_tokens(budget).unwrap_or_default();
         drop(catalog);
-        let witness = self.choose_witness(budget);
+        let witnesses = self.choose_witnesses(budget);
         let wish = UpdateWish {
             generation,
             paid_tokens,
             draw_tokens: decision.draw_tokens,
             return_tokens: decision.return_tokens,
-            witness,
+            witnesses,
         };
         let updates = self.with_account(budget, |account| {
             let mut updates = account.prepare_former(generation, paid_tokens);
@@ -192,42 +204,37 @@
         }
     }
 
-    /// The present witness while it is in reach, else the best other one.
+    /// The present witnesses while all of them are in reach, else the best others.
     ///
-    /// With nobody else in reach the present one stays: having none would make the whole grant
+    /// With nobody else in reach the present ones stay: having none would make the whole grant
     /// unreclaimable.
-    fn choose_witness(&self, budget: &BudgetId) -> Option<HolderId> {
+    fn choose_witnesses(&self, budget: &BudgetId) -> BTreeSet<HolderId> {
         let (present, is_sealed) = self.with_account(budget, |account| {
             (
-                account.holder().witness(),
+                account.holder().witnesses().clone(),
                 account.holder().is_witness_sealed(),
             )
         });
-        let candidates = self.parts.fleet.witness_candidates();
-        let is_candidate = |holder: HolderId| {
-            candidates
-                .iter()
-                .any(|member| member.holder == Some(holder))
-        };
-        if let Some(present) = present.filter(|_| !is_sealed) {
-            if is_candidate(present) {
-                return Some(present);
-            }
+        if !present.is_empty() && !is_sealed && self.parts.fleet.are_all_reachable(&present) {
+            return present;
         }
-        let others = candidates.iter().filter_map(|member| member.holder);
-        let other = others
-            .into_iter()
-            .find(|holder| Some(*holder) != present || !is_sealed);
-        other.or(present)
+        let best = self.parts.fleet.best_witnesses();
+        if best.is_empty() {
+            return present;
+        }
+        best
     }
 
     async fn extend_all(&self) {
+        let fleet = &self.parts.fleet;
         let mut by_witness: BTreeMap<HolderId, Vec<Horizon>> = BTreeMap::new();
         for budget in self.held_budgets() {
             self.with_account(&budget, |account| {
-                let witness = account.holder().witness()?;
                 let horizon_tokens = account.wanted_horizon(Tokens::ZERO)?;
-                let holder = account.holder().id();
+                let holder = account.holder();
+                let witnesses = fleet.in_order_of_reach(holder.witnesses().clone());
+                let witness = witnesses.into_iter().next()?;
+                let holder = holder.id();
                 let horizon = Horizon {
                     holder,
                     budget: budget.clone(),
--- a/src/router/web.rs
+++ b/src/router/web.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use super::chat::{Caller, ChatAnswer, ChatEvent};
+use super::fleet::ADDRESS_COUNT;
 use super::refusal::{ErrorBody, Refusal, RefusalKind};
 use super::requests::StoredAnswer;
 use super::spending::BudgetStatus;
@@ -46,8 +47,6 @@
 pub const DEADLINE_HEADER: &str = "X-Deadline-Ms";
 /// Header that carries the request's id back.
 pub const REQUEST_HEADER: &str = "X-Request-Id";
-/// Addresses told for a team whose demand is not known.
-const ADDRESS_COUNT: usize = 3;
 
 type SharedRouter = Arc<Router>;
 
--- a/tests/model/budget.rs
+++ b/tests/model/budget.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeSet;
 
 use currantlever::{
-    BudgetEntry, BudgetId, Generation, GrantRow, Holder, HolderId, LedgerError, Tokens, UpdateWish,
-    Witness, WitnessRecord,
+    BudgetEntry, BudgetId, Generation, GrantRow, Holder, HolderId, SealedHorizons, Tokens,
+    UpdateWish, Witness, WitnessRecord,
 };
 use strum::Display;
 
@@ -30,6 +30,7 @@
     WriteWithoutCondition,
     RestartUnderSameId,
     NewWitnessWithoutFloor,
+    ReclaimAfterOneSeal,
 }
 
 /// How much of everything may happen.
@@ -43,6 +44,7 @@
     witness_changes: u8,
     generations: Generation,
     returns: bool,
+    two_witnesses: bool,
 }
 
 const NONE: Bounds = Bounds {
@@ -53,6 +55,7 @@
     witness_changes: 0,
     generations: 1,
     returns: false,
+    two_witnesses: false,
 };
 
 /// The searched configurations. The larger ones run in release builds only.
@@ -83,6 +86,13 @@
     ];
     if !cfg!(debug_assertions) {
         all.extend([
+            (
+                "budget/two-witnesses",
+                Bounds {
+                    two_witnesses: true,
+                    ..reclaim
+                },
+            ),
             (
                 "budget/crash-and-reclaim",
                 Bounds {
@@ -143,6 +153,7 @@
     witness_changes: 4,
     generations: 3,
     returns: true,
+    two_witnesses: true,
 };
 
 pub fn faults() -> Vec<(Fault, Bounds)> {
@@ -167,9 +178,23 @@
         (Fault::WriteWithoutCondition, NONE),
         (Fault::RestartUnderSameId, Bounds { crashes: 1, ..NONE }),
         (Fault::NewWitnessWithoutFloor, change),
+        (
+            Fault::ReclaimAfterOneSeal,
+            Bounds {
+                two_witnesses: true,
+                ..seal
+            },
+        ),
     ]
 }
 
+/// A router that seals another one's witnesses, and the horizons heard so far.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Sealing {
+    holder: HolderId,
+    sealed: SealedHorizons,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Router {
     id: HolderId,
@@ -177,7 +202,7 @@
     witness: Witness,
     generation: Generation,
     updates: u8,
-    sealing: Option<(HolderId, HolderId)>,
+    sealing: Option<Sealing>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -269,10 +294,18 @@
     Tokens::new(PAID_TOKENS[usize::try_from(generation).unwrap() - 1])
 }
 
-/// Each router's witness is the next one; after a change the one after that.
-fn witness_of(state: &State, place: usize, changed: bool) -> HolderId {
-    let step = if changed { 2 } else { 1 };
-    state.routers[(place + step) % ROUTERS].id
+impl Spec {
+    /// Each router's witness is the next one; after a change the one after that. With two
+    /// witnesses it is both at first.
+    fn choose_witnesses(&self, state: &State, place: usize, changed: bool) -> BTreeSet<HolderId> {
+        let next = state.routers[(place + 1) % ROUTERS].id;
+        let after_next = state.routers[(place + 2) % ROUTERS].id;
+        match (changed, self.bounds.two_witnesses) {
+            (true, _) => BTreeSet::from([after_next]),
+            (false, false) => BTreeSet::from([next]),
+            (false, true) => BTreeSet::from([next, after_next]),
+        }
+    }
 }
 
 impl Specification for Spec {
@@ -370,7 +403,8 @@
         }
         for (draw_tokens, return_tokens, changes_witness) in wishes {
             let mut state = state.clone();
-            let witness = witness_of(&state, place, changes_witness);
+            let chosen = self.choose_witnesses(&state, place, changes_witness);
+            let present = state.routers[place].holder.witnesses().clone();
             let router = &mut state.routers[place];
             let is_new = router.holder.pending().is_none();
             let mut update = router.holder.prepare_update(&UpdateWish {
@@ -378,11 +412,11 @@
                 paid_tokens: paid(router.generation),
                 draw_tokens,
                 return_tokens,
-                witness: Some(if is_new && !changes_witness {
-                    router.holder.witness().unwrap_or(witness)
+                witnesses: if is_new && !changes_witness && !present.is_empty() {
+                    present
                 } else {
-                    witness
-                }),
+                    chosen
+                },
             });
             if self.has(Fault::NewWitnessWithoutFloor) {
                 update.horizon_floor_tokens = Tokens::ZERO;
@@ -409,14 +443,15 @@
 
     fn ask_horizon(state: &State, place: usize, next: &mut Vec<State>) {
         let holder = &state.routers[place].holder;
-        let Some(witness) = holder.witness() else {
-            return;
-        };
         let horizon = holder.consumed_tokens() + Tokens::new(1);
-        if horizon <= holder.limit_tokens() && horizon > holder.horizon_tokens() {
+        if horizon > holder.limit_tokens() || horizon <= holder.horizon_tokens() {
+            return;
+        }
+        for witness in holder.witnesses() {
             let mut state = state.clone();
+            let (holder, witness) = (holder.id(), *witness);
             state.messages.insert(Message::Extend {
-                holder: holder.id(),
+                holder,
                 witness,
                 horizon,
             });
@@ -432,7 +467,7 @@
                 horizon_tokens: holder.limit_tokens(),
                 sealed: false,
             };
-            if let Some(witness) = holder.witness() {
+            if let Some(witness) = holder.witnesses().first().copied() {
                 holder.acknowledge(witness, record);
             }
         }
@@ -450,16 +485,20 @@
             return;
         }
         for (holder, row) in &state.ledger.rows {
-            let Some(witness) = row.witness.filter(|_| *holder != state.routers[place].id) else {
+            if *holder == state.routers[place].id || row.witnesses.is_empty() {
                 continue;
-            };
+            }
             let mut state = state.clone();
             state.seals += 1;
-            state.routers[place].sealing = Some((*holder, witness));
-            state.messages.insert(Message::Seal {
+            let sealing = Sealing {
                 holder: *holder,
-                witness,
-            });
+                sealed: SealedHorizons::new(),
+            };
+            state.routers[place].sealing = Some(sealing);
+            for witness in &row.witnesses {
+                let (holder, witness) = (*holder, *witness);
+                state.messages.insert(Message::Seal { holder, witness });
+            }
             next.push(state);
         }
     }
@@ -605,20 +644,32 @@
         horizon: Tokens,
         next: &mut Vec<State>,
     ) {
-        let is_wanted = |router: &Router| router.sealing == Some((holder, witness));
-        if !state.routers.iter().any(is_wanted) {
-            return;
-        }
-        let mut entry = state.ledger.clone();
-        let result = entry.reclaim(holder, witness, horizon);
-        let is_changed = result == Err(LedgerError::WitnessChanged { holder });
-        if is_changed && self.has(Fault::ReclaimAtFormerWitness) {
-            let witness = entry.rows[&holder].witness.unwrap();
-            let _ = entry.reclaim(holder, witness, horizon);
-        }
-        if entry != state.ledger {
+        for place in 0..ROUTERS {
+            let Some(sealing) = &state.routers[place].sealing else {
+                continue;
+            };
+            if sealing.holder != holder {
+                continue;
+            }
             let mut state = state.clone();
-            state.add_write(entry);
+            let mut sealing = sealing.clone();
+            sealing.sealed.insert(witness, horizon);
+            let mut entry = state.ledger.clone();
+            let result = entry.reclaim(holder, &sealing.sealed);
+            let forges =
+                self.has(Fault::ReclaimAtFormerWitness) || self.has(Fault::ReclaimAfterOneSeal);
+            if result.is_err() && forges {
+                let named = entry.rows[&holder].witnesses.clone();
+                let forged = named
+                    .into_iter()
+                    .map(|witness| (witness, horizon))
+                    .collect();
+                let _ = entry.reclaim(holder, &forged);
+            }
+            state.routers[place].sealing = Some(sealing);
+            if entry != state.ledger {
+                state.add_write(entry);
+            }
             next.push(state);
         }
     }
@@ -654,7 +705,7 @@
             paid_tokens: Tokens::ZERO,
             draw_tokens: Tokens::ZERO,
             return_tokens: Tokens::ZERO,
-            witness: row.witness,
+            witnesses: row.witnesses.clone(),
         });
         holder.confirm(row);
     }
@@ -697,11 +748,12 @@
             Message::Seal { holder, witness } => {
                 find(witness).is_some() && !answered.contains(&(*holder, *witness))
             }
-            Message::Sealed {
-                holder, witness, ..
-            } => routers
-                .iter()
-                .any(|router| router.sealing == Some((*holder, *witness))),
+            Message::Sealed { holder, .. } => routers.iter().any(|router| {
+                router
+                    .sealing
+                    .as_ref()
+                    .is_some_and(|sealing| sealing.holder == *holder)
+            }),
             Message::Transfer {
                 sender,
                 receiver,
