Let a near witness carry a cut-off failure domain, and even out the stock

Cause (traced, one domain parted): holders had tokens but stood at their horizon, since every witness was outside. A router in the same failure domain may now acknowledge up to a bounded allowance beyond the far witnesses; where it is gone too, reclaiming charges the whole allowance. Cause (traced, halves parted): the first holders had taken larger shares than the side behind the cut could live on. Shares are now even over what all hold, and an excess of a tenth goes back. Reclaiming counts what others say they sent to the dead holder; that was lost to the budget before.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -4,12 +4,12 @@
 //! granted, and by the horizon that any one of its witnesses acknowledged. Both are enforced in memory, so a
 //! reservation makes no call.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use thiserror::Error;
 
 use super::ids::HolderId;
-use super::ledger::{Generation, GrantRow, HolderUpdate};
+use super::ledger::{Generation, GrantRow, HolderUpdate, WitnessSet};
 use super::units::Tokens;
 use super::witness::WitnessRecord;
 
@@ -42,7 +42,7 @@
     /// Tokens to give back.
     pub return_tokens: Tokens,
     /// Witnesses from now on.
-    pub witnesses: BTreeSet<HolderId>,
+    pub witnesses: WitnessSet,
 }
 
 /// One router process's share of one budget.
@@ -55,8 +55,9 @@
     sent: BTreeMap<HolderId, Tokens>,
     spent_tokens: Tokens,
     reserved_tokens: Tokens,
-    witnesses: BTreeSet<HolderId>,
+    witnesses: WitnessSet,
     horizon_tokens: Tokens,
+    far_horizon_tokens: Tokens,
     seq: u64,
     pending: Option<HolderUpdate>,
     row_sealed: bool,
@@ -81,7 +82,8 @@
             sent: BTreeMap::new(),
             spent_tokens: Tokens::ZERO,
             reserved_tokens: Tokens::ZERO,
-            witnesses: BTreeSet::new(),
+            witnesses: WitnessSet::default(),
+            far_horizon_tokens: Tokens::ZERO,
             horizon_tokens: Tokens::ZERO,
             seq: 0,
             pending: None,
@@ -98,7 +100,7 @@
 
     /// The witnesses by the last confirmed update.
     #[must_use]
-    pub const fn witnesses(&self) -> &BTreeSet<HolderId> {
+    pub const fn witnesses(&self) -> &WitnessSet {
         &self.witnesses
     }
 
@@ -201,13 +203,27 @@
     /// While a change of witnesses is pending the horizon stands still: the ledger may already
     /// name the next ones, with the present horizon as their floor.
     pub fn acknowledge(&mut self, witness: HolderId, record: WitnessRecord) {
-        if !self.witnesses.contains(&witness) || self.is_changing_witness() {
+        let is_far = self.witnesses.far.contains(&witness);
+        let is_near = self.witnesses.near == Some(witness);
+        if !(is_far || is_near) || self.is_changing_witness() {
             return;
         }
-        self.horizon_tokens = self.horizon_tokens.max(record.horizon_tokens);
+        let mut horizon_tokens = record.horizon_tokens;
+        if is_far {
+            self.far_horizon_tokens = self.far_horizon_tokens.max(horizon_tokens);
+        } else {
+            horizon_tokens = horizon_tokens.min(self.near_horizon_limit_tokens());
+        }
+        self.horizon_tokens = self.horizon_tokens.max(horizon_tokens);
         self.witness_sealed |= record.sealed;
     }
 
+    /// The highest horizon that the near witness may acknowledge now.
+    #[must_use]
+    pub fn near_horizon_limit_tokens(&self) -> Tokens {
+        self.far_horizon_tokens + self.witnesses.near_allowance_tokens
+    }
+
     /// Prepares the next ledger update, or repeats the one whose outcome is not known.
     ///
     /// Tokens given back are out of reach from here on, whatever becomes of the update.
@@ -231,7 +247,7 @@
             },
             returned_tokens: self.returned_tokens,
             received_tokens: self.total_received(),
-            sent_tokens: self.total_sent(),
+            sent: self.sent.clone(),
             spent_tokens: self.spent_tokens,
             witnesses: self.next_witnesses(wish),
             horizon_floor_tokens: self.horizon_tokens.min(self.limit_tokens()),
@@ -253,6 +269,7 @@
         };
         if self.witnesses != row.witnesses {
             self.witness_sealed = false;
+            self.far_horizon_tokens = self.far_horizon_tokens.max(row.horizon_floor_tokens);
         }
         self.seq = pending.seq;
         self.granted_tokens = row.granted_tokens;
@@ -315,7 +332,7 @@
         self.reserved_tokens == Tokens::ZERO && self.free_tokens() == Tokens::ZERO
     }
 
-    fn next_witnesses(&self, wish: &UpdateWish) -> BTreeSet<HolderId> {
+    fn next_witnesses(&self, wish: &UpdateWish) -> WitnessSet {
         if self.row_sealed {
             return self.witnesses.clone();
         }
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -20,6 +20,51 @@
 /// Horizons at which witnesses were sealed, by witness.
 pub type SealedHorizons = BTreeMap<HolderId, Tokens>;
 
+/// The router processes that acknowledge a holder's horizon. Any one of them suffices.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WitnessSet {
+    /// Processes in other failure domains. All of them must be sealed to reclaim.
+    pub far: BTreeSet<HolderId>,
+    /// A process in the holder's own failure domain, for when the domain is cut off.
+    pub near: Option<HolderId>,
+    /// How far beyond the far witnesses' horizon the near one may acknowledge. Lost to the budget
+    /// when holder and near witness die together.
+    pub near_allowance_tokens: Tokens,
+}
+
+impl WitnessSet {
+    /// True when nobody acknowledges, so that the grant cannot be reclaimed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.far.is_empty()
+    }
+
+    /// All processes of the set.
+    pub fn all(&self) -> impl Iterator<Item = HolderId> + '_ {
+        self.far.iter().copied().chain(self.near)
+    }
+
+    /// The highest consumption that a holder can have reached, given where its witnesses were
+    /// sealed, or none while a far one is not sealed.
+    #[must_use]
+    pub fn highest_horizon(&self, sealed: &SealedHorizons) -> Option<Tokens> {
+        let far: Option<Vec<Tokens>> = self
+            .far
+            .iter()
+            .map(|witness| sealed.get(witness).copied())
+            .collect();
+        let far_tokens = far?.into_iter().max()?;
+        let Some(near) = self.near else {
+            return Some(far_tokens);
+        };
+        match sealed.get(&near) {
+            Some(near_tokens) => Some(far_tokens.max(*near_tokens)),
+            None => Some(far_tokens + self.near_allowance_tokens),
+        }
+    }
+}
+
 /// The value of one ledger object: the entries of a budget shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -52,12 +97,12 @@
     pub returned_tokens: Tokens,
     /// Cumulative tokens received from other holders, as last reported.
     pub received_tokens: Tokens,
-    /// Cumulative tokens handed to other holders, as last reported.
-    pub sent_tokens: Tokens,
+    /// Cumulative tokens handed to each other holder, as last reported.
+    pub sent: BTreeMap<HolderId, Tokens>,
     /// Cumulative tokens spent on requests, as last reported.
     pub spent_tokens: Tokens,
-    /// The router processes of which any one may acknowledge the holder's horizon.
-    pub witnesses: BTreeSet<HolderId>,
+    /// The router processes that acknowledge the holder's horizon.
+    pub witnesses: WitnessSet,
     /// Consumption that is allowed without an acknowledgement by the present witnesses.
     pub horizon_floor_tokens: Tokens,
     /// A sealed row gets no further grants.
@@ -71,10 +116,16 @@
         self.granted_tokens + self.received_tokens - self.returned_tokens
     }
 
+    /// Cumulative tokens handed to other holders.
+    #[must_use]
+    pub fn sent_tokens(&self) -> Tokens {
+        self.sent.values().copied().sum()
+    }
+
     /// Tokens that are neither spent, sent nor given back.
     #[must_use]
     pub fn unspent_tokens(&self) -> Tokens {
-        self.limit_tokens() - self.spent_tokens - self.sent_tokens
+        self.limit_tokens() - self.spent_tokens - self.sent_tokens()
     }
 }
 
@@ -95,12 +146,12 @@
     pub returned_tokens: Tokens,
     /// Cumulative tokens received from other holders.
     pub received_tokens: Tokens,
-    /// Cumulative tokens handed to other holders.
-    pub sent_tokens: Tokens,
+    /// Cumulative tokens handed to each other holder.
+    pub sent: BTreeMap<HolderId, Tokens>,
     /// Cumulative tokens spent on requests.
     pub spent_tokens: Tokens,
     /// Witnesses from this update on.
-    pub witnesses: BTreeSet<HolderId>,
+    pub witnesses: WitnessSet,
     /// Consumption already allowed by the former witnesses.
     pub horizon_floor_tokens: Tokens,
 }
@@ -221,8 +272,11 @@
         Ok(UpdateOutcome::Applied)
     }
 
-    /// Closes the grant of a holder whose witnesses were all sealed, and frees what lies beyond
-    /// the highest horizon that one of them acknowledged.
+    /// Closes the grant of a holder whose far witnesses were all sealed, and frees what lies
+    /// beyond the highest horizon that a witness can have acknowledged.
+    ///
+    /// Tokens that others say they sent to the holder count as received, whether they arrived or
+    /// not: their senders will not spend them, and the holder cannot use them beyond its horizon.
     ///
     /// # Errors
     ///
@@ -232,18 +286,19 @@
         holder: HolderId,
         sealed: &SealedHorizons,
     ) -> Result<Tokens, LedgerError> {
+        let sent_to = self.rows.values().filter_map(|row| row.sent.get(&holder));
+        let sent_tokens: Tokens = sent_to.copied().sum();
         let row = self
             .rows
             .get_mut(&holder)
             .ok_or(LedgerError::NoRow { holder })?;
-        let horizons: Option<Vec<Tokens>> = row
-            .witnesses
-            .iter()
-            .map(|witness| sealed.get(witness).copied())
-            .collect();
-        let acknowledged = horizons.and_then(|horizons| horizons.into_iter().max());
-        let acknowledged_tokens = acknowledged.ok_or(LedgerError::NotSealed { holder })?;
-        let horizon_tokens = acknowledged_tokens.max(row.horizon_floor_tokens);
+        let mut sealed = sealed.clone();
+        for horizon_tokens in sealed.values_mut() {
+            *horizon_tokens = (*horizon_tokens).max(row.horizon_floor_tokens);
+        }
+        let highest = row.witnesses.highest_horizon(&sealed);
+        let horizon_tokens = highest.ok_or(LedgerError::NotSealed { holder })?;
+        row.received_tokens = row.received_tokens.max(sent_tokens);
         let returned_tokens = (row.granted_tokens + row.received_tokens) - horizon_tokens;
         let freed_tokens = returned_tokens - row.returned_tokens;
         row.returned_tokens = row.returned_tokens.max(returned_tokens);
@@ -258,19 +313,22 @@
         seq: update.seq,
     };
     let falls = update.returned_tokens < row.returned_tokens
-        || update.received_tokens < row.received_tokens
-        || update.sent_tokens < row.sent_tokens
+        || (!row.sealed && update.received_tokens < row.received_tokens)
+        || row
+            .sent
+            .iter()
+            .any(|(to, sent)| update.sent.get(to) < Some(sent))
         || update.spent_tokens < row.spent_tokens;
-    let consumed_tokens = update.spent_tokens + update.sent_tokens;
-    let held_tokens = row.granted_tokens + update.received_tokens;
+    let consumed_tokens = update.spent_tokens + update.sent.values().copied().sum();
+    let held_tokens = row.granted_tokens + update.received_tokens.max(row.received_tokens);
     if falls || consumed_tokens + update.returned_tokens > held_tokens {
         return Err(inconsistent);
     }
     let mut next = row.clone();
     next.seq = update.seq;
     next.returned_tokens = update.returned_tokens;
-    next.received_tokens = update.received_tokens;
-    next.sent_tokens = update.sent_tokens;
+    next.received_tokens = row.received_tokens.max(update.received_tokens);
+    next.sent.clone_from(&update.sent);
     next.spent_tokens = update.spent_tokens;
     if !row.sealed {
         next.witnesses.clone_from(&update.witnesses);
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -11,6 +11,8 @@
 pub struct GrantView {
     /// Tokens in the ledger that nobody holds, as last read.
     pub available_tokens: Tokens,
+    /// Tokens that other holders had left, as last read.
+    pub others_free_tokens: Tokens,
     /// Prepaid amount by the holder's list.
     pub paid_tokens: Tokens,
     /// Tokens that this holder can still reserve below its limit.
@@ -91,6 +93,10 @@
 pub const STOCK_S: u64 = 900;
 /// A stocked holder draws when its share of the rest is at least this part of what it has.
 const LEAST_DRAW: u64 = 16;
+/// Seconds of recent demand that the near witness of a grant may acknowledge on its own.
+const NEAR_ALLOWANCE_S: u64 = 300;
+/// A stocked holder gives back what exceeds its share by more than this part of it.
+const EXCESS_PART: u64 = 10;
 /// A holder gives back what exceeds this many times its target.
 const SURPLUS_FACTOR: u64 = 3;
 /// A shrinking grant leaves this many shares of the rest for each other holder.
@@ -228,15 +234,20 @@
 impl GrantPolicy for StockedPolicy {
     fn decide(&self, view: &GrantView) -> GrantDecision {
         let wanted_tokens = self.proportional.target_tokens(view);
-        let share_tokens = view.available_tokens.scaled(1, view.holder_count.max(1));
+        let rest_tokens = view.available_tokens + view.others_free_tokens + view.free_tokens;
+        let share_tokens = rest_tokens.scaled(1, view.holder_count.max(1));
+        let target_tokens = wanted_tokens.min(share_tokens);
         let least_tokens = view
             .largest_request_tokens
             .max(view.free_tokens.scaled(1, LEAST_DRAW));
-        let is_worth_a_write = share_tokens > least_tokens;
-        let mut decision = move_towards(view.free_tokens, wanted_tokens);
-        decision.draw_tokens = Tokens::ZERO;
-        if is_worth_a_write {
-            decision.draw_tokens = share_tokens.min(wanted_tokens - view.free_tokens);
+        let lacking_tokens = (target_tokens - view.free_tokens).min(view.available_tokens);
+        let excess_tokens = view.free_tokens - target_tokens;
+        let mut decision = GrantDecision::default();
+        if lacking_tokens > least_tokens {
+            decision.draw_tokens = lacking_tokens;
+        }
+        if excess_tokens > target_tokens.scaled(1, EXCESS_PART) + least_tokens {
+            decision.return_tokens = excess_tokens;
         }
         decision
     }
@@ -246,6 +257,13 @@
     }
 }
 
+/// What the near witness of a grant may acknowledge beyond the far ones: some minutes of demand.
+#[must_use]
+pub fn near_allowance(limit_tokens: Tokens, demand: &DemandMeter) -> Tokens {
+    let minutes_tokens = Tokens::new(demand.tokens_per_s().saturating_mul(NEAR_ALLOWANCE_S));
+    minutes_tokens.min(limit_tokens)
+}
+
 /// Recent demand on one budget at one holder.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DemandMeter {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,7 @@
 };
 pub use crate::core::ledger::{
     BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons,
-    UpdateOutcome,
+    UpdateOutcome, WitnessSet,
 };
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -62,7 +62,7 @@
     #[must_use]
     pub const fn new(seed: u64) -> Self {
         Self {
-            policy: PolicyName::HandOver,
+            policy: PolicyName::Stocked,
             routing: RoutingName::Affinity,
             seed,
         }
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -5,7 +5,8 @@
 use std::sync::Mutex;
 
 use crate::core::ids::{FailureDomain, HolderId, TeamId, VmId};
-use crate::core::ledger::Generation;
+use crate::core::ledger::{Generation, WitnessSet};
+use crate::core::units::Tokens;
 use crate::peer::Greeting;
 use crate::util::{lock, stable_hash};
 use crate::vm_list::{VmRecord, VmRole, VmState};
@@ -201,6 +202,12 @@
         }
     }
 
+    /// True while the VM list has the router that runs as a given process, in reach or not.
+    #[must_use]
+    pub fn is_listed(&self, holder: HolderId) -> bool {
+        self.member_of(holder).is_some()
+    }
+
     /// Reachable routers in other failure domains, in this router's order of choice.
     #[must_use]
     pub fn witness_candidates(&self) -> Vec<Member> {
@@ -215,26 +222,44 @@
         members
     }
 
-    /// The witnesses that a new grant gets: one in each of the nearest other failure domains.
+    /// The witnesses that a new grant gets: one in each of a few other failure domains, and one
+    /// in this one.
     #[must_use]
-    pub fn best_witnesses(&self) -> BTreeSet<HolderId> {
+    pub fn best_witnesses(&self, near_allowance_tokens: Tokens) -> WitnessSet {
         let mut domains = BTreeSet::new();
         let mut candidates = self.witness_candidates();
         candidates.retain(|member| domains.insert(member.failure_domain.clone()));
-        let holders = candidates.iter().filter_map(|member| member.holder);
-        holders.take(MAX_WITNESSES).collect()
+        let far = candidates.iter().filter_map(|member| member.holder);
+        let far = far.take(MAX_WITNESSES).collect();
+        WitnessSet {
+            far,
+            near: self.near_witness(),
+            near_allowance_tokens,
+        }
+    }
+
+    fn near_witness(&self) -> Option<HolderId> {
+        let mut members = self.members();
+        members.retain(|member| {
+            member.is_reachable() && member.failure_domain == self.identity.failure_domain
+        });
+        let nearest = members.iter().min_by_key(|member| {
+            let rank = stable_hash(&[self.identity.vm.as_str(), member.vm.as_str()]);
+            (member.leaving, member.failures > 0, rank)
+        });
+        nearest.and_then(|member| member.holder)
     }
 
-    /// True when all of some processes are in reach.
+    /// True when all of some witnesses are in reach.
     #[must_use]
-    pub fn are_all_reachable(&self, holders: &BTreeSet<HolderId>) -> bool {
-        holders.iter().all(|holder| self.is_reachable(*holder))
+    pub fn are_all_reachable(&self, witnesses: &WitnessSet) -> bool {
+        witnesses.all().all(|holder| self.is_reachable(holder))
     }
 
-    /// Processes with those in reach first.
+    /// Witnesses with those in reach first, and the far ones before the near one.
     #[must_use]
-    pub fn in_order_of_reach(&self, holders: BTreeSet<HolderId>) -> Vec<HolderId> {
-        let mut ordered: Vec<HolderId> = holders.into_iter().collect();
+    pub fn in_order_of_reach(&self, witnesses: &WitnessSet) -> Vec<HolderId> {
+        let mut ordered: Vec<HolderId> = witnesses.all().collect();
         ordered.sort_by_key(|holder| !self.is_reachable(*holder));
         ordered
     }
--- a/src/router/reclaim.rs
+++ b/src/router/reclaim.rs
@@ -60,14 +60,14 @@
     }
 
     async fn reclaim(&self, budget: &BudgetId, holder: HolderId, row: &GrantRow) {
-        let seals = row
-            .witnesses
-            .iter()
-            .map(|witness| self.seal(*witness, holder, budget));
-        let sealed: Option<SealedHorizons> = join_all(seals).await.into_iter().collect();
-        let Some(sealed) = sealed else {
+        let witnesses = row.witnesses.all();
+        let seals = witnesses.map(|witness| self.seal(witness, holder, budget));
+        let sealed: SealedHorizons = join_all(seals).await.into_iter().flatten().collect();
+        let near = row.witnesses.near;
+        let is_near_missing = near.is_some_and(|near| !sealed.contains_key(&near));
+        if is_near_missing && self.fleet.is_listed(holder) {
             return;
-        };
+        }
         let change = LedgerChange::Reclaim {
             budget: budget.clone(),
             holder,
--- a/src/router/spending/account.rs
+++ b/src/router/spending/account.rs
@@ -8,7 +8,7 @@
 use crate::core::holder::{Holder, ReserveError, UpdateWish};
 use crate::core::ids::HolderId;
 use crate::core::ledger::{Generation, HolderUpdate, LedgerError};
-use crate::core::policy::{DemandMeter, GrantView};
+use crate::core::policy::{near_allowance, DemandMeter, GrantView};
 use crate::core::units::Tokens;
 use crate::router::fleet::ADDRESS_COUNT;
 use crate::router::ledger_client::{EntryView, LedgerAnswer, OtherHolder};
@@ -135,6 +135,7 @@
     pub(super) fn view(&self, paid_tokens: Tokens) -> GrantView {
         GrantView {
             available_tokens: self.available_tokens,
+            others_free_tokens: self.others.iter().map(|other| other.unspent_tokens).sum(),
             paid_tokens,
             free_tokens: self.current.free_tokens(),
             reserved_tokens: self.current.reserved_tokens(),
@@ -219,6 +220,18 @@
         self.reported_spent_tokens = Tokens::ZERO;
     }
 
+    /// What the near witness may acknowledge while the failure domain is cut off.
+    pub(super) fn near_allowance(&self) -> Tokens {
+        near_allowance(self.current.limit_tokens(), &self.demand)
+    }
+
+    /// True when demand has grown far beyond the allowance in the ledger.
+    pub(super) fn is_allowance_small(&self) -> bool {
+        let present_tokens = self.current.witnesses().near_allowance_tokens;
+        self.current.witnesses().near.is_some()
+            && present_tokens < self.near_allowance().scaled(1, 2)
+    }
+
     /// The horizon that should be acknowledged, if it is higher than the present one by enough.
     pub(super) fn wanted_horizon(&self, needed_tokens: Tokens) -> Option<Tokens> {
         let holder = &self.current;
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -1,6 +1,6 @@
 //! Keeping grants and horizons ahead of demand, off the path of requests.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -10,7 +10,7 @@
 use super::Spender;
 use crate::core::holder::UpdateWish;
 use crate::core::ids::{BudgetId, HolderId};
-use crate::core::ledger::HolderUpdate;
+use crate::core::ledger::{HolderUpdate, WitnessSet};
 use crate::core::policy::GrantDecision;
 use crate::core::units::Tokens;
 use crate::peer::Horizon;
@@ -106,7 +106,7 @@
         let (holder, witnesses) = self.with_account(budget, |account| {
             (account.holder().id(), account.holder().witnesses().clone())
         });
-        for witness in self.parts.fleet.in_order_of_reach(witnesses) {
+        for witness in self.parts.fleet.in_order_of_reach(&witnesses) {
             let horizon = Horizon {
                 holder,
                 budget: budget.clone(),
@@ -208,17 +208,16 @@
     ///
     /// With nobody else in reach the present ones stay: having none would make the whole grant
     /// unreclaimable.
-    fn choose_witnesses(&self, budget: &BudgetId) -> BTreeSet<HolderId> {
-        let (present, is_sealed) = self.with_account(budget, |account| {
-            (
-                account.holder().witnesses().clone(),
-                account.holder().is_witness_sealed(),
-            )
+    fn choose_witnesses(&self, budget: &BudgetId) -> WitnessSet {
+        let (present, is_stale) = self.with_account(budget, |account| {
+            let is_stale = account.holder().is_witness_sealed() || account.is_allowance_small();
+            (account.holder().witnesses().clone(), is_stale)
         });
-        if !present.is_empty() && !is_sealed && self.parts.fleet.are_all_reachable(&present) {
+        if !present.is_empty() && !is_stale && self.parts.fleet.are_all_reachable(&present) {
             return present;
         }
-        let best = self.parts.fleet.best_witnesses();
+        let allowance_tokens = self.with_account(budget, |account| account.near_allowance());
+        let best = self.parts.fleet.best_witnesses(allowance_tokens);
         if best.is_empty() {
             return present;
         }
@@ -232,7 +231,7 @@
             self.with_account(&budget, |account| {
                 let horizon_tokens = account.wanted_horizon(Tokens::ZERO)?;
                 let holder = account.holder();
-                let witnesses = fleet.in_order_of_reach(holder.witnesses().clone());
+                let witnesses = fleet.in_order_of_reach(holder.witnesses());
                 let witness = witnesses.into_iter().next()?;
                 let holder = holder.id();
                 let horizon = Horizon {
