Test whole sites under failure, and mend what that showed

Found by the new tests, each with its cause: - two routers that got the same reservation at once saw each other running it and both refused: the claim alone decides now, and for chats the earlier one; - a router whose first draw was one request's worth had nothing in an outage that began then: it now stocks up by the prepaid amount; - a new router could not spend what peers handed it while the platform was out, since its unconfirmed first update froze the horizon: the witnesses that the update names may acknowledge until it is confirmed; - a grant held back by its horizon was refused as exhausted: it now waits, and says 'out of reach' at the deadline; - an innocent request was quarantined on partial reports: a crash now counts only where the request ran apart from other suspects, and crashes are told to all peers before the caller hears of them; - a router could be told to callers after it had drained, since peers learned of it by chance: it now tells all of them first.

--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -98,10 +98,16 @@
         self.id
     }
 
-    /// The witnesses by the last confirmed update.
+    /// The witnesses by the last confirmed update, or before the first one those that it names.
+    ///
+    /// Until the first update is confirmed the ledger names either nobody, so that nobody can
+    /// reclaim, or the witnesses of that update; their acknowledgement is enough in both cases.
     #[must_use]
-    pub const fn witnesses(&self) -> &WitnessSet {
-        &self.witnesses
+    pub fn witnesses(&self) -> &WitnessSet {
+        match &self.pending {
+            Some(pending) if self.witnesses.is_empty() => &pending.witnesses,
+            _ => &self.witnesses,
+        }
     }
 
     /// True once the ledger row was sealed by a reclaimer. Such a holder gets no further grants.
@@ -203,9 +209,10 @@
     /// While a change of witnesses is pending the horizon stands still: the ledger may already
     /// name the next ones, with the present horizon as their floor.
     pub fn acknowledge(&mut self, witness: HolderId, record: WitnessRecord) {
-        let is_far = self.witnesses.far.contains(&witness);
+        let is_far = self.witnesses().far.contains(&witness);
         let is_near = self.witnesses.near == Some(witness);
-        if !(is_far || is_near) || self.is_changing_witness() {
+        let is_frozen = self.is_changing_witness() && !self.witnesses.is_empty();
+        if !(is_far || is_near) || is_frozen {
             return;
         }
         let mut horizon_tokens = record.horizon_tokens;
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -95,6 +95,8 @@
 const LEAST_DRAW: u64 = 16;
 /// Seconds of recent demand that the near witness of a grant may acknowledge on its own.
 const NEAR_ALLOWANCE_S: u64 = 300;
+/// A holder's first draw is an even share of the prepaid amount, divided by this.
+const FIRST_SHARE: u64 = 2;
 /// A stocked holder gives back what exceeds its share by more than this part of it.
 const EXCESS_PART: u64 = 10;
 /// A holder gives back what exceeds this many times its target.
@@ -252,6 +254,23 @@
         decision
     }
 
+    /// A holder that knows nothing of the ledger yet stocks up by the prepaid amount, so that an
+    /// outage that begins now does not find it with one request's worth.
+    fn decide_for_request(&self, view: &GrantView, needed_tokens: Tokens) -> GrantDecision {
+        let is_unread = view.available_tokens + view.others_free_tokens == Tokens::ZERO;
+        let stock_tokens = if is_unread {
+            view.paid_tokens
+                .scaled(1, FIRST_SHARE * view.holder_count.max(1))
+        } else {
+            self.decide(view).draw_tokens
+        };
+        let draw_tokens = stock_tokens.max(needed_tokens - view.free_tokens);
+        GrantDecision {
+            draw_tokens,
+            return_tokens: Tokens::ZERO,
+        }
+    }
+
     fn hands_over(&self) -> bool {
         true
     }
--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -1,10 +1,11 @@
 //! Requests that crash the replicas they run on.
 //!
-//! Routers exchange which requests were in progress on each crashed replica. From the second
-//! crash on, a request that alone explains all its crashes is quarantined. Until then a suspect
-//! is kept apart from other suspects, so that the next crash tells them apart.
+//! Routers tell one another which requests were in progress on each crashed replica. A suspect
+//! runs apart from other suspects, so that its next crash tells them apart: from then on a request
+//! that crashed a replica as the only suspect there, and that alone explains all its crashes, is
+//! quarantined.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::hash::Hasher;
 
@@ -55,7 +56,7 @@
 /// The crashes known to one router.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    crashes: BTreeMap<Fingerprint, BTreeSet<ReplicaId>>,
+    crashes: BTreeMap<Fingerprint, BTreeMap<ReplicaId, bool>>,
     order: Vec<Fingerprint>,
 }
 
@@ -66,12 +67,14 @@
         Self::default()
     }
 
-    /// Notes that a request was in progress on a replica that crashed. Repeats change nothing.
-    pub fn record(&mut self, fingerprint: Fingerprint, replica: ReplicaId) {
+    /// Notes that a request was in progress on a replica that crashed, and whether it ran there
+    /// as the only suspect. Repeats change nothing.
+    pub fn record(&mut self, fingerprint: Fingerprint, replica: ReplicaId, alone: bool) {
         if !self.crashes.contains_key(&fingerprint) {
             self.order.push(fingerprint);
         }
-        self.crashes.entry(fingerprint).or_default().insert(replica);
+        let replicas = self.crashes.entry(fingerprint).or_default();
+        *replicas.entry(replica).or_default() |= alone;
         if self.order.len() > MAX_REQUESTS {
             let oldest = self.order.remove(0);
             self.crashes.remove(&oldest);
@@ -92,11 +95,12 @@
         let Some(replicas) = self.crashes.get(&fingerprint) else {
             return Suspicion::Clear;
         };
-        if replicas.len() < CRASHES_TO_QUARANTINE {
+        let was_alone = replicas.values().any(|alone| *alone);
+        if replicas.len() < CRASHES_TO_QUARANTINE || !was_alone {
             return Suspicion::Suspect;
         }
-        let explains_all = |(other, others): (&Fingerprint, &BTreeSet<ReplicaId>)| {
-            *other != fingerprint && others.is_superset(replicas)
+        let explains_all = |(other, others): (&Fingerprint, &BTreeMap<ReplicaId, bool>)| {
+            *other != fingerprint && replicas.keys().all(|replica| others.contains_key(replica))
         };
         if self.crashes.iter().any(explains_all) {
             return Suspicion::Suspect;
@@ -105,9 +109,11 @@
     }
 
     /// All crashes known, to tell peers.
-    pub fn reports(&self) -> impl Iterator<Item = (Fingerprint, &ReplicaId)> {
+    pub fn reports(&self) -> impl Iterator<Item = (Fingerprint, &ReplicaId, bool)> {
         self.crashes.iter().flat_map(|(fingerprint, replicas)| {
-            replicas.iter().map(move |replica| (*fingerprint, replica))
+            replicas
+                .iter()
+                .map(move |(replica, alone)| (*fingerprint, replica, *alone))
         })
     }
 }
--- a/src/fakes/engine.rs
+++ b/src/fakes/engine.rs
@@ -18,6 +18,7 @@
 use rocket::serde::json::Json;
 use rocket::{get, post, routes, State};
 use strum::{Display, EnumString};
+use tokio::sync::Notify;
 
 use crate::backend::chat::{ChatChunk, ChatRequest, ChunkChoice, Delta, Usage};
 use crate::backend::http::{REQUEST_ID_HEADER, RESUME_HEADER};
@@ -63,6 +64,7 @@
 struct EngineState {
     pace: EnginePace,
     is_crashed: AtomicBool,
+    crashed: Notify,
     running: AtomicU32,
     served: AtomicU64,
     cancelled: AtomicU64,
@@ -72,6 +74,13 @@
     traceparents: Mutex<Vec<String>>,
 }
 
+impl EngineState {
+    fn crash(&self) {
+        self.is_crashed.store(true, Ordering::SeqCst);
+        self.crashed.notify_one();
+    }
+}
+
 /// A model engine listening on a loopback address.
 #[derive(Debug)]
 pub struct FakeEngine {
@@ -94,6 +103,12 @@
             .manage(Arc::clone(&state))
             .mount("/v1", routes![chat, resume, load, order]);
         let server = HttpServer::start(rocket).await?;
+        let listener = server.abort_handle();
+        let watched = Arc::clone(&state);
+        tokio::spawn(async move {
+            watched.crashed.notified().await;
+            listener.abort();
+        });
         Ok(Self { server, state })
     }
 
@@ -135,8 +150,7 @@
 
     /// Refuses all connections from now on and breaks the open streams.
     pub fn crash(&self) {
-        self.state.is_crashed.store(true, Ordering::SeqCst);
-        self.server.abort();
+        self.state.crash();
     }
 }
 
@@ -243,7 +257,7 @@
         match self.directive {
             Some(Directive::CutOnce) => lock(&self.state.cut).insert(self.request_id.clone()),
             Some(Directive::Crash) => {
-                self.state.is_crashed.store(true, Ordering::SeqCst);
+                self.state.crash();
                 true
             }
             _ => false,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -7,7 +7,7 @@
 use rocket::{Build, Config, Ignite, Rocket, Shutdown};
 use thiserror::Error;
 use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 
 /// Seconds that a server waits for open connections after it was told to stop.
 ///
@@ -82,10 +82,16 @@
         let _ = self.task.await;
     }
 
-    /// Breaks all connections at once, as a crash would.
+    /// Refuses new connections from now on, as after a crash.
     pub fn abort(&self) {
         self.task.abort();
     }
+
+    /// A handle by which another task can do the same.
+    #[must_use]
+    pub fn abort_handle(&self) -> AbortHandle {
+        self.task.abort_handle()
+    }
 }
 
 fn describe(error: rocket::Error) -> String {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -69,6 +69,8 @@
     pub fingerprint: Fingerprint,
     /// The replica.
     pub replica: ReplicaId,
+    /// True when the request ran there apart from other suspects.
+    pub alone: bool,
 }
 
 /// A wish to raise the horizon of one budget.
@@ -113,7 +115,12 @@
     /// Nothing.
     Unheard,
     /// It is in progress there.
-    Running,
+    Running {
+        /// The process that runs it.
+        holder: HolderId,
+        /// Time since it arrived there.
+        age_ms: u64,
+    },
     /// It ended there with this answer.
     Finished(StoredAnswer),
 }
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -131,7 +131,7 @@
             log.clone(),
         );
         let biller = Arc::new(biller);
-        let requests = Arc::new(RequestTable::new());
+        let requests = Arc::new(RequestTable::new(holder));
         add_gauges(&telemetry, &biller, &requests, &catalog);
         Ok(Self {
             configuration: Configuration::new(Arc::clone(&catalog)),
--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -43,6 +43,8 @@
 const BILL_WAIT: Duration = Duration::from_secs(10);
 /// Longest wait for peers that may have run the request before.
 const FIND_WAIT: Duration = Duration::from_millis(50);
+/// Runs that began within this time count as begun together; the lower holder id goes first.
+const SAME_TIME_MS: u64 = 100;
 /// Time after which a caller may ask again for a request that is running.
 const RUNNING_RETRY: Duration = Duration::from_secs(1);
 /// Time after which a caller may come back when no replica is in service.
@@ -136,7 +138,7 @@
     ) -> Result<ChatAnswer, Refusal> {
         let team = &caller.account.team.team;
         match self.requests.arrive(team, &caller.request) {
-            FoundRequest::Running => return Err(running_elsewhere()),
+            FoundRequest::Running { .. } => return Err(running_elsewhere()),
             FoundRequest::Finished(answer) => return Ok(ChatAnswer::Stored(answer)),
             FoundRequest::Unheard => {}
         }
@@ -218,7 +220,10 @@
     async fn find_earlier_run(&self, caller: &Caller) -> Option<Result<ChatAnswer, Refusal>> {
         match self.find_at_peers(caller).await? {
             FoundRequest::Unheard => None,
-            FoundRequest::Running => Some(Err(running_elsewhere())),
+            FoundRequest::Running { holder, age_ms } => {
+                let is_earlier = age_ms > SAME_TIME_MS || holder < self.holder();
+                is_earlier.then(|| Err(running_elsewhere()))
+            }
             FoundRequest::Finished(answer) => Some(Ok(ChatAnswer::Stored(answer))),
         }
     }
@@ -469,12 +474,18 @@
             BackendError::NotConnected { .. } => replicas.learn_gone(&chosen.replica),
             BackendError::Refused { .. } => replicas.learn_failure(chosen),
             BackendError::Broken { .. } | BackendError::Mismatched { .. } => {
-                let probe = self.router.borders.engine.load(chosen.address).await;
-                if matches!(probe, Err(BackendError::NotConnected { .. })) {
+                if !self
+                    .router
+                    .borders
+                    .service
+                    .is_reachable(chosen.address)
+                    .await
+                {
                     warn!(self.router.log, "replica crashed";
                         "replica" => chosen.replica.as_str(),
                         "fingerprint" => self.fingerprint.to_string());
                     replicas.learn_crash(chosen);
+                    self.router.greet_all().await;
                 } else {
                     replicas.learn_failure(chosen);
                 }
--- a/src/router/drain.rs
+++ b/src/router/drain.rs
@@ -19,6 +19,7 @@
     /// that time after the router has left the answers, and until the last of them has ended.
     pub async fn drain(&self) -> bool {
         self.fleet.start_draining();
+        self.greet_all().await;
         info!(self.log, "draining");
         let deadline = Instant::now() + Duration::from_millis(self.settings.drain_ms);
         tokio::time::sleep(Duration::from_millis(self.settings.address_ttl_ms)).await;
--- a/src/router/probing.rs
+++ b/src/router/probing.rs
@@ -63,6 +63,13 @@
             .learn_from_peer(&greeting.gone_replicas, &greeting.crashes);
     }
 
+    /// Tells all peers at once, before a caller can come to one of them with the same request or
+    /// with an address that is about to go.
+    pub(super) async fn greet_all(&self) {
+        let members = self.fleet.members();
+        join_all(members.iter().map(|member| self.probe(member))).await;
+    }
+
     async fn probe(&self, member: &Member) {
         let peer = self.borders.network.peer(member.peer_address);
         let answer = tokio::time::timeout(PROBE_WAIT, peer.hello(self.greeting())).await;
--- a/src/router/replicas.rs
+++ b/src/router/replicas.rs
@@ -58,7 +58,7 @@
 struct Pools {
     pools: HashMap<PoolId, PoolState>,
     addresses: HashMap<ReplicaId, SocketAddr>,
-    in_flight: HashMap<ReplicaId, Vec<Fingerprint>>,
+    in_flight: HashMap<ReplicaId, Vec<(Fingerprint, bool)>>,
     gone: BTreeMap<ReplicaId, Gone>,
 }
 
@@ -136,7 +136,7 @@
             .in_flight
             .entry(replica.clone())
             .or_default()
-            .push(wish.fingerprint);
+            .push((wish.fingerprint, is_suspect));
         let fingerprint = wish.fingerprint;
         Some(Chosen {
             pool: wish.pool.clone(),
@@ -156,7 +156,7 @@
             }
         }
         if let Some(in_flight) = state.in_flight.get_mut(&chosen.replica) {
-            if let Some(place) = in_flight.iter().position(|f| *f == chosen.fingerprint) {
+            if let Some(place) = in_flight.iter().position(|(f, _)| *f == chosen.fingerprint) {
                 in_flight.swap_remove(place);
             }
         }
@@ -200,10 +200,14 @@
     pub fn learn_crash(&self, chosen: &Chosen) {
         let in_flight = lock(&self.pools).in_flight.get(&chosen.replica).cloned();
         let mut quarantine = lock(&self.quarantine);
-        for fingerprint in in_flight.unwrap_or_default() {
-            quarantine.record(fingerprint, chosen.replica.clone());
+        for (fingerprint, alone) in in_flight.unwrap_or_default() {
+            quarantine.record(fingerprint, chosen.replica.clone(), alone);
         }
-        quarantine.record(chosen.fingerprint, chosen.replica.clone());
+        quarantine.record(
+            chosen.fingerprint,
+            chosen.replica.clone(),
+            chosen.is_suspect,
+        );
         drop(quarantine);
         self.learn_gone(&chosen.replica);
     }
@@ -212,7 +216,7 @@
     pub fn learn_from_peer(&self, gone: &[ReplicaId], crashes: &[CrashReport]) {
         let mut quarantine = lock(&self.quarantine);
         for crash in crashes {
-            quarantine.record(crash.fingerprint, crash.replica.clone());
+            quarantine.record(crash.fingerprint, crash.replica.clone(), crash.alone);
         }
         drop(quarantine);
         let mut state = lock(&self.pools);
@@ -254,9 +258,13 @@
         let quarantine = lock(&self.quarantine);
         let reports = quarantine.reports();
         reports
-            .map(|(fingerprint, replica)| CrashReport {
-                fingerprint,
-                replica: replica.clone(),
+            .map(|(fingerprint, replica, alone)| {
+                let replica = replica.clone();
+                CrashReport {
+                    fingerprint,
+                    replica,
+                    alone,
+                }
             })
             .collect()
     }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -5,8 +5,9 @@
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
-use crate::core::ids::{RequestId, TeamId};
+use crate::core::ids::{HolderId, RequestId, TeamId};
 use crate::peer::FoundRequest;
 use crate::util::lock;
 
@@ -29,38 +30,46 @@
     pub body: Vec<u8>,
 }
 
+/// A request in progress since a time, or its answer.
+#[derive(Clone, Debug)]
+enum Entry {
+    Running(Instant),
+    Finished(StoredAnswer),
+}
+
 #[derive(Debug, Default)]
 struct Table {
-    by_key: HashMap<Key, Option<StoredAnswer>>,
+    by_key: HashMap<Key, Entry>,
     finished: VecDeque<Key>,
     answer_bytes: usize,
 }
 
 /// The requests of one router process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestTable {
+    holder: HolderId,
     table: Mutex<Table>,
 }
 
 impl RequestTable {
-    /// An empty table.
+    /// An empty table of one router process.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(holder: HolderId) -> Self {
+        Self {
+            holder,
+            table: Mutex::default(),
+        }
     }
 
     /// Notes that a request has come. One that was unheard of counts as running from here on.
     pub fn arrive(&self, team: &TeamId, request: &RequestId) -> FoundRequest {
         let mut table = lock(&self.table);
-        let key = (team.clone(), request.clone());
-        match table.by_key.get(&key) {
-            None => {
-                table.by_key.insert(key, None);
-                FoundRequest::Unheard
-            }
-            Some(None) => FoundRequest::Running,
-            Some(Some(answer)) => FoundRequest::Finished(answer.clone()),
+        let found = self.find_in(&table, team, request);
+        if found == FoundRequest::Unheard {
+            let key = (team.clone(), request.clone());
+            table.by_key.insert(key, Entry::Running(Instant::now()));
         }
+        found
     }
 
     /// Notes that a request ended with a whole answer.
@@ -68,7 +77,7 @@
         let mut table = lock(&self.table);
         let key = (team.clone(), request.clone());
         table.answer_bytes += answer.body.len();
-        table.by_key.insert(key.clone(), Some(answer));
+        table.by_key.insert(key.clone(), Entry::Finished(answer));
         table.finished.push_back(key);
         while table.answer_bytes > MAX_ANSWER_BYTES || table.finished.len() > MAX_FINISHED {
             table.forget_oldest();
@@ -79,7 +88,7 @@
     pub fn abandon(&self, team: &TeamId, request: &RequestId) {
         let mut table = lock(&self.table);
         let key = (team.clone(), request.clone());
-        if table.by_key.get(&key) == Some(&None) {
+        if matches!(table.by_key.get(&key), Some(Entry::Running(_))) {
             table.by_key.remove(&key);
         }
     }
@@ -87,11 +96,17 @@
     /// What is known about a request.
     #[must_use]
     pub fn find(&self, team: &TeamId, request: &RequestId) -> FoundRequest {
-        let table = lock(&self.table);
+        self.find_in(&lock(&self.table), team, request)
+    }
+
+    fn find_in(&self, table: &Table, team: &TeamId, request: &RequestId) -> FoundRequest {
         match table.by_key.get(&(team.clone(), request.clone())) {
             None => FoundRequest::Unheard,
-            Some(None) => FoundRequest::Running,
-            Some(Some(answer)) => FoundRequest::Finished(answer.clone()),
+            Some(Entry::Running(since)) => FoundRequest::Running {
+                holder: self.holder,
+                age_ms: u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX),
+            },
+            Some(Entry::Finished(answer)) => FoundRequest::Finished(answer.clone()),
         }
     }
 
@@ -108,7 +123,7 @@
         let Some(key) = self.finished.pop_front() else {
             return;
         };
-        if let Some(Some(answer)) = self.by_key.remove(&key) {
+        if let Some(Entry::Finished(answer)) = self.by_key.remove(&key) {
             self.answer_bytes -= answer.body.len();
         }
     }
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -77,7 +77,7 @@
     ) -> Result<StoredAnswer, Refusal> {
         let team = &caller.account.team.team;
         match self.requests.arrive(team, &caller.request) {
-            FoundRequest::Running => return Err(ask_again(RunState::RunningElsewhere)),
+            FoundRequest::Running { .. } => return Err(ask_again(RunState::RunningElsewhere)),
             FoundRequest::Finished(answer) => return Ok(answer),
             FoundRequest::Unheard => {}
         }
@@ -130,12 +130,9 @@
 
 impl ServiceRun<'_> {
     async fn run(&mut self) -> Result<StoredAnswer, Refusal> {
-        if let Some(found) = self.router.find_at_peers(self.caller).await {
-            match found {
-                FoundRequest::Running => return Err(ask_again(RunState::RunningElsewhere)),
-                FoundRequest::Finished(answer) => return Ok(answer),
-                FoundRequest::Unheard => {}
-            }
+        // Whether another run is in progress is for the claim to say, not for peers.
+        if let Some(FoundRequest::Finished(answer)) = self.router.find_at_peers(self.caller).await {
+            return Ok(answer);
         }
         let call_tokens = self.rules.call_tokens;
         let budget = &self.caller.budget;
--- a/src/router/spending/mod.rs
+++ b/src/router/spending/mod.rs
@@ -33,6 +33,8 @@
 
 /// Number of locks over which the budgets are spread.
 const SHARD_COUNT: usize = 64;
+/// Pause before witnesses are asked again.
+const HORIZON_RETRY: Duration = Duration::from_millis(20);
 /// Time for which a vain search for tokens answers further requests at once.
 const REFUSED_MEMORY: Duration = Duration::from_millis(100);
 
@@ -210,11 +212,20 @@
             if let Some(reserved) = self.try_with_horizon(budget, tokens, deadline).await {
                 return Ok(reserved);
             }
-            if !self.may_come_back(budget, tokens) {
+            let is_held_back = self.is_held_back_by_horizon(budget, tokens);
+            if !is_held_back && !self.may_come_back(budget, tokens) {
                 return Err(self.refuse(budget, tokens, is_platform_heard));
             }
-            if tokio::time::timeout_at(deadline, freed).await.is_err() {
-                return Err(self.refuse(budget, tokens, is_platform_heard));
+            let next_look = if is_held_back {
+                Instant::now() + HORIZON_RETRY
+            } else {
+                deadline
+            };
+            let is_over = tokio::time::timeout_at(next_look.min(deadline), freed)
+                .await
+                .is_err();
+            if is_over && Instant::now() >= deadline {
+                return Err(self.refuse(budget, tokens, is_platform_heard && !is_held_back));
             }
         }
     }
@@ -234,6 +245,11 @@
         self.try_reserve(budget, tokens).ok()
     }
 
+    /// True when the grant suffices and only an acknowledgement is missing.
+    fn is_held_back_by_horizon(&self, budget: &BudgetId, tokens: Tokens) -> bool {
+        self.with_account(budget, |account| account.holder().free_tokens() >= tokens)
+    }
+
     /// True when reservations of this router that end may free enough.
     fn may_come_back(&self, budget: &BudgetId, tokens: Tokens) -> bool {
         self.with_account(budget, |account| {
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -65,12 +65,18 @@
         tokens: Tokens,
         deadline: Instant,
     ) -> bool {
-        let view = self.with_account(budget, |account| account.view(Tokens::ZERO));
+        let paid_tokens = self
+            .parts
+            .catalog
+            .load()
+            .paid_tokens(budget)
+            .unwrap_or_default();
+        let view = self.with_account(budget, |account| account.view(paid_tokens));
         let decision = self.parts.policy.decide_for_request(&view, tokens);
         let deadline = deadline.min(Instant::now() + LEDGER_WAIT);
         let is_heard =
             tokio::time::timeout_at(deadline, self.sync(budget, decision)).await == Ok(true);
-        let view = self.with_account(budget, |account| account.view(Tokens::ZERO));
+        let view = self.with_account(budget, |account| account.view(paid_tokens));
         let is_short = view.free_tokens < tokens && view.available_tokens > Tokens::ZERO;
         if is_heard && is_short {
             let draw_tokens = tokens - view.free_tokens;
--- a/src/router/web.rs
+++ b/src/router/web.rs
@@ -515,7 +515,7 @@
             .unwrap_or(FoundRequest::Unheard);
     }
     let state = match found {
-        FoundRequest::Running => "running".to_owned(),
+        FoundRequest::Running { .. } => "running".to_owned(),
         FoundRequest::Finished(_) => "finished".to_owned(),
         FoundRequest::Unheard => claim_state(router, ClaimKey::new(team, request.clone())).await?,
     };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A work directory for one test, and the program run in it.
 #![allow(dead_code)]
 
+pub mod client;
+pub mod process;
+
 use std::ffi::OsStr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,491 @@
+//! A whole site in one process, under failures.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::client::{
+    addresses, chat_body, send_call, send_chat, status, wait_for, wait_ready, Outcome,
+};
+use currantlever::fakes::engine::{answer_length_tokens, expected_text, EnginePace};
+use currantlever::fakes::fleet::{key_of, plans_list, usage_list, Site, SiteOptions};
+use currantlever::{
+    settle_all, silent_logger, AcceptError, AcceptedLists, Edit, PlansList, RefusalKind, RunState,
+    StoreFaults, Tokens, VmRole, VmState,
+};
+use reqwest::Client;
+
+const TEAMS: [(&str, u64); 2] = [("rich", 1_000_000), ("poor", 900)];
+
+async fn start(options: SiteOptions) -> Site {
+    let plans = plans_list(&TEAMS).unwrap();
+    let site = Site::start(options, plans, usage_list().unwrap(), &silent_logger())
+        .await
+        .unwrap();
+    wait_ready(&router_addresses(&site)).await;
+    site
+}
+
+fn router_addresses(site: &Site) -> Vec<SocketAddr> {
+    site.routers.iter().map(|router| router.address()).collect()
+}
+
+fn whole_text(id: &str) -> String {
+    expected_text(id, answer_length_tokens(id))
+}
+
+fn assert_whole(outcome: &Outcome, id: &str) {
+    match outcome {
+        Outcome::Whole { text, .. } => assert_eq!(*text, whole_text(id)),
+        other => panic!("{id}: {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_typed_errors_that_name_the_place() {
+    let site = start(SiteOptions::small(1)).await;
+    let at = site.routers[0].address();
+    let url = format!("http://{at}/v1/chat/completions");
+    let post = || Client::new().post(&url);
+    let unknown = post()
+        .bearer_auth("nobody")
+        .json(&chat_body("hello", false));
+    let malformed = post()
+        .bearer_auth(key_of("rich"))
+        .body("{\"model\":\"assistant\",\"messages\":3}");
+    let large = post().bearer_auth(key_of("rich")).body(vec![b' '; 2 << 20]);
+    let wrong_header = post()
+        .bearer_auth(key_of("rich"))
+        .header("Idempotency-Key", "two words");
+    let cases = [
+        (unknown, 401, "unknown-key", "key"),
+        (malformed, 400, "bad-request", "messages"),
+        (large, 413, "body-too-large", "bytes"),
+        (
+            wrong_header.body("{}"),
+            400,
+            "bad-request",
+            "Idempotency-Key",
+        ),
+    ];
+    for (request, status, kind, place) in cases {
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status().as_u16(), status, "{kind}");
+        let body: serde_json::Value = response.json().await.unwrap();
+        assert_eq!(body["error"]["type"], kind);
+        assert_eq!(body["error"]["run"], "not-run");
+        assert!(
+            body["error"]["message"].as_str().unwrap().contains(place),
+            "{body}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_budget_is_spent_to_its_end_and_not_beyond() {
+    let site = start(SiteOptions::small(2)).await;
+    let routers = router_addresses(&site);
+    let mut spent = 0;
+    for number in 0..60 {
+        let at = routers[number % routers.len()];
+        match send_chat(at, "poor", &format!("poor-{number}"), "hello").await {
+            Outcome::Whole { tokens, .. } => spent += tokens,
+            Outcome::Refused { kind, run } => {
+                assert_eq!(
+                    (kind, run),
+                    (RefusalKind::BudgetExhausted, RunState::NotRun)
+                );
+            }
+            Outcome::Broken => panic!("answer broke off"),
+        }
+    }
+    assert!(spent <= 900, "{spent}");
+    assert!(
+        spent > 400,
+        "{spent}: tokens were left that a request could have used"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_overlong_and_crossed_answers_are_never_delivered_as_whole() {
+    let site = start(SiteOptions::small(3)).await;
+    let at = site.routers[0].address();
+    assert_whole(
+        &send_chat(at, "rich", "cut-1", "hello #cut-once").await,
+        "cut-1",
+    );
+    let Outcome::Whole { tokens, .. } = send_chat(at, "rich", "over-1", "hello #overrun").await
+    else {
+        panic!("an overlong answer is cut at its limit");
+    };
+    assert!(tokens <= 400 + 40, "{tokens}");
+    let crossed = send_chat(at, "rich", "crossed-1", "hello #wrong-id").await;
+    let Outcome::Refused { kind, run } = crossed else {
+        panic!("{crossed:?}")
+    };
+    assert_eq!(
+        (kind, run),
+        (RefusalKind::BackendFailed, RunState::OutcomeUnknown)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_request_gets_the_answer_of_its_first_run() {
+    let site = start(SiteOptions::small(4)).await;
+    let at = site.routers[0].address();
+    let team_routers = addresses(at, "rich").await;
+    assert_eq!(team_routers.len(), 3);
+    for router in &team_routers {
+        assert_whole(&send_chat(*router, "rich", "again", "hello").await, "again");
+    }
+    let served: u64 = site
+        .engines
+        .iter()
+        .map(|engine| engine.served_count())
+        .sum();
+    assert_eq!(served, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reservation_sent_through_two_routers_at_once_runs_once() {
+    let site = start(SiteOptions::small(5)).await;
+    let routers = router_addresses(&site);
+    for number in 0..20 {
+        let id = format!("lease-{number}");
+        let (one, other) = tokio::join!(
+            send_call(routers[0], "rich", "POST", &id),
+            send_call(routers[1], "rich", "POST", &id),
+        );
+        assert!(one.is_whole() || other.is_whole(), "{one:?} {other:?}");
+    }
+    let mut runs = 0;
+    for service in &site.services {
+        assert!(service.runs().values().all(|count| *count == 1));
+        runs += service.runs().len();
+    }
+    assert_eq!(runs, 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn grants_serve_through_an_outage_of_the_platform_and_claims_are_refused_truly() {
+    let site = start(SiteOptions::small(6)).await;
+    let at = site.routers[0].address();
+    assert_whole(&send_chat(at, "rich", "before", "hello").await, "before");
+    let store = site.platform.store();
+    store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    for number in 0..10 {
+        let id = format!("during-{number}");
+        assert_whole(&send_chat(at, "rich", &id, "hello").await, &id);
+    }
+    let claimed = send_call(at, "rich", "POST", "lease").await;
+    let refused = Outcome::Refused {
+        kind: RefusalKind::ClaimOutOfReach,
+        run: RunState::NotRun,
+    };
+    assert_eq!(claimed, refused);
+    store.set_faults(StoreFaults::default());
+    assert!(send_call(at, "rich", "POST", "lease").await.is_whole());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_platform_neither_double_nor_lose_anything() {
+    let mut site = start(SiteOptions::small(7)).await;
+    let at = site.routers[0].address();
+    let store = site.platform.store();
+    let mut used = 0;
+    for number in 0..12 {
+        store.set_faults(StoreFaults {
+            lost_answers: 2,
+            ..StoreFaults::default()
+        });
+        let id = format!("lost-{number}");
+        if let Outcome::Whole { tokens, .. } = send_chat(at, "rich", &id, "hello").await {
+            used += tokens;
+        }
+    }
+    store.set_faults(StoreFaults::default());
+    for router in std::mem::take(&mut site.routers) {
+        assert!(router.drain_and_stop().await);
+    }
+    let totals = settle_all(store.as_ref()).await.unwrap().totals();
+    let billed: Tokens = totals.values().map(|totals| totals.billed_tokens).sum();
+    assert_eq!(billed, Tokens::new(used));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_replicas_takes_two_with_it_and_no_innocents() {
+    let options = SiteOptions {
+        engines: 6,
+        pace: EnginePace {
+            first_token_ms: 1,
+            token_ms: 2,
+        },
+        ..SiteOptions::small(8)
+    };
+    let site = start(options).await;
+    let routers = router_addresses(&site);
+    let innocents: Vec<_> = (0..10)
+        .map(|number| {
+            let at = routers[number % routers.len()];
+            tokio::spawn(async move {
+                let id = format!("innocent-{number}");
+                let text = format!("hello {number}");
+                wait_for("an innocent request is served", || async {
+                    let outcome = send_chat(at, "rich", &id, &text).await;
+                    let is_accused = matches!(
+                        outcome,
+                        Outcome::Refused {
+                            kind: RefusalKind::Quarantined,
+                            ..
+                        }
+                    );
+                    assert!(!is_accused, "{id}: {outcome:?}");
+                    outcome.is_whole()
+                })
+                .await;
+            })
+        })
+        .collect();
+    for send in 0..10 {
+        let at = routers[send % routers.len()];
+        assert!(
+            !send_chat(at, "rich", &format!("killer-{send}"), "bad #crash")
+                .await
+                .is_whole()
+        );
+    }
+    for innocent in innocents {
+        innocent.await.unwrap();
+    }
+    let crashed = site
+        .engines
+        .iter()
+        .filter(|engine| engine.is_crashed())
+        .count();
+    assert!(crashed <= 2, "{crashed} replicas crashed");
+    let last = send_chat(routers[0], "rich", "killer-last", "bad #crash").await;
+    let Outcome::Refused { kind, .. } = last else {
+        panic!("{last:?}")
+    };
+    assert_eq!(kind, RefusalKind::Quarantined);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_replica_gets_no_new_work() {
+    let site = start(SiteOptions::small(9)).await;
+    let at = site.routers[0].address();
+    let mut vms = site.vms().unwrap();
+    let leaving = site.engines[0].address();
+    for vm in &mut vms {
+        if matches!(vm.role, VmRole::Replica { address, .. } if address == leaving) {
+            vm.state = VmState::Leaving;
+        }
+    }
+    site.platform.set_vms(vms);
+    let mut quiet = 0;
+    let mut number = 0;
+    wait_for("no new work for 30 requests", || {
+        number += 1;
+        let id = format!("request-{number}");
+        let before = site.engines[0].served_count();
+        let engine = &site.engines[0];
+        async move {
+            let outcome = send_chat(at, "rich", &id, &id).await;
+            assert!(outcome.is_whole(), "{outcome:?}");
+            engine.served_count() == before
+        }
+    })
+    .await;
+    while quiet < 30 {
+        let id = format!("later-{quiet}");
+        assert!(send_chat(at, "rich", &id, &id).await.is_whole());
+        quiet += 1;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_can_all_be_replaced_under_load_with_no_cut_request() {
+    let options = SiteOptions {
+        routers: 9,
+        pace: EnginePace {
+            first_token_ms: 1,
+            token_ms: 1,
+        },
+        address_ttl_ms: 2_000,
+        ..SiteOptions::small(10)
+    };
+    let mut site = start(options).await;
+    let first = site.routers[0].address();
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let load = tokio::spawn(keep_sending(first, stopped));
+    for _ in 0..9 {
+        site.add_router().await.unwrap();
+        wait_ready(&router_addresses(&site)[9..]).await;
+        let old = site.routers.remove(0);
+        assert!(old.drain_and_stop().await);
+        site.publish_vms().unwrap();
+    }
+    stop.send_replace(true);
+    let served = load.await.unwrap();
+    assert!(served > 50, "{served}");
+}
+
+/// A caller that asks which addresses to use, keeps the answer for a while, and sends on.
+async fn keep_sending(first: SocketAddr, stopped: tokio::sync::watch::Receiver<bool>) -> u64 {
+    let mut known = addresses(first, "rich").await;
+    let mut served = 0;
+    while !*stopped.borrow() {
+        let at = known[usize::try_from(served).unwrap() % known.len()];
+        let id = format!("steady-{served}");
+        let outcome = send_chat(at, "rich", &id, &id).await;
+        assert_whole(&outcome, &id);
+        served += 1;
+        if served % 5 == 0 {
+            known = addresses(at, "rich").await;
+            assert!(
+                !known.is_empty(),
+                "the router in use answers while it serves"
+            );
+        }
+    }
+    served
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lists_edited_on_both_sides_of_a_partition_reach_every_router_after_it() {
+    let options = SiteOptions {
+        routers: 9,
+        use_switchboard: true,
+        ..SiteOptions::small(11)
+    };
+    let site = start(options).await;
+    let peers: Vec<SocketAddr> = site
+        .routers
+        .iter()
+        .map(|router| router.peer_address())
+        .collect();
+    site.switchboard.cut(&peers[..4], &peers[4..]);
+    let first = edit(&site, 2_000_000).await.unwrap();
+    let stale = PlansList {
+        generation: 1,
+        ..plans_list(&TEAMS).unwrap()
+    };
+    let conflict = site.accept(Edit::Plans(stale)).await;
+    assert!(matches!(conflict, Err(AcceptError::Conflict { .. })));
+    let second = edit(&site, 3_000_000).await.unwrap();
+    assert!(second > first);
+    site.switchboard.heal();
+    let third = edit(&site, 4_000_000).await.unwrap();
+    for router in router_addresses(&site) {
+        wait_for("the newest lists are in force", || async {
+            status(router).await["generation"].as_u64() == Some(third)
+        })
+        .await;
+    }
+}
+
+async fn edit(site: &Site, paid_tokens: u64) -> Result<u64, AcceptError> {
+    let store = site.platform.store();
+    let lists = AcceptedLists::load(store.as_ref(), &AcceptedLists::default())
+        .await
+        .unwrap();
+    let mut plans = lists.plans();
+    plans.teams[0].budgets[0].paid_tokens = Tokens::new(paid_tokens);
+    site.accept(Edit::Plans(plans)).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_operators_editing_one_list_at_once_do_not_undo_one_another() {
+    let site = start(SiteOptions::small(12)).await;
+    let store = site.platform.store();
+    let lists = AcceptedLists::load(store.as_ref(), &AcceptedLists::default())
+        .await
+        .unwrap();
+    let mut edits = [lists.plans(), lists.plans()];
+    edits[0].teams[0].budgets[0].paid_tokens = Tokens::new(5_000_000);
+    edits[1].teams[0].budgets[0].paid_tokens = Tokens::new(6_000_000);
+    let [one, other] = edits.map(Edit::Plans);
+    let (one, other) = tokio::join!(site.accept(one), site.accept(other));
+    assert!(one.is_ok() != other.is_ok(), "{one:?} {other:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_router_starts_from_its_peers_while_the_platform_is_out() {
+    let mut site = start(SiteOptions::small(13)).await;
+    assert_whole(
+        &send_chat(site.routers[0].address(), "rich", "early", "hello").await,
+        "early",
+    );
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    site.platform.store().set_faults(down);
+    site.add_router().await.unwrap();
+    let new = site.routers.last().unwrap().address();
+    wait_for("lists come from peers", || async {
+        status(new).await["generation"].as_u64() >= Some(2)
+    })
+    .await;
+    wait_for("tokens come from peers", || async {
+        send_chat(new, "rich", "late", "hello").await.is_whole()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_cancels_its_request_at_the_engine() {
+    let pace = EnginePace {
+        first_token_ms: 1,
+        token_ms: 20,
+    };
+    let site = start(SiteOptions {
+        pace,
+        ..SiteOptions::small(14)
+    })
+    .await;
+    let at = site.routers[0].address();
+    let request = Client::new()
+        .post(format!("http://{at}/v1/chat/completions"))
+        .bearer_auth(key_of("rich"))
+        .json(&chat_body("hello #long", true));
+    let mut response = request.send().await.unwrap();
+    response.chunk().await.unwrap();
+    drop(response);
+    wait_for("the engine is told", || async {
+        site.engines
+            .iter()
+            .map(|engine| engine.cancelled_count())
+            .sum::<u64>()
+            == 1
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn traces_reach_the_backend_server_and_metrics_are_told() {
+    let site = start(SiteOptions::small(15)).await;
+    let at = site.routers[0].address();
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let request = Client::new()
+        .post(format!("http://{at}/v1/chat/completions"))
+        .bearer_auth(key_of("rich"))
+        .header("traceparent", format!("00-{trace}-00f067aa0ba902b7-01"))
+        .json(&chat_body("hello", false));
+    assert!(request.send().await.unwrap().status().is_success());
+    let seen: Vec<String> = site.engines.iter().flat_map(|e| e.traceparents()).collect();
+    assert!(seen.iter().any(|header| header.contains(trace)), "{seen:?}");
+    let metrics = Client::new()
+        .get(format!("http://{at}/metrics"))
+        .send()
+        .await
+        .unwrap();
+    assert!(metrics
+        .text()
+        .await
+        .unwrap()
+        .contains("currantlever_requests_total"));
+}
