--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,4 +1,6 @@
 //! Experiments on the decision core: plain loops on an injected clock.
 
 pub mod budgets;
+pub mod costs;
+pub mod latency;
 pub mod sites;
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -1,8 +1,8 @@
 use lexopt::prelude::*;
 use strum::{Display, EnumString};
 
-use super::{is_about_command, CommandError};
-use crate::bench::budgets;
+use super::{block_on, is_about_command, CommandError};
+use crate::bench::{budgets, costs, latency};
 
 const USAGE: &str = "\
 Measures policies and costs on seeded demand.
@@ -14,6 +14,8 @@
 
 What:
     budgets     Grant policies: overspend, false refusals, platform writes
+    costs       Costs that grow with the fleet, at three sizes each
+    latency     A router before an engine against the engine alone
 
 Options:
     --seed <n>          Seed of the demand [default: 1]
@@ -28,6 +30,8 @@
 #[strum(serialize_all = "kebab-case")]
 enum Subject {
     Budgets,
+    Costs,
+    Latency,
 }
 
 struct Args {
@@ -67,6 +71,8 @@
     };
     match args.subject {
         Subject::Budgets => run_budgets(&args),
+        Subject::Costs => run_costs(&args),
+        Subject::Latency => block_on(run_latency(args)),
     }
 }
 
@@ -109,3 +115,63 @@
     }
     Ok(())
 }
+
+fn run_costs(args: &Args) -> Result<(), CommandError> {
+    let results = costs::run_all(args.seed);
+    if args.json {
+        println!(
+            "{}",
+            serde_json::to_string(&results).map_err(CommandError::failed)?
+        );
+        return Ok(());
+    }
+    println!(
+        "{:<28} {:>10} {:>14} {:>8}",
+        "cost", "size", "value", "unit"
+    );
+    for result in results {
+        println!(
+            "{:<28} {:>10} {:>14.1} {:>8}",
+            result.cost, result.size, result.value, result.unit
+        );
+    }
+    Ok(())
+}
+
+async fn run_latency(args: Args) -> Result<(), CommandError> {
+    let result = latency::run(args.seed, args.rounds)
+        .await
+        .map_err(CommandError::failed)?;
+    if args.json {
+        println!(
+            "{}",
+            serde_json::to_string(&result).map_err(CommandError::failed)?
+        );
+        return Ok(());
+    }
+    println!(
+        "first token, direct, p50 / p95      {:>8} / {:>8} us",
+        result.direct_p50_us, result.direct_p95_us
+    );
+    println!(
+        "first token, router, p50 / p95      {:>8} / {:>8} us",
+        result.router_p50_us, result.router_p95_us
+    );
+    println!(
+        "added by the router, p50            {:>8} us",
+        result.router_p50_us.saturating_sub(result.direct_p50_us)
+    );
+    println!(
+        "router / direct, p50                {:>8.2}",
+        result.ratio_p50
+    );
+    println!(
+        "requests a second, direct / router  {:>8.0} / {:>8.0}",
+        result.direct_per_s, result.router_per_s
+    );
+    println!(
+        "resident memory of this process     {:>8} KiB",
+        result.resident_kib
+    );
+    Ok(())
+}
--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -474,21 +474,16 @@
             BackendError::NotConnected { .. } => replicas.learn_gone(&chosen.replica),
             BackendError::Refused { .. } => replicas.learn_failure(chosen),
             BackendError::Broken { .. } | BackendError::Mismatched { .. } => {
-                if !self
-                    .router
-                    .borders
-                    .service
-                    .is_reachable(chosen.address)
-                    .await
-                {
-                    warn!(self.router.log, "replica crashed";
-                        "replica" => chosen.replica.as_str(),
-                        "fingerprint" => self.fingerprint.to_string());
-                    replicas.learn_crash(chosen);
-                    self.router.greet_all().await;
-                } else {
+                let service = &self.router.borders.service;
+                if service.is_reachable(chosen.address).await {
                     replicas.learn_failure(chosen);
+                    return;
                 }
+                warn!(self.router.log, "replica crashed";
+                    "replica" => chosen.replica.as_str(),
+                    "fingerprint" => self.fingerprint.to_string());
+                replicas.learn_crash(chosen);
+                self.router.greet_all().await;
             }
         }
     }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -78,7 +78,10 @@
     })
     .await;
     let entries = ledger.read_all().await.unwrap().entries;
-    let stranded: Tokens = entries.values().map(|entry| entry.stranded_tokens()).sum();
+    let stranded: Tokens = entries
+        .values()
+        .map(currantlever::BudgetEntry::stranded_tokens)
+        .sum();
     assert!(stranded < Tokens::new(10_000), "{stranded}");
     wait_for("the request is billed", || async {
         settle_all(site.platform.store().as_ref())
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -27,7 +27,10 @@
 }
 
 fn router_addresses(site: &Site) -> Vec<SocketAddr> {
-    site.routers.iter().map(|router| router.address()).collect()
+    site.routers
+        .iter()
+        .map(currantlever::Daemon::address)
+        .collect()
 }
 
 fn whole_text(id: &str) -> String {
@@ -141,7 +144,7 @@
     let served: u64 = site
         .engines
         .iter()
-        .map(|engine| engine.served_count())
+        .map(currantlever::fakes::engine::FakeEngine::served_count)
         .sum();
     assert_eq!(served, 1);
 }
@@ -365,7 +368,7 @@
     let peers: Vec<SocketAddr> = site
         .routers
         .iter()
-        .map(|router| router.peer_address())
+        .map(currantlever::Daemon::peer_address)
         .collect();
     site.switchboard.cut(&peers[..4], &peers[4..]);
     let first = edit(&site, 2_000_000).await.unwrap();
@@ -458,7 +461,7 @@
     wait_for("the engine is told", || async {
         site.engines
             .iter()
-            .map(|engine| engine.cancelled_count())
+            .map(currantlever::fakes::engine::FakeEngine::cancelled_count)
             .sum::<u64>()
             == 1
     })
@@ -476,7 +479,11 @@
         .header("traceparent", format!("00-{trace}-00f067aa0ba902b7-01"))
         .json(&chat_body("hello", false));
     assert!(request.send().await.unwrap().status().is_success());
-    let seen: Vec<String> = site.engines.iter().flat_map(|e| e.traceparents()).collect();
+    let seen: Vec<String> = site
+        .engines
+        .iter()
+        .flat_map(currantlever::fakes::engine::FakeEngine::traceparents)
+        .collect();
     assert!(seen.iter().any(|header| header.contains(trace)), "{seen:?}");
     let metrics = Client::new()
         .get(format!("http://{at}/metrics"))
