--- a/src/bench/costs.rs
+++ b/src/bench/costs.rs
@@ -66,7 +66,7 @@
         let domain = domains[number as usize % domains.len()].clone();
         pool.add(ReplicaState::new(id, domain, 8));
     }
-    let policy = RoutingName::Affinity.build();
+    let policy = RoutingName::RoundRobin.build();
     let started = Instant::now();
     for number in 0..u64::from(OPERATIONS) {
         let prefixes = [number % 1_000, 7_000 + number % 50];
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,4 +3,5 @@
 pub mod budgets;
 pub mod costs;
 pub mod latency;
+pub mod routing;
 pub mod sites;
--- /dev/null
+++ b/src/bench/routing.rs
@@ -0,0 +1,292 @@
+//! Routing policies on the same seeded work: a queue for each replica, a lag on its reports.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use super::sites::{Deployment, SiteSize};
+use crate::core::ids::{FailureDomain, ReplicaId};
+use crate::core::routing::{
+    PoolState, PrefixKey, ReplicaState, RouteWish, RoutingName, RoutingPolicy,
+};
+
+/// Length of one run.
+const RUN_MS: u64 = 600_000;
+/// Time between two reports of a replica's load.
+const REPORT_MS: u64 = 250;
+/// Age of a report when it reaches a router.
+const REPORT_LAG_MS: u64 = 500;
+/// Requests that a replica works on at a time.
+const SLOTS: u32 = 8;
+/// Prefixes that a replica's cache holds.
+const CACHED_PREFIXES: usize = 24;
+/// Share of all slots that the work takes on average when no prefix is cached, in percent.
+const LOAD_PERCENT: u64 = 88;
+/// Time to work through a prompt that is not cached, for each token.
+const PREFILL_US: u64 = 400;
+/// Time for each token of the answer.
+const DECODE_US: u64 = 12_000;
+/// Conversations that go on at a time.
+const CONVERSATIONS: u64 = 300;
+/// Longest time to the first token that still counts as in time.
+const IN_TIME_MS: u64 = 1_300;
+
+/// Result of one policy.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RoutingResult {
+    /// The deployment.
+    pub deployment: String,
+    /// The policy.
+    pub policy: String,
+    /// Requests.
+    pub requests: u64,
+    /// Time to the first token, median.
+    pub p50_ms: u64,
+    /// 95th percentile.
+    pub p95_ms: u64,
+    /// 99th percentile.
+    pub p99_ms: u64,
+    /// Requests whose first token was late, in percent.
+    pub late_percent: f64,
+    /// Requests whose conversation was cached where they went, in percent.
+    pub hit_percent: f64,
+}
+
+/// Runs every policy on both deployments.
+#[must_use]
+pub fn run_all(seed: u64, rounds: u64) -> Vec<RoutingResult> {
+    let sites = Deployment::iter();
+    let runs = sites.flat_map(|site| RoutingName::iter().map(move |name| (site, name)));
+    runs.map(|(site, name)| run_policy(site, name, seed, rounds))
+        .collect()
+}
+
+#[derive(Debug, Default)]
+struct Sums {
+    requests: u64,
+    late: u64,
+    hits: u64,
+}
+
+fn run_policy(site: Deployment, name: RoutingName, seed: u64, rounds: u64) -> RoutingResult {
+    let times = Histogram::<u64>::new_with_max(RUN_MS * 1_000, 3);
+    let mut times = times.unwrap_or_else(|_| unreachable!("the bounds are valid"));
+    let mut sums = Sums::default();
+    for round in 0..rounds {
+        let mut run = Run::new(site.size(), name, seed + round);
+        run.run(&mut times, &mut sums);
+    }
+    RoutingResult {
+        deployment: site.to_string(),
+        policy: name.to_string(),
+        requests: sums.requests,
+        p50_ms: times.value_at_quantile(0.5) / 1_000,
+        p95_ms: times.value_at_quantile(0.95) / 1_000,
+        p99_ms: times.value_at_quantile(0.99) / 1_000,
+        late_percent: percent(sums.late, sums.requests),
+        hit_percent: percent(sums.hits, sums.requests),
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn percent(count: u64, of: u64) -> f64 {
+    count as f64 * 100.0 / of.max(1) as f64
+}
+
+/// A replica: when each slot is free, what is there, and what its cache holds.
+#[derive(Debug, Default)]
+struct Replica {
+    free_at_us: BinaryHeap<Reverse<u64>>,
+    ends_us: Vec<u64>,
+    cached: VecDeque<PrefixKey>,
+}
+
+impl Replica {
+    /// Takes on a request and returns when its first token and its end come.
+    fn take(&mut self, now_us: u64, prefill_us: u64, decode_us: u64) -> (u64, u64) {
+        let slot_us = self.free_at_us.pop().map_or(0, |Reverse(at)| at);
+        let first_us = slot_us.max(now_us) + prefill_us;
+        let end_us = first_us + decode_us;
+        self.free_at_us.push(Reverse(end_us));
+        self.ends_us.push(end_us);
+        (first_us, end_us)
+    }
+
+    fn requests(&mut self, now_us: u64) -> u32 {
+        self.ends_us.retain(|end| *end > now_us);
+        u32::try_from(self.ends_us.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Uses the cache for a conversation and its system prompt; true where it was there.
+    fn use_cache(&mut self, prefix: PrefixKey) -> bool {
+        let place = self.cached.iter().position(|cached| *cached == prefix);
+        if let Some(place) = place {
+            self.cached.remove(place);
+        }
+        self.cached.push_front(prefix);
+        self.cached.truncate(CACHED_PREFIXES);
+        place.is_some()
+    }
+}
+
+/// One router's view.
+#[derive(Debug)]
+struct Router {
+    domain: FailureDomain,
+    pool: PoolState,
+    ends: BinaryHeap<Reverse<(u64, usize)>>,
+    reports: VecDeque<(u64, Vec<(u32, u32)>)>,
+}
+
+struct Run {
+    size: SiteSize,
+    policy: Box<dyn RoutingPolicy>,
+    rng: StdRng,
+    replicas: Vec<Replica>,
+    routers: Vec<Router>,
+}
+
+impl Run {
+    fn new(size: SiteSize, name: RoutingName, seed: u64) -> Self {
+        let domain = |place: usize| {
+            let name = format!("domain-{}", place % size.domains);
+            FailureDomain::new(name).unwrap_or_else(|_| unreachable!("the name is valid"))
+        };
+        let mut pool = PoolState::new();
+        for place in 0..size.replicas {
+            let id = ReplicaId::new(format!("replica-{place}"));
+            let id = id.unwrap_or_else(|_| unreachable!("the name is valid"));
+            pool.add(ReplicaState::new(id, domain(place), SLOTS));
+        }
+        let idle = || Replica {
+            free_at_us: (0..SLOTS).map(|_| Reverse(0)).collect(),
+            ..Replica::default()
+        };
+        let router = |place| Router {
+            domain: domain(place),
+            pool: pool.clone(),
+            ends: BinaryHeap::new(),
+            reports: VecDeque::new(),
+        };
+        Self {
+            size,
+            policy: name.build(),
+            rng: StdRng::seed_from_u64(seed),
+            replicas: (0..size.replicas).map(|_| idle()).collect(),
+            routers: (0..size.routers).map(router).collect(),
+        }
+    }
+
+    fn run(&mut self, times: &mut Histogram<u64>, sums: &mut Sums) {
+        // Mean prompt 1,100 and mean answer 200 tokens; see `request`.
+        let mean_us = 1_100 * PREFILL_US + 200 * DECODE_US;
+        let slots = self.size.replicas as u64 * u64::from(SLOTS);
+        let gap_us = mean_us * 100 / (slots * LOAD_PERCENT);
+        let mut now_us = 0;
+        let mut next_report_us = 0;
+        while now_us < RUN_MS * 1_000 {
+            now_us += self.rng.random_range(0..gap_us * 2);
+            while next_report_us <= now_us {
+                self.report(next_report_us);
+                next_report_us += REPORT_MS * 1_000;
+            }
+            self.request(now_us, times, sums);
+        }
+    }
+
+    /// Replicas report their load; routers hear of it later.
+    fn report(&mut self, now_us: u64) {
+        let loads: Vec<u32> = self
+            .replicas
+            .iter_mut()
+            .map(|one| one.requests(now_us))
+            .collect();
+        for router in &mut self.routers {
+            router.end_until(now_us);
+            let own = router
+                .pool
+                .replicas()
+                .iter()
+                .map(|replica| replica.own_in_flight);
+            let report = loads.iter().copied().zip(own).collect();
+            router
+                .reports
+                .push_back((now_us + REPORT_LAG_MS * 1_000, report));
+        }
+    }
+
+    fn request(&mut self, now_us: u64, times: &mut Histogram<u64>, sums: &mut Sums) {
+        let conversation = self.rng.random_range(0..CONVERSATIONS);
+        let team = conversation % 10;
+        let prefixes = [1_000 + conversation, team];
+        let prompt_tokens = self.rng.random_range(200..2_000);
+        let answer_tokens = self.rng.random_range(50..350);
+        let place = usize::try_from(team).unwrap_or(0) * 2 + self.rng.random_range(0..3);
+        let count = self.routers.len();
+        let router = &mut self.routers[place % count];
+        router.catch_up(now_us);
+        let wish = RouteWish {
+            now_ms: now_us / 1_000,
+            failure_domain: &router.domain,
+            prefixes: &prefixes,
+            avoid: &[],
+            keep_apart: false,
+        };
+        let Some(index) = self.policy.choose(&router.pool, &wish, &mut self.rng) else {
+            return;
+        };
+        router.pool.start(index, &prefixes, false);
+        let replica = &mut self.replicas[index];
+        let is_hit = replica.use_cache(prefixes[0]);
+        let is_team_hit = replica.use_cache(prefixes[1]);
+        // A cached conversation leaves a fifth of the prompt to work through; a cached system
+        // prompt leaves four fifths.
+        let uncached_tokens = match (is_hit, is_team_hit) {
+            (true, _) => prompt_tokens / 5,
+            (false, true) => prompt_tokens * 4 / 5,
+            (false, false) => prompt_tokens,
+        };
+        let prefill_us = uncached_tokens * PREFILL_US;
+        let (first_us, end_us) = replica.take(now_us, prefill_us, answer_tokens * DECODE_US);
+        router.ends.push(Reverse((end_us, index)));
+        times.saturating_record(first_us - now_us);
+        sums.requests += 1;
+        sums.late += u64::from(first_us - now_us > IN_TIME_MS * 1_000);
+        sums.hits += u64::from(is_hit);
+    }
+}
+
+impl Router {
+    fn catch_up(&mut self, now_us: u64) {
+        self.end_until(now_us);
+        while self
+            .reports
+            .front()
+            .is_some_and(|(at_us, _)| *at_us <= now_us)
+        {
+            let Some((_, report)) = self.reports.pop_front() else {
+                return;
+            };
+            for (index, (requests, own)) in report.into_iter().enumerate() {
+                self.pool.learn_load(index, requests, own);
+            }
+        }
+    }
+
+    fn end_until(&mut self, now_us: u64) {
+        while self
+            .ends
+            .peek()
+            .is_some_and(|Reverse((end_us, _))| *end_us <= now_us)
+        {
+            if let Some(Reverse((_, index))) = self.ends.pop() {
+                self.pool.end(index, false);
+            }
+        }
+    }
+}
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -2,7 +2,7 @@
 use strum::{Display, EnumString};
 
 use super::{block_on, is_about_command, CommandError};
-use crate::bench::{budgets, costs, latency};
+use crate::bench::{budgets, costs, latency, routing};
 
 const USAGE: &str = "\
 Measures policies and costs on seeded demand.
@@ -16,6 +16,7 @@
     budgets     Grant policies: overspend, false refusals, platform writes
     costs       Costs that grow with the fleet, at three sizes each
     latency     A router before an engine against the engine alone
+    routing     Routing policies: time to first token, cache hits
 
 Options:
     --seed <n>          Seed of the demand [default: 1]
@@ -32,6 +33,7 @@
     Budgets,
     Costs,
     Latency,
+    Routing,
 }
 
 struct Args {
@@ -73,6 +75,7 @@
         Subject::Budgets => run_budgets(&args),
         Subject::Costs => run_costs(&args),
         Subject::Latency => block_on(run_latency(args)),
+        Subject::Routing => run_routing(&args),
     }
 }
 
@@ -175,3 +178,32 @@
     );
     Ok(())
 }
+
+fn run_routing(args: &Args) -> Result<(), CommandError> {
+    let results = routing::run_all(args.seed, args.rounds);
+    if args.json {
+        println!(
+            "{}",
+            serde_json::to_string(&results).map_err(CommandError::failed)?
+        );
+        return Ok(());
+    }
+    println!(
+        "{:<12} {:<15} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7}",
+        "deployment", "policy", "requests", "p50 ms", "p95 ms", "p99 ms", "late %", "hit %"
+    );
+    for result in results {
+        println!(
+            "{:<12} {:<15} {:>9} {:>7} {:>7} {:>7} {:>7.2} {:>7.1}",
+            result.deployment,
+            result.policy,
+            result.requests,
+            result.p50_ms,
+            result.p95_ms,
+            result.p99_ms,
+            result.late_percent,
+            result.hit_percent,
+        );
+    }
+    Ok(())
+}
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -8,9 +8,7 @@
 
 use super::ids::{FailureDomain, ReplicaId};
 
-/// Pools up to this size are looked at whole; larger ones are sampled.
-const WHOLE_SCAN_REPLICAS: usize = 24;
-/// Replicas sampled in a larger pool, beside those that hold the prefix.
+/// Random replicas looked at before the eligible ones are listed.
 const SAMPLE_REPLICAS: usize = 8;
 /// Replicas remembered for each prefix.
 const REPLICAS_PER_PREFIX: usize = 4;
@@ -22,12 +20,12 @@
 const EJECT_MS: u64 = 1_000;
 /// Longest time of ejection.
 const MAX_EJECT_MS: u64 = 30_000;
-/// Load, in shares of a replica's slots, that a cached prefix makes up for.
-const PREFIX_BONUS: f64 = 0.35;
 /// Load, in shares of a replica's slots, that another failure domain costs.
 const DOMAIN_COST: f64 = 0.02;
-/// A replica that holds the prefix is preferred only below this load.
-const PREFIX_LOAD_BOUND: f64 = 0.9;
+/// A replica that holds the prefix is chosen only below this load.
+const HOLDER_LOAD_BOUND: f64 = 0.6;
+/// Starts of the prompt for which holders are sought, the longest first.
+const AFFINE_PREFIXES: usize = 1;
 
 /// Digest of the start of a prompt, longest start first in lists.
 pub type PrefixKey = u64;
@@ -97,6 +95,11 @@
         f64::from(self.estimated_requests()) / f64::from(self.slots.max(1))
     }
 
+    fn cost(&self, wish: &RouteWish<'_>) -> f64 {
+        let is_near = self.failure_domain == *wish.failure_domain;
+        self.load() + if is_near { 0.0 } else { DOMAIN_COST }
+    }
+
     fn is_eligible(&self, wish: &RouteWish<'_>) -> bool {
         self.is_in_service()
             && self.ejected_until_ms <= wish.now_ms
@@ -317,7 +320,7 @@
     LeastReported,
     /// The less loaded of two random ones, by own requests in progress.
     TwoChoices,
-    /// Corrected load with prefix affinity.
+    /// Prefix affinity with bounded load, else in turn.
     Affinity,
 }
 
@@ -330,7 +333,7 @@
             Self::RoundRobin => Box::new(RoundRobinPolicy::default()),
             Self::LeastReported => Box::new(LeastReportedPolicy),
             Self::TwoChoices => Box::new(TwoChoicesPolicy),
-            Self::Affinity => Box::new(AffinityPolicy),
+            Self::Affinity => Box::new(AffinityPolicy::default()),
         }
     }
 }
@@ -406,47 +409,29 @@
     }
 }
 
-/// The lowest corrected load among a sample and the replicas that hold the prompt's start.
-#[derive(Clone, Copy, Debug)]
-pub struct AffinityPolicy;
+/// A replica that holds the prompt's start while it has room, else the next in turn.
+///
+/// Taking turns is what balances: choosing the lowest reported load sends all routers to the same
+/// replicas until the next report.
+#[derive(Debug, Default)]
+pub struct AffinityPolicy {
+    turns: RoundRobinPolicy,
+}
 
 impl AffinityPolicy {
-    fn cost(pool: &PoolState, wish: &RouteWish<'_>, index: ReplicaIndex) -> f64 {
-        let replica = &pool.replicas[index];
-        let load = replica.load();
-        let is_near = replica.failure_domain == *wish.failure_domain;
-        let distance = if is_near { 0.0 } else { DOMAIN_COST };
-        load + distance - Self::prefix_bonus(pool, wish, index, load)
-    }
-
-    /// The longest start counts whole, each shorter one half as much.
-    fn prefix_bonus(pool: &PoolState, wish: &RouteWish<'_>, index: ReplicaIndex, load: f64) -> f64 {
-        if load >= PREFIX_LOAD_BOUND {
-            return 0.0;
-        }
-        let mut bonus = PREFIX_BONUS;
-        for prefix in wish.prefixes {
-            if pool.prefixes.holders(*prefix).contains(&index) {
-                return bonus;
-            }
-            bonus /= 2.0;
-        }
-        0.0
-    }
-
-    fn candidates(pool: &PoolState, wish: &RouteWish<'_>, rng: &mut dyn Rng) -> Vec<ReplicaIndex> {
-        if pool.replicas.len() <= WHOLE_SCAN_REPLICAS {
-            return pool.eligible(wish).collect();
-        }
-        let mut found = Vec::with_capacity(SAMPLE_REPLICAS * 2);
-        for prefix in wish.prefixes {
-            let holders = pool.prefixes.holders(*prefix).iter().copied();
-            found.extend(holders.filter(|index| pool.replicas[*index].is_eligible(wish)));
-        }
-        for _ in 0..SAMPLE_REPLICAS {
-            found.extend(pool.random_eligible(wish, rng));
-        }
-        found
+    /// The least loaded holder of the longest start that any replica with room holds.
+    fn holder_with_room(pool: &PoolState, wish: &RouteWish<'_>) -> Option<ReplicaIndex> {
+        let has_room = |index: &ReplicaIndex| {
+            let replica = &pool.replicas[*index];
+            replica.is_eligible(wish) && replica.load() < HOLDER_LOAD_BOUND
+        };
+        wish.prefixes
+            .iter()
+            .take(AFFINE_PREFIXES)
+            .find_map(|prefix| {
+                let holders = pool.prefixes.holders(*prefix).iter().copied();
+                pool.least(holders.filter(has_room), |replica| replica.cost(wish))
+            })
     }
 }
 
@@ -457,18 +442,6 @@
         wish: &RouteWish<'_>,
         rng: &mut dyn Rng,
     ) -> Option<ReplicaIndex> {
-        let candidates = Self::candidates(pool, wish, rng);
-        if candidates.is_empty() {
-            return None;
-        }
-        let start = rng.random_range(0..candidates.len());
-        let rotated = candidates[start..]
-            .iter()
-            .chain(&candidates[..start])
-            .copied();
-        rotated
-            .map(|index| (Self::cost(pool, wish, index), index))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, index)| index)
+        Self::holder_with_room(pool, wish).or_else(|| self.turns.choose(pool, wish, rng))
     }
 }
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -63,7 +63,7 @@
     pub const fn new(seed: u64) -> Self {
         Self {
             policy: PolicyName::Stocked,
-            routing: RoutingName::Affinity,
+            routing: RoutingName::RoundRobin,
             seed,
         }
     }
