Join the booking of chats and service calls

Both built the same bill, settled the same reservation and waited for the same durability. Caller, booking and that wait now stand in router/caller.rs.

--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::admission::Permit;
+use super::caller::Caller;
 use super::refusal::{Refusal, RefusalKind, RunState};
 use super::replicas::{Chosen, ReplicaWish};
 use super::requests::StoredAnswer;
@@ -19,9 +20,9 @@
 use crate::backend::chat::{ChatChunk, ChatCompletion, ChatRequest, ChunkChoice, Usage};
 use crate::backend::{BackendError, CallContext, ChunkStream};
 use crate::catalog::Account;
-use crate::core::bill::{Bill, RunEnd};
+use crate::core::bill::RunEnd;
 use crate::core::fair_queue::Ticket;
-use crate::core::ids::{BudgetId, ModelId, PoolId, ReplicaId, RequestId};
+use crate::core::ids::{ModelId, PoolId, ReplicaId, RequestId};
 use crate::core::quarantine::{Fingerprint, Suspicion};
 use crate::core::routing::PrefixKey;
 use crate::core::units::Tokens;
@@ -39,8 +40,6 @@
 const EVENT_QUEUE: usize = 64;
 /// Longest silence of an engine in mid-stream.
 const STREAM_SILENCE: Duration = Duration::from_secs(30);
-/// Longest wait for a bill to become durable. It stays queued after that.
-const BILL_WAIT: Duration = Duration::from_secs(10);
 /// Longest wait for peers that may have run the request before.
 const FIND_WAIT: Duration = Duration::from_millis(50);
 /// Runs that began within this time count as begun together; the lower holder id goes first.
@@ -52,23 +51,6 @@
 /// Peers asked for an earlier run: the other addresses that the team's callers are told.
 const FIND_PEERS: usize = 3;
 
-/// What goes with a caller's request.
-#[derive(Clone, Debug)]
-pub struct Caller {
-    /// The team and its plan.
-    pub account: Arc<Account>,
-    /// The budget drawn on.
-    pub budget: BudgetId,
-    /// The request's id.
-    pub request: RequestId,
-    /// True when the caller named the request, so that it may come again.
-    pub is_named: bool,
-    /// Latest time for the first token.
-    pub deadline: Instant,
-    /// The caller's trace.
-    pub parent: SpanParent,
-}
-
 /// One step of an answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ChatEvent {
@@ -559,11 +541,7 @@
     async fn finish_whole(mut self, produced: Produced) {
         let usage = self.usage(&produced);
         let number = self.book(usage, RunEnd::Whole);
-        let is_durable = self.router.biller.wait_durable(number);
-        if tokio::time::timeout(BILL_WAIT, is_durable).await.is_err() {
-            warn!(self.router.log, "answer released before its bill is durable";
-                "request" => self.caller.request.as_str());
-        }
+        self.router.wait_billed(&self.caller, number).await;
         self.store(&produced, usage);
         self.router.telemetry.count_request("whole");
         self.router.telemetry.count_tokens(usage.total_tokens);
@@ -600,20 +578,7 @@
 
     /// Books what was spent and queues the bill.
     fn book(&self, usage: Usage, end: RunEnd) -> u64 {
-        let spent_tokens = Tokens::new(usage.total_tokens);
-        let number = self.router.biller.add(|run| Bill {
-            run,
-            team: self.caller.account.team.team.clone(),
-            budget: self.caller.budget.clone(),
-            request: self.caller.request.clone(),
-            end,
-            prompt_tokens: Tokens::new(usage.prompt_tokens),
-            completion_tokens: Tokens::new(usage.completion_tokens),
-        });
-        self.router
-            .spender
-            .settle(&self.caller.budget, self.reserved, spent_tokens);
-        number
+        self.router.book(&self.caller, self.reserved, usage, end)
     }
 
     fn store(&self, produced: &Produced, usage: Usage) {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod billing;
+pub mod caller;
 pub mod chat;
 pub mod claims;
 pub mod combine;
--- a/src/router/service.rs
+++ b/src/router/service.rs
@@ -8,14 +8,15 @@
 use slog::{info, warn};
 use tokio::time::Instant;
 
-use super::chat::Caller;
+use super::caller::Caller;
 use super::refusal::{Refusal, RefusalKind, RunState};
 use super::replicas::{Chosen, ReplicaWish};
 use super::requests::StoredAnswer;
 use super::spending::Reserved;
 use super::Router;
+use crate::backend::chat::Usage;
 use crate::backend::{BackendError, CallContext, ServiceAnswer, ServiceCall};
-use crate::core::bill::{Bill, RunEnd};
+use crate::core::bill::RunEnd;
 use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimState};
 use crate::core::ids::ReplicaId;
 use crate::core::quarantine::{Fingerprint, Suspicion};
@@ -29,8 +30,6 @@
 const MAX_TRIES: u32 = 3;
 /// Pause before a retry, times the number of tries so far.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
-/// Longest wait for a bill to become durable. It stays queued after that.
-const BILL_WAIT: Duration = Duration::from_secs(10);
 /// Time after which a caller may ask again.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 
@@ -172,19 +171,8 @@
 
     /// Books the price of the call and queues the bill.
     fn book(&self, reserved: Reserved, end: RunEnd) -> u64 {
-        let number = self.router.biller.add(|run| Bill {
-            run,
-            team: self.caller.account.team.team.clone(),
-            budget: self.caller.budget.clone(),
-            request: self.caller.request.clone(),
-            end,
-            prompt_tokens: self.rules.call_tokens,
-            completion_tokens: Tokens::ZERO,
-        });
-        self.router
-            .spender
-            .settle(&self.caller.budget, reserved, self.rules.call_tokens);
-        number
+        let usage = Usage::new(self.rules.call_tokens.get(), 0);
+        self.router.book(self.caller, reserved, usage, end)
     }
 
     async fn run_idempotent(&self) -> Result<StoredAnswer, Refusal> {
@@ -330,11 +318,7 @@
         let router = self.router;
         let number = self.book(reserved, RunEnd::Whole);
         router.telemetry.count_tokens(self.rules.call_tokens.get());
-        let is_durable = router.biller.wait_durable(number);
-        if tokio::time::timeout(BILL_WAIT, is_durable).await.is_err() {
-            warn!(router.log, "answer released before its bill is durable";
-                "request" => self.caller.request.as_str());
-        }
+        router.wait_billed(self.caller, number).await;
     }
 
     fn no_replica(&self) -> Refusal {
--- a/src/router/web.rs
+++ b/src/router/web.rs
@@ -24,7 +24,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::chat::{Caller, ChatAnswer, ChatEvent};
+use super::caller::Caller;
+use super::chat::{ChatAnswer, ChatEvent};
 use super::fleet::ADDRESS_COUNT;
 use super::refusal::{ErrorBody, Refusal, RefusalKind};
 use super::requests::StoredAnswer;
