Look at two messages for prefixes, not all, and join three repeats

Found on rereading: each chat request turned every message into JSON text to hash the first two; only those are taken now. A doc line over the width is reflowed.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -1,4 +1,5 @@
 use lexopt::prelude::*;
+use serde::Serialize;
 use strum::{Display, EnumString};
 
 use super::{block_on, is_about_command, CommandError};
@@ -79,14 +80,19 @@
     }
 }
 
+fn print_json<T>(results: &T) -> Result<(), CommandError>
+where
+    T: Serialize,
+{
+    let text = serde_json::to_string(results).map_err(CommandError::failed)?;
+    println!("{text}");
+    Ok(())
+}
+
 fn run_budgets(args: &Args) -> Result<(), CommandError> {
     let results = budgets::run_all(args.seed, args.rounds);
     if args.json {
-        println!(
-            "{}",
-            serde_json::to_string(&results).map_err(CommandError::failed)?
-        );
-        return Ok(());
+        return print_json(&results);
     }
     println!(
         "{:<12} {:<14} {:<13} {:>9} {:>8} {:>9} {:>11} {:>11} {:>10} {:>8}",
@@ -122,11 +128,7 @@
 fn run_costs(args: &Args) -> Result<(), CommandError> {
     let results = costs::run_all(args.seed);
     if args.json {
-        println!(
-            "{}",
-            serde_json::to_string(&results).map_err(CommandError::failed)?
-        );
-        return Ok(());
+        return print_json(&results);
     }
     println!(
         "{:<28} {:>10} {:>14} {:>8}",
@@ -146,11 +148,7 @@
         .await
         .map_err(CommandError::failed)?;
     if args.json {
-        println!(
-            "{}",
-            serde_json::to_string(&result).map_err(CommandError::failed)?
-        );
-        return Ok(());
+        return print_json(&result);
     }
     println!(
         "first token, direct, p50 / p95      {:>8} / {:>8} us",
@@ -182,11 +180,7 @@
 fn run_routing(args: &Args) -> Result<(), CommandError> {
     let results = routing::run_all(args.seed, args.rounds);
     if args.json {
-        println!(
-            "{}",
-            serde_json::to_string(&results).map_err(CommandError::failed)?
-        );
-        return Ok(());
+        return print_json(&results);
     }
     println!(
         "{:<12} {:<15} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7}",
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -1,8 +1,8 @@
 //! The holder's side of one grant: what a router process may still spend of one budget.
 //!
 //! Consumption is `spent + sent + reserved`. It is bounded twice: by the limit that the ledger
-//! granted, and by the horizon that any one of its witnesses acknowledged. Both are enforced in memory, so a
-//! reservation makes no call.
+//! granted, and by the horizon that any one of its witnesses acknowledged. Both are enforced in
+//! memory, so a reservation makes no call.
 
 use std::collections::BTreeMap;
 
--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -262,6 +262,7 @@
     let texts: Vec<String> = request
         .messages
         .iter()
+        .take(2)
         .map(|m| m.content.to_string())
         .collect();
     let mut prefixes = Vec::new();
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -65,12 +65,7 @@
         tokens: Tokens,
         deadline: Instant,
     ) -> bool {
-        let paid_tokens = self
-            .parts
-            .catalog
-            .load()
-            .paid_tokens(budget)
-            .unwrap_or_default();
+        let paid_tokens = self.paid_tokens(budget);
         let view = self.with_account(budget, |account| account.view(paid_tokens));
         let decision = self.parts.policy.decide_for_request(&view, tokens);
         let deadline = deadline.min(Instant::now() + LEDGER_WAIT);
@@ -125,18 +120,19 @@
         false
     }
 
+    /// The prepaid amount in the lists in force; none for a budget that left them.
+    fn paid_tokens(&self, budget: &BudgetId) -> Tokens {
+        let catalog = self.parts.catalog.load();
+        catalog.paid_tokens(budget).unwrap_or_default()
+    }
+
     fn decide(
         &self,
         budget: &BudgetId,
         interval_ms: u64,
         is_report_round: bool,
     ) -> Option<GrantDecision> {
-        let paid_tokens = self
-            .parts
-            .catalog
-            .load()
-            .paid_tokens(budget)
-            .unwrap_or_default();
+        let paid_tokens = self.paid_tokens(budget);
         self.with_account(budget, |account| {
             account.end_interval(interval_ms);
             let decision = self.parts.policy.decide(&account.view(paid_tokens));
