Run suspects apart over the whole fleet

A trace of the crashes showed suspects of two routers on one replica, each the only suspect in its own router's view. Its crash was put down to both as "alone", so neither explained it by itself and the killer got a third replica. Ruled out: late greetings (each crash was known to all routers before the next dispatch of the killer) and a wrong rule in the quarantine (with the same records the verdict is rightly open).

Change: one router per pool keeps the places of suspects; a suspect asks it before it runs and waits until a replica is free of other suspects. Other requests pay nothing.

The keeper out of reach falls back to the own view.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,5 +12,6 @@
 pub mod quarantine;
 pub mod retry_budget;
 pub mod routing;
+pub mod suspects;
 pub mod units;
 pub mod witness;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
+pub use crate::core::suspects::{PlaceVerdict, SuspectPlaces, SuspectRun};
 pub use crate::core::units::Tokens;
 pub use crate::core::witness::{Witness, WitnessRecord};
 pub use crate::daemon::{Daemon, DaemonError};
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,7 @@
 use crate::core::ids::{BudgetId, FailureDomain, HolderId, ReplicaId, RequestId, TeamId, VmId};
 use crate::core::ledger::Generation;
 use crate::core::quarantine::Fingerprint;
+use crate::core::suspects::{PlaceVerdict, SuspectRun};
 use crate::core::units::Tokens;
 use crate::core::witness::WitnessRecord;
 use crate::router::requests::StoredAnswer;
@@ -108,6 +109,28 @@
     pub total_tokens: Tokens,
 }
 
+/// What to do with a suspect's place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlaceAction {
+    /// Keep the replica for the run.
+    Hold,
+    /// Give it free.
+    Release,
+}
+
+/// A call about the place of a request under suspicion.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlaceCall {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The run.
+    pub run: SuspectRun,
+    /// What to do.
+    pub action: PlaceAction,
+}
+
 /// What a router knows about a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -168,6 +191,9 @@
         team: TeamId,
         request: RequestId,
     ) -> Result<FoundRequest, PeerError>;
+
+    /// Asks the router that keeps a pool's places about a suspect's place.
+    async fn place_suspect(&self, call: PlaceCall) -> Result<PlaceVerdict, PeerError>;
 }
 
 /// Finds the router at an address.
--- a/src/peer/rpc.rs
+++ b/src/peer/rpc.rs
@@ -25,12 +25,14 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use super::{
-    FoundRequest, Greeting, Horizon, PeerError, PeerNetwork, PeerRouter, Transfer, TransferWish,
+    FoundRequest, Greeting, Horizon, PeerError, PeerNetwork, PeerRouter, PlaceCall, Transfer,
+    TransferWish,
 };
 use crate::accepted::ListsDelta;
 use crate::core::bill::Bill;
 use crate::core::ids::{BudgetId, HolderId, RequestId, TeamId};
 use crate::core::ledger::Generation;
+use crate::core::suspects::PlaceVerdict;
 use crate::core::units::Tokens;
 use crate::core::witness::WitnessRecord;
 use crate::router_capnp::{gate, router, Status};
@@ -318,6 +320,20 @@
         }
         Ok(())
     }
+
+    async fn place_suspect(
+        self: Rc<Self>,
+        params: router::PlaceSuspectParams,
+        mut results: router::PlaceSuspectResults,
+    ) -> Result<(), capnp::Error> {
+        let call = from_json(params.get()?.get_call_json()?)?;
+        let answer = self.service.place_suspect(call).await;
+        results.get().set_status(status_of(&answer));
+        if let Ok(verdict) = answer {
+            results.get().set_verdict_json(&to_json(&verdict)?);
+        }
+        Ok(())
+    }
 }
 
 /// A call on its way to the thread.
@@ -329,6 +345,7 @@
     TakeTokens(TransferWish),
     ListsSince(Generation),
     FindRequest(TeamId, RequestId),
+    PlaceSuspect(PlaceCall),
 }
 
 enum Answer {
@@ -338,6 +355,7 @@
     Transfer(Transfer),
     Delta(ListsDelta),
     Found(FoundRequest),
+    Verdict(PlaceVerdict),
     OtherProcess,
 }
 
@@ -568,6 +586,15 @@
                 from_json(response.get_found_json()?).map(Answer::Found)
             })
         }
+        Call::PlaceSuspect(call) => {
+            let mut request = client.place_suspect_request();
+            request.get().set_call_json(&to_json(&call)?);
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            checked(response.get_status()?, || {
+                from_json(response.get_verdict_json()?).map(Answer::Verdict)
+            })
+        }
     }
 }
 
@@ -766,4 +793,11 @@
             _ => Err(self.no_answer("answer of another kind")),
         }
     }
+
+    async fn place_suspect(&self, call: PlaceCall) -> Result<PlaceVerdict, PeerError> {
+        match self.call(Call::PlaceSuspect(call)).await? {
+            Answer::Verdict(verdict) => Ok(verdict),
+            _ => Err(self.no_answer("answer of another kind")),
+        }
+    }
 }
--- a/src/peer/switchboard.rs
+++ b/src/peer/switchboard.rs
@@ -9,12 +9,14 @@
 use async_trait::async_trait;
 
 use super::{
-    FoundRequest, Greeting, Horizon, PeerError, PeerNetwork, PeerRouter, Transfer, TransferWish,
+    FoundRequest, Greeting, Horizon, PeerError, PeerNetwork, PeerRouter, PlaceCall, Transfer,
+    TransferWish,
 };
 use crate::accepted::ListsDelta;
 use crate::core::bill::Bill;
 use crate::core::ids::{BudgetId, HolderId, RequestId, TeamId};
 use crate::core::ledger::Generation;
+use crate::core::suspects::PlaceVerdict;
 use crate::core::witness::WitnessRecord;
 use crate::util::lock;
 
@@ -162,4 +164,8 @@
     ) -> Result<FoundRequest, PeerError> {
         self.reach()?.find_request(team, request).await
     }
+
+    async fn place_suspect(&self, call: PlaceCall) -> Result<PlaceVerdict, PeerError> {
+        self.reach()?.place_suspect(call).await
+    }
 }
--- a/src/router.capnp
+++ b/src/router.capnp
@@ -42,4 +42,5 @@
   takeTokens @4 (wish :TransferWish) -> (status :Status, sender :UInt64, totalTokens :UInt64);
   listsSince @5 (generation :UInt64) -> (status :Status, deltaJson :Data);
   findRequest @6 (team :Text, request :Text) -> (status :Status, foundJson :Data);
+  placeSuspect @7 (callJson :Data) -> (status :Status, verdictJson :Data);
 }
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -24,6 +24,7 @@
 use crate::core::policy::PolicyName;
 use crate::core::retry_budget::RetryBudget;
 use crate::core::routing::RoutingName;
+use crate::core::suspects::SuspectPlaces;
 use crate::core::witness::Witness;
 use crate::peer::PeerNetwork;
 use crate::platform::ObjectStore;
@@ -85,6 +86,7 @@
     pub(crate) requests: Arc<RequestTable>,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) witness: Mutex<Witness>,
+    pub(crate) suspects: Mutex<SuspectPlaces>,
     pub(crate) ledger: Arc<LedgerClient>,
     pub(crate) telemetry: Arc<Telemetry>,
     pub(crate) rng: Mutex<StdRng>,
@@ -139,6 +141,7 @@
             admission: Admission::new(Arc::clone(&replicas)),
             retry_budget: Mutex::default(),
             witness: Mutex::default(),
+            suspects: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
             borders,
--- a/src/router/chat.rs
+++ b/src/router/chat.rs
@@ -283,12 +283,12 @@
         .with_retry_after(RUNNING_RETRY)
 }
 
-fn no_replica(pool: &PoolId) -> Refusal {
+pub(super) fn no_replica(pool: &PoolId) -> Refusal {
     let message = format!("no replica of pool {pool} is in service");
     Refusal::new(RefusalKind::NoReplica, message).with_retry_after(NO_REPLICA_RETRY)
 }
 
-fn quarantined(fingerprint: Fingerprint) -> Refusal {
+pub(super) fn quarantined(fingerprint: Fingerprint) -> Refusal {
     let message = format!("request content {fingerprint} crashed the replicas that ran it");
     Refusal::new(RefusalKind::Quarantined, message)
 }
@@ -347,18 +347,20 @@
         let mut run = RunState::NotRun;
         loop {
             let chosen = self
-                .choose(&avoid)
+                .start_try(&avoid)
+                .await
                 .map_err(|refusal| refusal.with_run(run))?;
+            let replica = chosen.replica.clone();
             let end = self.try_replica(&chosen, produced).await;
-            self.router.replicas.end(&chosen);
+            self.router.end_try(chosen);
             let error = match end {
                 TryEnd::Whole => return Ok(RunEnd::Whole),
                 TryEnd::CallerGone => return Ok(RunEnd::Cancelled),
                 TryEnd::Failed(error) => error,
             };
             info!(self.router.log, "try failed"; "request" => self.caller.request.as_str(),
-                "replica" => chosen.replica.as_str(), "reason" => error.to_string());
-            avoid.push(chosen.replica);
+                "replica" => replica.as_str(), "reason" => error.to_string());
+            avoid.push(replica);
             if !error.is_not_run() {
                 run = RunState::OutcomeUnknown;
             }
@@ -386,22 +388,14 @@
         lock(&self.router.retry_budget).try_retry()
     }
 
-    /// Chooses a replica; when all were tried, one that was tried before.
-    fn choose(&self, avoid: &[ReplicaId]) -> Result<Chosen, Refusal> {
-        let mut wish = ReplicaWish {
+    async fn start_try(&self, avoid: &[ReplicaId]) -> Result<Chosen, Refusal> {
+        let wish = ReplicaWish {
             pool: &self.pool,
             prefixes: &self.prefixes,
             avoid,
             fingerprint: self.fingerprint,
         };
-        if let Some(chosen) = self.router.replicas.start(&wish) {
-            return Ok(chosen);
-        }
-        wish.avoid = &[];
-        self.router
-            .replicas
-            .start(&wish)
-            .ok_or_else(|| no_replica(&self.pool))
+        self.router.start_try(&wish, self.caller.deadline).await
     }
 
     async fn try_replica(&mut self, chosen: &Chosen, produced: &mut Produced) -> TryEnd {
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use crate::core::ids::{FailureDomain, HolderId, TeamId, VmId};
+use crate::core::ids::{FailureDomain, HolderId, PoolId, TeamId, VmId};
 use crate::core::ledger::{Generation, WitnessSet};
 use crate::core::units::Tokens;
 use crate::peer::Greeting;
@@ -280,6 +280,20 @@
         before.count() < watcher_count
     }
 
+    /// Peer address of the router that keeps the places of suspects in a pool, or none when this
+    /// router does.
+    #[must_use]
+    pub fn keeper_of(&self, pool: &PoolId) -> Option<SocketAddr> {
+        let rank = |vm: &VmId| stable_hash(&["keeper", pool.as_str(), vm.as_str()]);
+        let members = self.members();
+        let first = members
+            .iter()
+            .filter(|member| member.is_reachable() && !member.leaving)
+            .min_by_key(|member| rank(&member.vm))?;
+        let is_own = !self.is_draining() && rank(&self.identity.vm) < rank(&first.vm);
+        (!is_own).then_some(first.peer_address)
+    }
+
     /// Addresses that a team's callers should use, spread over failure domains.
     ///
     /// The order depends on the team and the fleet alone, so all routers answer alike and a
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,5 +21,6 @@
 
 mod assembly;
 mod peer_service;
+mod suspects;
 
 pub use assembly::{Borders, Router, RouterOptions};
--- a/src/router/peer_service.rs
+++ b/src/router/peer_service.rs
@@ -7,8 +7,11 @@
 use crate::core::bill::Bill;
 use crate::core::ids::{BudgetId, HolderId, RequestId, TeamId};
 use crate::core::ledger::Generation;
+use crate::core::suspects::PlaceVerdict;
 use crate::core::witness::WitnessRecord;
-use crate::peer::{FoundRequest, Greeting, Horizon, PeerError, PeerRouter, Transfer, TransferWish};
+use crate::peer::{
+    FoundRequest, Greeting, Horizon, PeerError, PeerRouter, PlaceCall, Transfer, TransferWish,
+};
 use crate::util::lock;
 
 impl Router {
@@ -76,4 +79,8 @@
     ) -> Result<FoundRequest, PeerError> {
         Ok(self.requests.find(&team, &request))
     }
+
+    async fn place_suspect(&self, call: PlaceCall) -> Result<PlaceVerdict, PeerError> {
+        Ok(self.keep_place(&call))
+    }
 }
--- a/src/router/replicas.rs
+++ b/src/router/replicas.rs
@@ -33,6 +33,20 @@
     is_suspect: bool,
 }
 
+impl Chosen {
+    /// Digest of the request's content.
+    #[must_use]
+    pub const fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
+    /// True when the request is under suspicion.
+    #[must_use]
+    pub const fn is_suspect(&self) -> bool {
+        self.is_suspect
+    }
+}
+
 /// What a request wants of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaWish<'a> {
@@ -311,7 +325,17 @@
         lock(&self.pools).pools.get(pool).map_or(0, PoolState::room)
     }
 
-    fn now_ms(&self) -> u64 {
+    /// True when a pool has a replica that may get work, taken or not.
+    #[must_use]
+    pub fn has_in_service(&self, pool: &PoolId) -> bool {
+        let state = lock(&self.pools);
+        let pool = state.pools.get(pool);
+        pool.is_some_and(|pool| pool.replicas().iter().any(ReplicaState::is_in_service))
+    }
+
+    /// This router's monotonic clock, in milliseconds since it started.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/src/router_capnp.rs
+++ b/src/router_capnp.rs
@@ -1906,6 +1906,8 @@
     pub type ListsSinceResults<> = ::capnp::capability::Results<crate::router_capnp::router::lists_since_results::Owned>;
     pub type FindRequestParams<> = ::capnp::capability::Params<crate::router_capnp::router::find_request_params::Owned>;
     pub type FindRequestResults<> = ::capnp::capability::Results<crate::router_capnp::router::find_request_results::Owned>;
+    pub type PlaceSuspectParams<> = ::capnp::capability::Params<crate::router_capnp::router::place_suspect_params::Owned>;
+    pub type PlaceSuspectResults<> = ::capnp::capability::Results<crate::router_capnp::router::place_suspect_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1976,6 +1978,9 @@
         pub fn find_request_request(&self) -> ::capnp::capability::Request<crate::router_capnp::router::find_request_params::Owned,crate::router_capnp::router::find_request_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn place_suspect_request(&self) -> ::capnp::capability::Request<crate::router_capnp::router::place_suspect_params::Owned,crate::router_capnp::router::place_suspect_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn hello(self: ::capnp::capability::Rc<Self>, _: HelloParams<>, _: HelloResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method router::Server::hello not implemented".to_string()))) }
@@ -1985,6 +1990,7 @@
         fn take_tokens(self: ::capnp::capability::Rc<Self>, _: TakeTokensParams<>, _: TakeTokensResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method router::Server::take_tokens not implemented".to_string()))) }
         fn lists_since(self: ::capnp::capability::Rc<Self>, _: ListsSinceParams<>, _: ListsSinceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method router::Server::lists_since not implemented".to_string()))) }
         fn find_request(self: ::capnp::capability::Rc<Self>, _: FindRequestParams<>, _: FindRequestResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method router::Server::find_request not implemented".to_string()))) }
+        fn place_suspect(self: ::capnp::capability::Rc<Self>, _: PlaceSuspectParams<>, _: PlaceSuspectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method router::Server::place_suspect not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2021,6 +2027,7 @@
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::take_tokens(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::lists_since(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::find_request(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::place_suspect(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -5274,4 +5281,451 @@
             pub(crate) const TYPE_ID: u64 = 0x801f_cce4_b177_1c4e;
         }
     }
+
+    pub mod place_suspect_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_call_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_call_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_call_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_call_json(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_call_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_call_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(227, 75, 132, 49, 62, 157, 214, 179),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 116, 101, 114, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 82, 111, 117),
+                ::capnp::word(116, 101, 114, 46, 112, 108, 97, 99),
+                ::capnp::word(101, 83, 117, 115, 112, 101, 99, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 97, 108, 108, 74, 115, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb3d6_9d3e_3184_4be3;
+        }
+    }
+
+    pub mod place_suspect_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> ::core::result::Result<crate::router_capnp::Status,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn get_verdict_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_verdict_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> ::core::result::Result<crate::router_capnp::Status,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_status(&mut self, value: crate::router_capnp::Status)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+            #[inline]
+            pub fn get_verdict_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_verdict_json(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_verdict_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_verdict_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(122, 106, 35, 164, 199, 194, 239, 238),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 116, 101, 114, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 82, 111, 117),
+                ::capnp::word(116, 101, 114, 46, 112, 108, 97, 99),
+                ::capnp::word(101, 83, 117, 115, 112, 101, 99, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(37, 46, 7, 239, 78, 46, 113, 178),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 74),
+                ::capnp::word(115, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::router_capnp::Status as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xeeef_c2c7_a423_6a7a;
+        }
+    }
 }
