End a search for tokens at the caller's deadline

Cause: a call in a partition hung for more than 20 s with a deadline of 5 s. The search looked at its deadline only when its wait ran out; its own extensions of the horizon woke it each time, so the wait never did.

Before: calls without end, with a call to the witness and one to the platform in each turn.

--- a/src/router/spending/mod.rs
+++ b/src/router/spending/mod.rs
@@ -216,15 +216,13 @@
             if !is_held_back && !self.may_come_back(budget, tokens) {
                 return Err(self.refuse(budget, tokens, is_platform_heard));
             }
-            let next_look = if is_held_back {
-                Instant::now() + HORIZON_RETRY
+            if is_held_back {
+                tokio::time::sleep_until(deadline.min(Instant::now() + HORIZON_RETRY)).await;
             } else {
-                deadline
-            };
-            let is_over = tokio::time::timeout_at(next_look.min(deadline), freed)
-                .await
-                .is_err();
-            if is_over && Instant::now() >= deadline {
+                let _ = tokio::time::timeout_at(deadline, freed).await;
+            }
+            // Tokens that are freed again and again without being enough must not put this off.
+            if Instant::now() >= deadline {
                 return Err(self.refuse(budget, tokens, is_platform_heard && !is_held_back));
             }
         }
