Change witnesses only once the ledger is known to answer

Cause: in a partition with the platform out for one side, a router there found some of its witnesses out of reach and wrote an update that names others. It stayed pending, and while a change of witnesses is pending the horizon stands still, so the router refused with most of its grant left (379 free, 8 spendable) although a witness beside it was in reach. Ruled out: a sealed record (none was sealed) and a lagging view of the fleet.

Change: while a present witness is in reach, an update without the change is confirmed first; the change follows. Costs one write more for each change. The rule of the core, which the model check needs, is untouched.

--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -256,6 +256,12 @@
         witnesses.all().all(|holder| self.is_reachable(holder))
     }
 
+    /// True when one of some witnesses is in reach.
+    #[must_use]
+    pub fn is_any_reachable(&self, witnesses: &WitnessSet) -> bool {
+        witnesses.all().any(|holder| self.is_reachable(holder))
+    }
+
     /// Witnesses with those in reach first, and the far ones before the near one.
     #[must_use]
     pub fn in_order_of_reach(&self, witnesses: &WitnessSet) -> Vec<HolderId> {
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -161,20 +161,49 @@
     /// Brings one budget's row in the ledger up to date. Returns true when the ledger answered.
     pub(super) async fn sync(&self, budget: &BudgetId, decision: GrantDecision) -> bool {
         let catalog = self.parts.catalog.load();
-        let generation = catalog.generation();
-        let paid_tokens = catalog.paid_tokens(budget).unwrap_or_default();
-        drop(catalog);
-        let witnesses = self.choose_witnesses(budget);
         let wish = UpdateWish {
-            generation,
-            paid_tokens,
+            generation: catalog.generation(),
+            paid_tokens: catalog.paid_tokens(budget).unwrap_or_default(),
             draw_tokens: decision.draw_tokens,
             return_tokens: decision.return_tokens,
-            witnesses,
+            witnesses: self.choose_witnesses(budget),
+        };
+        drop(catalog);
+        let present = self.present_witnesses(budget);
+        if present == wish.witnesses || !self.may_acknowledge(budget, &present) {
+            return self.update(budget, &wish).await;
+        }
+        // The horizon stands still while a change of witnesses is pending, so none is begun before
+        // the ledger is known to answer: in an outage the present witnesses go on.
+        let unchanged = UpdateWish {
+            witnesses: present,
+            ..wish.clone()
+        };
+        if !self.update(budget, &unchanged).await {
+            return false;
+        }
+        let change = UpdateWish {
+            draw_tokens: Tokens::ZERO,
+            return_tokens: Tokens::ZERO,
+            ..wish
         };
+        self.update(budget, &change).await
+    }
+
+    fn present_witnesses(&self, budget: &BudgetId) -> WitnessSet {
+        self.with_account(budget, |account| account.holder().witnesses().clone())
+    }
+
+    /// True when one of the present witnesses can raise the horizon now.
+    fn may_acknowledge(&self, budget: &BudgetId, present: &WitnessSet) -> bool {
+        let is_sealed = self.with_account(budget, |account| account.holder().is_witness_sealed());
+        !is_sealed && self.parts.fleet.is_any_reachable(present)
+    }
+
+    async fn update(&self, budget: &BudgetId, wish: &UpdateWish) -> bool {
         let updates = self.with_account(budget, |account| {
-            let mut updates = account.prepare_former(generation, paid_tokens);
-            updates.push(account.prepare(&wish));
+            let mut updates = account.prepare_former(wish.generation, wish.paid_tokens);
+            updates.push(account.prepare(wish));
             updates
         });
         let mut is_heard = true;
