Give back what is granted beyond a lowered plan

Cause: a plan lowered while grants were out stopped new grants only; the routers spent what they held.

Change: a holder reads the ledger once under lists that lower the prepaid amount, and gives back its free part of what is charged beyond it.

--- a/src/bench/budgets.rs
+++ b/src/bench/budgets.rs
@@ -474,6 +474,7 @@
         let holder = account.holder.as_ref();
         GrantView {
             available_tokens: account.available,
+            charged_tokens: Tokens::ZERO,
             others_free_tokens: account.others,
             paid_tokens: Tokens::new(self.budgets[budget].paid),
             free_tokens: holder.map(Holder::free_tokens).unwrap_or_default(),
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -15,6 +15,8 @@
     pub others_free_tokens: Tokens,
     /// Prepaid amount by the holder's list.
     pub paid_tokens: Tokens,
+    /// Tokens that the ledger counts as granted or spent, as last read.
+    pub charged_tokens: Tokens,
     /// Tokens that this holder can still reserve below its limit.
     pub free_tokens: Tokens,
     /// Tokens reserved for requests in progress.
@@ -36,6 +38,37 @@
     pub return_tokens: Tokens,
 }
 
+impl GrantDecision {
+    /// The decision, kept within the prepaid amount.
+    ///
+    /// A plan may be lowered while grants are out. Then nothing is drawn, and what is granted
+    /// beyond the amount is given back as far as it is free.
+    ///
+    /// ```
+    /// use currantlever::{GrantDecision, GrantView, Tokens};
+    ///
+    /// let view = GrantView {
+    ///     paid_tokens: Tokens::new(50),
+    ///     charged_tokens: Tokens::new(80),
+    ///     free_tokens: Tokens::new(70),
+    ///     ..GrantView::default()
+    /// };
+    /// let decision = GrantDecision::default().within_paid(&view);
+    /// assert_eq!(decision.return_tokens, Tokens::new(30));
+    /// ```
+    #[must_use]
+    pub fn within_paid(self, view: &GrantView) -> Self {
+        let excess_tokens = view.charged_tokens - view.paid_tokens;
+        if excess_tokens == Tokens::ZERO {
+            return self;
+        }
+        Self {
+            draw_tokens: Tokens::ZERO,
+            return_tokens: self.return_tokens.max(excess_tokens.min(view.free_tokens)),
+        }
+    }
+}
+
 /// Decides on the size of grants.
 pub trait GrantPolicy: Debug + Send + Sync {
     /// Decides for one budget at one holder.
--- a/src/fakes/fleet.rs
+++ b/src/fakes/fleet.rs
@@ -53,6 +53,8 @@
     pub use_switchboard: bool,
     /// Time for which callers keep addresses.
     pub address_ttl_ms: u64,
+    /// Routers with a number above this one reach the platform by the far way.
+    pub near_routers: u64,
 }
 
 impl SiteOptions {
@@ -68,6 +70,7 @@
             seed,
             use_switchboard: false,
             address_ttl_ms: 100,
+            near_routers: u64::MAX,
         }
     }
 }
@@ -97,6 +100,8 @@
 pub struct Site {
     /// The platform.
     pub platform: FakePlatform,
+    /// A second way to the platform, for the routers beyond the near ones.
+    pub far_platform: FakePlatform,
     /// The model engines, all in pool `assistant`.
     pub engines: Vec<FakeEngine>,
     /// The plain services, all in pool `orders`.
@@ -122,8 +127,11 @@
         usage: UsageList,
         log: &Logger,
     ) -> Result<Self, SiteError> {
+        let platform = FakePlatform::start(ANY_PORT).await?;
+        let far_platform = platform.start_beside(ANY_PORT).await?;
         let mut site = Self {
-            platform: FakePlatform::start(ANY_PORT).await?,
+            platform,
+            far_platform,
             engines: Vec::new(),
             services: Vec::new(),
             routers: Vec::new(),
@@ -246,6 +254,11 @@
 
     fn settings(&self, number: u64) -> Result<Settings, SiteError> {
         let place = usize::try_from(number).unwrap_or(0);
+        let platform = if number > self.options.near_routers {
+            &self.far_platform
+        } else {
+            &self.platform
+        };
         Ok(Settings {
             vm: VmId::new(format!("entry-{number}"))?,
             failure_domain: self.domain(place)?,
@@ -253,7 +266,7 @@
             peer_listen: ANY_PORT,
             advertise: None,
             peer_advertise: None,
-            platform_url: self.platform.url().into(),
+            platform_url: platform.url().into(),
             fleet_secret_file: "unused".into(),
             tls: None,
             max_body_bytes: 1 << 20,
--- a/src/fakes/platform.rs
+++ b/src/fakes/platform.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
     server: HttpServer,
     store: Arc<MemoryStore>,
     vms: SharedVms,
+    is_cut: Arc<AtomicBool>,
 }
 
 impl FakePlatform {
@@ -35,14 +37,36 @@
     ///
     /// Fails when the address cannot be bound.
     pub async fn start(listen: SocketAddr) -> Result<Self, StartError> {
-        let store = Arc::new(MemoryStore::new());
-        let vms = SharedVms::default();
+        Self::start_on(listen, Arc::new(MemoryStore::new()), SharedVms::default()).await
+    }
+
+    /// Starts a second way to the same platform, which can be cut by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start_beside(&self, listen: SocketAddr) -> Result<Self, StartError> {
+        Self::start_on(listen, self.store(), Arc::clone(&self.vms)).await
+    }
+
+    async fn start_on(
+        listen: SocketAddr,
+        store: Arc<MemoryStore>,
+        vms: SharedVms,
+    ) -> Result<Self, StartError> {
+        let is_cut = Arc::new(AtomicBool::new(false));
         let rocket = rocket::custom(server_config(listen))
             .manage(Arc::clone(&store))
             .manage(Arc::clone(&vms))
+            .manage(CutSwitch(Arc::clone(&is_cut)))
             .mount("/v1", routes![get_object, put_object, list_keys, list_vms]);
         let server = HttpServer::start(rocket).await?;
-        Ok(Self { server, store, vms })
+        Ok(Self {
+            server,
+            store,
+            vms,
+            is_cut,
+        })
     }
 
     /// Base URL for clients.
@@ -57,6 +81,11 @@
         Arc::clone(&self.store)
     }
 
+    /// Cuts this way to the platform, or heals it: objects are out of reach through it.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+
     /// Replaces the VM list.
     pub fn set_vms(&self, vms: Vec<VmRecord>) {
         *self.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms;
@@ -72,6 +101,24 @@
     }
 }
 
+struct CutSwitch(Arc<AtomicBool>);
+
+/// Lets a call in unless the way is cut.
+struct Open;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Open {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let switch = request.rocket().state::<CutSwitch>();
+        if switch.is_some_and(|switch| switch.0.load(Ordering::SeqCst)) {
+            return Outcome::Error((Status::ServiceUnavailable, ()));
+        }
+        Outcome::Success(Self)
+    }
+}
+
 struct Condition(Option<Expected>);
 
 #[rocket::async_trait]
@@ -143,6 +190,7 @@
 
 #[get("/objects/<path..>?<after>&<wait_ms>")]
 async fn get_object(
+    _open: Open,
     store: &State<Arc<MemoryStore>>,
     path: PathBuf,
     after: Option<u64>,
@@ -170,6 +218,7 @@
 
 #[put("/objects/<path..>", data = "<data>")]
 async fn put_object(
+    _open: Open,
     store: &State<Arc<MemoryStore>>,
     path: PathBuf,
     condition: Condition,
@@ -197,6 +246,7 @@
 
 #[get("/keys?<prefix>")]
 async fn list_keys(
+    _open: Open,
     store: &State<Arc<MemoryStore>>,
     prefix: &str,
 ) -> Result<Json<Vec<ObjectKey>>, Status> {
--- a/src/router/ledger_client.rs
+++ b/src/router/ledger_client.rs
@@ -25,6 +25,10 @@
     pub row: GrantRow,
     /// Tokens that can still be granted.
     pub available_tokens: Tokens,
+    /// Tokens granted or spent.
+    pub charged_tokens: Tokens,
+    /// Prepaid amount that the ledger has learned.
+    pub paid_tokens: Tokens,
     /// Other holders with tokens left, most first.
     pub others: Vec<OtherHolder>,
 }
@@ -118,6 +122,8 @@
     EntryView {
         row: entry.rows.get(&holder).cloned().unwrap_or_default(),
         available_tokens: entry.available_tokens(),
+        charged_tokens: entry.charged_tokens(),
+        paid_tokens: entry.paid_tokens,
         others,
     }
 }
--- a/src/router/spending/account.rs
+++ b/src/router/spending/account.rs
@@ -34,6 +34,9 @@
     former: Vec<Holder>,
     demand: DemandMeter,
     available_tokens: Tokens,
+    charged_tokens: Tokens,
+    ledger_paid_tokens: Tokens,
+    ledger_generation: Generation,
     others: Vec<OtherHolder>,
     reported_spent_tokens: Tokens,
     pub(super) refused: Option<Refused>,
@@ -55,6 +58,9 @@
             former: Vec::new(),
             demand: DemandMeter::default(),
             available_tokens: Tokens::ZERO,
+            charged_tokens: Tokens::ZERO,
+            ledger_paid_tokens: Tokens::ZERO,
+            ledger_generation: 0,
             others: Vec::new(),
             reported_spent_tokens: Tokens::ZERO,
             refused: None,
@@ -137,6 +143,7 @@
             available_tokens: self.available_tokens,
             others_free_tokens: self.others.iter().map(|other| other.unspent_tokens).sum(),
             paid_tokens,
+            charged_tokens: self.charged_tokens,
             free_tokens: self.current.free_tokens(),
             reserved_tokens: self.current.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
@@ -145,6 +152,11 @@
         }
     }
 
+    /// True when newer lists lower the prepaid amount and the ledger was not read under them.
+    pub(super) fn is_plan_lowered(&self, generation: Generation, paid_tokens: Tokens) -> bool {
+        generation > self.ledger_generation && paid_tokens < self.ledger_paid_tokens
+    }
+
     pub(super) fn is_spent_unreported(&self) -> bool {
         self.current.spent_tokens() > self.reported_spent_tokens
     }
@@ -191,6 +203,9 @@
             return;
         }
         self.available_tokens = answer.view.available_tokens;
+        self.charged_tokens = answer.view.charged_tokens;
+        self.ledger_paid_tokens = answer.view.paid_tokens;
+        self.ledger_generation = update.generation;
         self.others.clone_from(&answer.view.others);
         if self.current.confirm(&answer.view.row) {
             self.reported_spent_tokens = update.spent_tokens;
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -132,10 +132,14 @@
         interval_ms: u64,
         is_report_round: bool,
     ) -> Option<GrantDecision> {
-        let paid_tokens = self.paid_tokens(budget);
+        let catalog = self.parts.catalog.load();
+        let generation = catalog.generation();
+        let paid_tokens = catalog.paid_tokens(budget).unwrap_or_default();
+        drop(catalog);
         self.with_account(budget, |account| {
             account.end_interval(interval_ms);
-            let decision = self.parts.policy.decide(&account.view(paid_tokens));
+            let view = account.view(paid_tokens);
+            let decision = self.parts.policy.decide(&view).within_paid(&view);
             let decision = if account.available_tokens() == Tokens::ZERO && !is_report_round {
                 GrantDecision {
                     draw_tokens: Tokens::ZERO,
@@ -147,6 +151,7 @@
             let has_grant = account.holder().limit_tokens() > Tokens::ZERO;
             let is_due = decision != GrantDecision::default()
                 || account.has_pending()
+                || account.is_plan_lowered(generation, paid_tokens)
                 || account.holder().is_witness_sealed()
                 || (has_grant
                     && !self
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod process;
+pub mod site;
 
 use std::ffi::OsStr;
 use std::path::PathBuf;
--- /dev/null
+++ b/tests/common/site.rs
@@ -0,0 +1,38 @@
+//! A whole site in the test's process.
+
+use std::net::SocketAddr;
+
+use currantlever::fakes::engine::{answer_length_tokens, expected_text};
+use currantlever::fakes::fleet::{plans_list, usage_list, Site, SiteOptions};
+use currantlever::silent_logger;
+
+use super::client::{wait_ready, Outcome};
+
+pub const TEAMS: [(&str, u64); 2] = [("rich", 1_000_000), ("poor", 900)];
+
+pub async fn start(options: SiteOptions) -> Site {
+    let plans = plans_list(&TEAMS).unwrap();
+    let site = Site::start(options, plans, usage_list().unwrap(), &silent_logger())
+        .await
+        .unwrap();
+    wait_ready(&router_addresses(&site)).await;
+    site
+}
+
+pub fn router_addresses(site: &Site) -> Vec<SocketAddr> {
+    site.routers
+        .iter()
+        .map(currantlever::Daemon::address)
+        .collect()
+}
+
+pub fn whole_text(id: &str) -> String {
+    expected_text(id, answer_length_tokens(id))
+}
+
+pub fn assert_whole(outcome: &Outcome, id: &str) {
+    match outcome {
+        Outcome::Whole { text, .. } => assert_eq!(*text, whole_text(id)),
+        other => panic!("{id}: {other:?}"),
+    }
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -7,43 +7,15 @@
 use common::client::{
     addresses, chat_body, send_call, send_chat, status, wait_for, wait_ready, Outcome,
 };
-use currantlever::fakes::engine::{answer_length_tokens, expected_text, EnginePace};
-use currantlever::fakes::fleet::{key_of, plans_list, usage_list, Site, SiteOptions};
+use common::site::{assert_whole, router_addresses, start, TEAMS};
+use currantlever::fakes::engine::EnginePace;
+use currantlever::fakes::fleet::{key_of, plans_list, Site, SiteOptions};
 use currantlever::{
-    settle_all, silent_logger, AcceptError, AcceptedLists, Edit, PlansList, RefusalKind, RunState,
-    StoreFaults, Tokens, VmRole, VmState,
+    settle_all, AcceptError, AcceptedLists, Edit, PlansList, RefusalKind, RunState, StoreFaults,
+    Tokens, VmRole, VmState,
 };
 use reqwest::Client;
 
-const TEAMS: [(&str, u64); 2] = [("rich", 1_000_000), ("poor", 900)];
-
-async fn start(options: SiteOptions) -> Site {
-    let plans = plans_list(&TEAMS).unwrap();
-    let site = Site::start(options, plans, usage_list().unwrap(), &silent_logger())
-        .await
-        .unwrap();
-    wait_ready(&router_addresses(&site)).await;
-    site
-}
-
-fn router_addresses(site: &Site) -> Vec<SocketAddr> {
-    site.routers
-        .iter()
-        .map(currantlever::Daemon::address)
-        .collect()
-}
-
-fn whole_text(id: &str) -> String {
-    expected_text(id, answer_length_tokens(id))
-}
-
-fn assert_whole(outcome: &Outcome, id: &str) {
-    match outcome {
-        Outcome::Whole { text, .. } => assert_eq!(*text, whole_text(id)),
-        other => panic!("{id}: {other:?}"),
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests_get_typed_errors_that_name_the_place() {
     let site = start(SiteOptions::small(1)).await;
