Prove a paused router and a double restart on real processes

Cause: two failures that the issue names were proved in the search and in a script only: a holder paused past its reclaiming that wakes in mid-dispatch, and two routers restarted at once with streams open.

Tests: SIGSTOP after a reservation was dispatched, its grant reclaimed, the budget used up by others, SIGCONT: the reservation ran once, what was served and what was billed stay within the budget. SIGKILL of two of four routers in mid-stream and two new ones: each retry is whole, each request is billed once, no budget is charged beyond what was paid.

--- a/tests/common/client.rs
+++ b/tests/common/client.rs
@@ -13,6 +13,11 @@
 /// Looks after which a state counts as never reached: far beyond what any test needs.
 const MAX_LOOKS: u32 = 1_500;
 
+/// Calls after which a budget must have refused one: far more than any budget here may serve.
+const MAX_CALLS: u64 = 2_000;
+/// Price of a call of the plain service.
+pub const CALL_TOKENS: u64 = 10;
+
 /// What came of a chat request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -60,6 +65,20 @@
     }
 }
 
+/// Sends calls until one is refused; returns how many were served.
+pub async fn call_until_refused(at: SocketAddr, team: &str, mark: &str) -> (u64, Outcome) {
+    let mut served = 0;
+    loop {
+        let id = format!("{mark}-{served}");
+        let outcome = send_call(at, team, "GET", &id).await;
+        if !outcome.is_whole() {
+            return (served, outcome);
+        }
+        served += 1;
+        assert!(served < MAX_CALLS, "{mark}: no call was refused");
+    }
+}
+
 async fn read_outcome(response: Response) -> Outcome {
     let status = response.status();
     let Ok(text) = response.text().await else {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -14,6 +14,9 @@
 
 use super::Workdir;
 
+/// What team `poor` has paid for.
+pub const POOR_TOKENS: u64 = 3_000;
+
 const DOMAINS: [&str; 3] = ["paju-a", "paju-b", "goyang"];
 
 /// A router process.
@@ -26,9 +29,23 @@
 
 impl Process {
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Stops the process in whatever it does.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill")
-            .args(["-TERM", &id])
+            .args([name, &id])
             .status()
             .unwrap()
             .success());
@@ -69,7 +86,7 @@
         accept_edit(store.as_ref(), &Edit::Usage(usage_list().unwrap()))
             .await
             .unwrap();
-        let plans = plans_list(&[("rich", 1_000_000)]).unwrap();
+        let plans = plans_list(&[("poor", POOR_TOKENS), ("rich", 1_000_000)]).unwrap();
         accept_edit(store.as_ref(), &Edit::Plans(plans))
             .await
             .unwrap();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -4,7 +4,9 @@
 
 use std::net::SocketAddr;
 
-use common::client::{send_call, send_chat, status, wait_for, wait_ready, Outcome};
+use common::client::{
+    call_until_refused, send_call, send_chat, status, wait_for, wait_ready, Outcome, CALL_TOKENS,
+};
 use common::site::{router_addresses, start, TEAMS};
 use currantlever::fakes::fleet::{plans_list, usage_list, Site, SiteOptions};
 use currantlever::fakes::service::ServiceFaults;
@@ -13,11 +15,6 @@
     RunState, StoreFaults, Tokens,
 };
 
-/// Calls after which a budget must have refused one: far more than any budget here may serve.
-const MAX_CALLS: u64 = 2_000;
-/// Price of a call of the plain service.
-const CALL_TOKENS: u64 = 10;
-
 async fn pay(site: &Site, team: &str, paid_tokens: u64) -> u64 {
     let store = site.platform.store();
     let lists = AcceptedLists::load(store.as_ref(), &AcceptedLists::default())
@@ -46,20 +43,6 @@
         .sum()
 }
 
-/// Sends calls until one is refused; returns how many were served.
-async fn call_until_refused(at: SocketAddr, team: &str, mark: &str) -> (u64, Outcome) {
-    let mut served = 0;
-    loop {
-        let id = format!("{mark}-{served}");
-        let outcome = send_call(at, team, "GET", &id).await;
-        if !outcome.is_whole() {
-            return (served, outcome);
-        }
-        served += 1;
-        assert!(served < MAX_CALLS, "{mark}: no call was refused");
-    }
-}
-
 async fn stop_all(site: &mut Site) {
     for router in std::mem::take(&mut site.routers) {
         assert!(router.drain_and_stop().await);
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
-use common::client::{send_call, send_chat, wait_for, wait_ready, Outcome};
-use common::process::ProcessSite;
+use common::client::{
+    call_until_refused, send_call, send_chat, wait_for, wait_ready, Outcome, CALL_TOKENS,
+};
+use common::process::{ProcessSite, POOR_TOKENS};
 use common::{stderr, Workdir};
-use currantlever::fakes::engine::{answer_length_tokens, expected_text, EnginePace};
+use currantlever::fakes::engine::{answer_length_tokens, expected_text, EnginePace, FakeEngine};
 use currantlever::fakes::fleet::ANY_PORT;
 use currantlever::fakes::platform::FakePlatform;
 use currantlever::{settle_all, LedgerClient, Tokens};
@@ -150,6 +152,110 @@
     assert_eq!(site.service.runs()["lease-1"], 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_paused_in_mid_dispatch_wakes_and_neither_runs_again_nor_overspends() {
+    let mut site = ProcessSite::start(3, EnginePace::default()).await;
+    wait_ready(&site.addresses()).await;
+    site.service
+        .set_faults(currantlever::fakes::service::ServiceFaults {
+            delay_ms: 1_000,
+            ..Default::default()
+        });
+    let addresses = site.addresses();
+    let at = addresses[0];
+    let paused_call = tokio::spawn(async move { send_call(at, "poor", "POST", "lease").await });
+    wait_for("the call has run", || async {
+        !site.service.runs().is_empty()
+    })
+    .await;
+    site.routers[0].pause();
+    site.service
+        .set_faults(currantlever::fakes::service::ServiceFaults::default());
+    let ledger = LedgerClient::new(site.platform.store());
+    wait_for("the paused router's grant is reclaimed", || async {
+        let entries = ledger.read_all().await.unwrap().entries;
+        let mut rows = entries.values().flat_map(|entry| entry.rows.values());
+        rows.any(|row| row.sealed)
+    })
+    .await;
+    let mut served = 0;
+    for (number, at) in addresses[1..].iter().enumerate() {
+        let retry = send_call(*at, "poor", "POST", "lease").await;
+        assert!(matches!(retry, Outcome::Refused { .. }), "{retry:?}");
+        served += call_until_refused(*at, "poor", &format!("paused-{number}"))
+            .await
+            .0;
+    }
+    site.routers[0].resume();
+    served += u64::from(paused_call.await.unwrap().is_whole());
+    for (number, at) in addresses.iter().enumerate() {
+        let mark = format!("awake-{number}");
+        served += call_until_refused(*at, "poor", &mark).await.0;
+    }
+    assert_eq!(site.service.runs()["lease"], 1);
+    assert!(served * CALL_TOKENS <= POOR_TOKENS, "{served}");
+    for router in &mut site.routers {
+        router.terminate();
+        assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    }
+    let settlement = settle_all(site.platform.store().as_ref()).await.unwrap();
+    let totals = settlement.totals();
+    let billed: Tokens = totals.values().map(|totals| totals.billed_tokens).sum();
+    assert!(billed <= Tokens::new(POOR_TOKENS), "{billed}");
+    assert!(billed >= Tokens::new(served * CALL_TOKENS), "{billed}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_routers_killed_and_replaced_at_once_lose_no_retry_and_no_bill() {
+    let mut site = ProcessSite::start(4, SLOW).await;
+    wait_ready(&site.addresses()).await;
+    let streams: Vec<_> = (0..2)
+        .map(|number| {
+            let at = site.routers[number].address;
+            let id = format!("cut-{number}");
+            tokio::spawn(async move { send_chat(at, "rich", &id, "hello").await })
+        })
+        .collect();
+    wait_for("both streams have begun", || async {
+        let served: u64 = site.engines.iter().map(FakeEngine::served_count).sum();
+        served == 2
+    })
+    .await;
+    for router in &mut site.routers[..2] {
+        router.child.kill().unwrap();
+    }
+    site.routers.drain(..2);
+    site.add_router();
+    site.add_router();
+    for stream in streams {
+        assert_eq!(stream.await.unwrap(), Outcome::Broken);
+    }
+    wait_ready(&site.addresses()).await;
+    for (number, at) in site.addresses().into_iter().enumerate() {
+        let id = format!("cut-{}", number % 2);
+        wait_for("a retry is served", || async {
+            send_chat(at, "rich", &id, "hello").await.is_whole()
+        })
+        .await;
+    }
+    for router in &mut site.routers {
+        router.terminate();
+        assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    }
+    let settlement = settle_all(site.platform.store().as_ref()).await.unwrap();
+    let totals = settlement.totals();
+    let requests: u64 = totals.values().map(|totals| totals.request_count).sum();
+    assert_eq!(requests, 2);
+    let entries = LedgerClient::new(site.platform.store())
+        .read_all()
+        .await
+        .unwrap()
+        .entries;
+    for entry in entries.values() {
+        assert!(entry.charged_tokens() <= entry.paid_tokens);
+    }
+}
+
 #[test]
 fn settings_that_cannot_be_used_are_told_with_their_place() {
     let workdir = Workdir::new();
