Measure how long an edit takes to be in force everywhere

Cause: the time in force was arithmetic only; the issue asks for a measured one, on the code of real processes over loopback.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -3,7 +3,7 @@
 use strum::{Display, EnumString};
 
 use super::{block_on, is_about_command, CommandError};
-use crate::bench::{budgets, costs, latency, routing};
+use crate::bench::{budgets, config, costs, latency, routing};
 
 const USAGE: &str = "\
 Measures policies and costs on seeded demand.
@@ -15,6 +15,7 @@
 
 What:
     budgets     Grant policies: overspend, false refusals, platform writes
+    config      Time until an edit is in force on all routers, over loopback
     costs       Costs that grow with the fleet, at three sizes each
     latency     A router before an engine against the engine alone
     routing     Routing policies: time to first token, cache hits
@@ -22,6 +23,7 @@
 Options:
     --seed <n>          Seed of the demand [default: 1]
     --rounds <n>        Runs of each case, with seeds that follow [default: 20]
+    --routers <n>       Routers of `config` [default: 9]
     --json              Print as JSON
     -h, --help          Show this text
     -V, --version       Show the version
@@ -32,6 +34,7 @@
 #[strum(serialize_all = "kebab-case")]
 enum Subject {
     Budgets,
+    Config,
     Costs,
     Latency,
     Routing,
@@ -41,12 +44,13 @@
     subject: Subject,
     seed: u64,
     rounds: u64,
+    routers: usize,
     json: bool,
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<Option<Args>, CommandError> {
     let mut subject = None;
-    let (mut seed, mut rounds, mut json) = (1, 20, false);
+    let (mut seed, mut rounds, mut routers, mut json) = (1, 20, 9, false);
     while let Some(arg) = parser.next()? {
         if is_about_command(&arg, USAGE) {
             return Ok(None);
@@ -55,6 +59,7 @@
             Value(name) if subject.is_none() => subject = Some(name.parse::<Subject>()?),
             Long("seed") => seed = parser.value()?.parse()?,
             Long("rounds") => rounds = parser.value()?.parse()?,
+            Long("routers") => routers = parser.value()?.parse()?,
             Long("json") => json = true,
             other => return Err(other.unexpected().into()),
         }
@@ -64,6 +69,7 @@
         subject,
         seed,
         rounds,
+        routers,
         json,
     }))
 }
@@ -74,6 +80,7 @@
     };
     match args.subject {
         Subject::Budgets => run_budgets(&args),
+        Subject::Config => block_on(run_config(args)),
         Subject::Costs => run_costs(&args),
         Subject::Latency => block_on(run_latency(args)),
         Subject::Routing => run_routing(&args),
@@ -125,6 +132,31 @@
     Ok(())
 }
 
+async fn run_config(args: Args) -> Result<(), CommandError> {
+    let result = config::run(args.seed, args.routers, args.rounds)
+        .await
+        .map_err(CommandError::failed)?;
+    if args.json {
+        return print_json(&result);
+    }
+    println!("routers                             {:>8}", result.routers);
+    println!("edits                               {:>8}", result.edits);
+    println!(
+        "in force on one router, p50         {:>8} us",
+        result.one_p50_us
+    );
+    println!(
+        "in force on all, p50 / max          {:>8} / {:>8} us",
+        result.all_p50_us, result.all_max_us
+    );
+    println!(
+        "platform reads for each edit        {:>8.1}",
+        result.platform_reads_per_edit
+    );
+    println!("reverted                            {:>8}", result.reverted);
+    Ok(())
+}
+
 fn run_costs(args: &Args) -> Result<(), CommandError> {
     let results = costs::run_all(args.seed);
     if args.json {
