--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod retry_budget;
 pub mod routing;
+pub mod share;
 pub mod suspects;
 pub mod units;
 pub mod witness;
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -125,7 +125,7 @@
     pub async fn run_flushing(&self, interval: Duration) {
         let mut queued = self.queued_through.subscribe();
         loop {
-            if self.fleet.witness_candidates().is_empty() {
+            if self.fleet.far_members().is_empty() {
                 let _ = tokio::time::timeout(interval, queued.changed()).await;
             } else {
                 tokio::time::sleep(interval).await;
@@ -254,7 +254,7 @@
         if bills.is_empty() {
             return true;
         }
-        let Some(member) = self.fleet.witness_candidates().into_iter().next() else {
+        let Some(member) = self.fleet.far_members().into_iter().next() else {
             return false;
         };
         let peer = self.network.peer(member.peer_address);
--- a/src/router/fleet.rs
+++ b/src/router/fleet.rs
@@ -6,7 +6,7 @@
 
 use crate::core::ids::{FailureDomain, HolderId, PoolId, TeamId, VmId};
 use crate::core::ledger::{Generation, WitnessSet};
-use crate::core::units::Tokens;
+use crate::core::share::{WitnessCandidate, ROUTERS_PER_TEAM};
 use crate::peer::Greeting;
 use crate::util::{lock, stable_hash};
 use crate::vm_list::{VmRecord, VmRole, VmState};
@@ -14,9 +14,7 @@
 /// Failed probes in a row after which a router counts as gone.
 const FAILURES_TO_GONE: u32 = 3;
 /// Addresses that a team's callers are told.
-pub const ADDRESS_COUNT: usize = 3;
-/// Witnesses of one grant, each in a failure domain of its own.
-const MAX_WITNESSES: usize = 3;
+pub const ADDRESS_COUNT: usize = ROUTERS_PER_TEAM;
 
 /// One router of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -210,44 +208,33 @@
 
     /// Reachable routers in other failure domains, in this router's order of choice.
     #[must_use]
-    pub fn witness_candidates(&self) -> Vec<Member> {
-        let mut members = self.members();
-        members.retain(|member| {
-            member.is_reachable() && member.failure_domain != self.identity.failure_domain
-        });
-        members.sort_by_key(|member| {
-            let rank = stable_hash(&[self.identity.vm.as_str(), member.vm.as_str()]);
-            (member.leaving, member.failures > 0, rank)
-        });
+    pub fn far_members(&self) -> Vec<Member> {
+        let mut members = self.members_in_order();
+        members.retain(|member| member.failure_domain != self.identity.failure_domain);
         members
     }
 
-    /// The witnesses that a new grant gets: one in each of a few other failure domains, and one
-    /// in this one.
+    /// Reachable routers that may be named as witnesses, in this router's order of choice.
     #[must_use]
-    pub fn best_witnesses(&self, near_allowance_tokens: Tokens) -> WitnessSet {
-        let mut domains = BTreeSet::new();
-        let mut candidates = self.witness_candidates();
-        candidates.retain(|member| domains.insert(member.failure_domain.clone()));
-        let far = candidates.iter().filter_map(|member| member.holder);
-        let far = far.take(MAX_WITNESSES).collect();
-        WitnessSet {
-            far,
-            near: self.near_witness(),
-            near_allowance_tokens,
-        }
+    pub fn witness_candidates(&self) -> Vec<WitnessCandidate> {
+        let candidate = |member: Member| {
+            Some(WitnessCandidate {
+                holder: member.holder?,
+                failure_domain: member.failure_domain,
+            })
+        };
+        let members = self.members_in_order();
+        members.into_iter().filter_map(candidate).collect()
     }
 
-    fn near_witness(&self) -> Option<HolderId> {
+    fn members_in_order(&self) -> Vec<Member> {
         let mut members = self.members();
-        members.retain(|member| {
-            member.is_reachable() && member.failure_domain == self.identity.failure_domain
-        });
-        let nearest = members.iter().min_by_key(|member| {
+        members.retain(Member::is_reachable);
+        members.sort_by_key(|member| {
             let rank = stable_hash(&[self.identity.vm.as_str(), member.vm.as_str()]);
             (member.leaving, member.failures > 0, rank)
         });
-        nearest.and_then(|member| member.holder)
+        members
     }
 
     /// True when all of some witnesses are in reach.
@@ -270,7 +257,9 @@
         ordered
     }
 
-    fn is_reachable(&self, holder: HolderId) -> bool {
+    /// True when the router that runs as a given process is in reach.
+    #[must_use]
+    pub fn is_reachable(&self, holder: HolderId) -> bool {
         self.member_of(holder)
             .is_some_and(|member| member.is_reachable())
     }
--- a/src/router/ledger_client.rs
+++ b/src/router/ledger_client.rs
@@ -8,6 +8,7 @@
 use crate::core::ledger::{
     BudgetEntry, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons, UpdateOutcome,
 };
+use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::platform::update::{read_json, UpdateError};
 use crate::platform::{ObjectKey, ObjectStore};
@@ -23,10 +24,8 @@
 pub struct EntryView {
     /// The holder's own row.
     pub row: GrantRow,
-    /// Tokens that can still be granted.
-    pub available_tokens: Tokens,
-    /// Tokens granted or spent.
-    pub charged_tokens: Tokens,
+    /// The rest of the entry, in sums.
+    pub totals: LedgerTotals,
     /// Prepaid amount that the ledger has learned.
     pub paid_tokens: Tokens,
     /// Other holders with tokens left, most first.
@@ -121,8 +120,7 @@
     others.sort_by_key(|other| std::cmp::Reverse(other.unspent_tokens));
     EntryView {
         row: entry.rows.get(&holder).cloned().unwrap_or_default(),
-        available_tokens: entry.available_tokens(),
-        charged_tokens: entry.charged_tokens(),
+        totals: LedgerTotals::of(entry, holder),
         paid_tokens: entry.paid_tokens,
         others,
     }
--- a/src/router/spending/mod.rs
+++ b/src/router/spending/mod.rs
@@ -250,11 +250,7 @@
 
     /// True when reservations of this router that end may free enough.
     fn may_come_back(&self, budget: &BudgetId, tokens: Tokens) -> bool {
-        self.with_account(budget, |account| {
-            let holder = account.holder();
-            holder.reserved_tokens() > Tokens::ZERO
-                && holder.free_tokens() + holder.reserved_tokens() >= tokens
-        })
+        self.with_account(budget, |account| account.share().may_come_back(tokens))
     }
 
     fn refuse(&self, budget: &BudgetId, tokens: Tokens, is_platform_heard: bool) -> SpendError {
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -87,7 +87,7 @@
 
     /// Raises one budget's horizon now, with other witnesses where all present ones are silent.
     pub(super) async fn extend_for(&self, budget: &BudgetId, tokens: Tokens, deadline: Instant) {
-        let wanted = self.with_account(budget, |account| account.wanted_horizon(tokens));
+        let wanted = self.with_account(budget, |account| account.share().wanted_horizon(tokens));
         if let Some(horizon_tokens) = wanted {
             if self.extend_at_any(budget, horizon_tokens).await {
                 return;
@@ -96,7 +96,7 @@
         if Instant::now() >= deadline || !self.sync(budget, GrantDecision::default()).await {
             return;
         }
-        let wanted = self.with_account(budget, |account| account.wanted_horizon(tokens));
+        let wanted = self.with_account(budget, |account| account.share().wanted_horizon(tokens));
         if let Some(horizon_tokens) = wanted {
             self.extend_at_any(budget, horizon_tokens).await;
         }
@@ -240,24 +240,16 @@
         }
     }
 
-    /// The present witnesses while all of them are in reach, else the best others.
-    ///
-    /// With nobody else in reach the present ones stay: having none would make the whole grant
-    /// unreclaimable.
     fn choose_witnesses(&self, budget: &BudgetId) -> WitnessSet {
-        let (present, is_stale) = self.with_account(budget, |account| {
-            let is_stale = account.holder().is_witness_sealed() || account.is_allowance_small();
-            (account.holder().witnesses().clone(), is_stale)
-        });
-        if !present.is_empty() && !is_stale && self.parts.fleet.are_all_reachable(&present) {
-            return present;
-        }
-        let allowance_tokens = self.with_account(budget, |account| account.near_allowance());
-        let best = self.parts.fleet.best_witnesses(allowance_tokens);
-        if best.is_empty() {
-            return present;
-        }
-        best
+        let fleet = &self.parts.fleet;
+        let own_domain = &fleet.identity().failure_domain;
+        let candidates = fleet.witness_candidates();
+        self.with_account(budget, |account| {
+            let is_reachable = |holder| fleet.is_reachable(holder);
+            account
+                .share()
+                .choose_witnesses(own_domain, &candidates, is_reachable)
+        })
     }
 
     async fn extend_all(&self) {
@@ -265,7 +257,7 @@
         let mut by_witness: BTreeMap<HolderId, Vec<Horizon>> = BTreeMap::new();
         for budget in self.held_budgets() {
             self.with_account(&budget, |account| {
-                let horizon_tokens = account.wanted_horizon(Tokens::ZERO)?;
+                let horizon_tokens = account.share().wanted_horizon(Tokens::ZERO)?;
                 let holder = account.holder();
                 let witnesses = fleet.in_order_of_reach(holder.witnesses());
                 let witness = witnesses.into_iter().next()?;
