Remember prefixes only for a policy that reads them

Cause: each dispatch wrote two prefixes into an index that routing in turn, the policy in force, never reads.

--- a/src/bench/costs.rs
+++ b/src/bench/costs.rs
@@ -78,7 +78,12 @@
             keep_apart: false,
         };
         if let Some(index) = policy.choose(&pool, &wish, &mut rng) {
-            pool.start(index, &prefixes, false);
+            let prefixes = if policy.reads_prefixes() {
+                &prefixes[..]
+            } else {
+                &[]
+            };
+            pool.start(index, prefixes, false);
             pool.end(index, false);
         }
     }
--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -132,6 +132,11 @@
         wish: &RouteWish<'_>,
         rng: &mut dyn Rng,
     ) -> Option<ReplicaIndex>;
+
+    /// True when choices depend on where prefixes were sent, so that these are to be remembered.
+    fn reads_prefixes(&self) -> bool {
+        false
+    }
 }
 
 /// Which replicas were sent a prefix lately. A hint: replicas evict, and their reports lag.
@@ -444,4 +449,8 @@
     ) -> Option<ReplicaIndex> {
         Self::holder_with_room(pool, wish).or_else(|| self.turns.choose(pool, wish, rng))
     }
+
+    fn reads_prefixes(&self) -> bool {
+        true
+    }
 }
--- a/src/router/replicas.rs
+++ b/src/router/replicas.rs
@@ -143,7 +143,12 @@
             keep_apart: is_suspect,
         };
         let index = self.policy.choose(pool, &route, &mut *lock(&self.rng))?;
-        pool.start(index, wish.prefixes, is_suspect);
+        let prefixes = if self.policy.reads_prefixes() {
+            wish.prefixes
+        } else {
+            &[]
+        };
+        pool.start(index, prefixes, is_suspect);
         let replica = pool.replica(index).id.clone();
         let address = *state.addresses.get(&replica)?;
         state
