Rank witness candidates only when witnesses change

Sharing the choice of witnesses made the router rank all routers in reach, a hash and a sort over the fleet, on each ledger update; before, it did so only where the present witnesses could not stay. At 2,100 routers that is work on the path of each refill.

Behaviour is the same.

--- a/src/bench/budgets.rs
+++ b/src/bench/budgets.rs
@@ -277,18 +277,20 @@
     fn choose_witnesses(&self, router: usize, budget: usize) -> WitnessSet {
         let count = self.routers.len();
         let others = (1..count).map(|step| (router + step) % count);
-        let candidates: Vec<WitnessCandidate> = others
-            .filter(|other| self.are_linked(router, *other))
-            .map(|other| WitnessCandidate {
-                holder: self.routers[other].id,
-                failure_domain: self.routers[other].failure_domain.clone(),
-            })
-            .collect();
+        let candidates = || {
+            others
+                .filter(|other| self.are_linked(router, *other))
+                .map(|other| WitnessCandidate {
+                    holder: self.routers[other].id,
+                    failure_domain: self.routers[other].failure_domain.clone(),
+                })
+                .collect::<Vec<_>>()
+        };
         let own = &self.routers[router];
         let is_reachable = |id| self.is_linked_to(router, id);
         own.accounts[budget]
             .share
-            .choose_witnesses(&own.failure_domain, &candidates, is_reachable)
+            .choose_witnesses(&own.failure_domain, candidates, is_reachable)
     }
 
     /// True at intervals, while there is spending to report or a grant to learn about.
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -149,14 +149,18 @@
 
     /// The witnesses that the grant should have: the present ones while they are in reach and
     /// good enough, else the best candidates, and the present ones if there are none.
+    ///
+    /// The candidates are asked for only when the present ones do not stay: ranking a large fleet
+    /// is too much for each update.
     #[must_use]
-    pub fn choose_witnesses<R>(
+    pub fn choose_witnesses<C, R>(
         &self,
         own_domain: &FailureDomain,
-        candidates: &[WitnessCandidate],
+        candidates: C,
         is_reachable: R,
     ) -> WitnessSet
     where
+        C: FnOnce() -> Vec<WitnessCandidate>,
         R: Fn(HolderId) -> bool,
     {
         let present = self.holder.witnesses();
@@ -164,7 +168,7 @@
         if !present.is_empty() && !is_stale && present.all().all(is_reachable) {
             return present.clone();
         }
-        let best = best_witnesses(own_domain, candidates, self.near_allowance());
+        let best = best_witnesses(own_domain, &candidates(), self.near_allowance());
         if best.is_empty() {
             return present.clone();
         }
--- a/src/router/spending/refill.rs
+++ b/src/router/spending/refill.rs
@@ -243,12 +243,12 @@
     fn choose_witnesses(&self, budget: &BudgetId) -> WitnessSet {
         let fleet = &self.parts.fleet;
         let own_domain = &fleet.identity().failure_domain;
-        let candidates = fleet.witness_candidates();
         self.with_account(budget, |account| {
             let is_reachable = |holder| fleet.is_reachable(holder);
+            let candidates = || fleet.witness_candidates();
             account
                 .share()
-                .choose_witnesses(own_domain, &candidates, is_reachable)
+                .choose_witnesses(own_domain, candidates, is_reachable)
         })
     }
 
