--- a/src/accepted.rs
+++ b/src/accepted.rs
@@ -16,8 +16,8 @@
 
 use crate::core::ledger::Generation;
 use crate::lists::{find_faults, Fault, ListName, PlansList, Team, UsageList};
-use crate::platform::update::{read_json, write_json, UpdateError};
-use crate::platform::{Expected, ObjectKey, ObjectStore, StoreError};
+use crate::store::update::{read_json, write_json, UpdateError};
+use crate::store::{Expected, ObjectKey, ObjectStore, StoreError};
 
 /// Parts into which the teams are divided.
 pub const TEAM_PART_COUNT: u64 = 1_024;
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -7,7 +7,7 @@
 use crate::accepted::{accept_edit, AcceptError, Edit};
 use crate::daemon::http_client;
 use crate::lists::ListName;
-use crate::platform::http::HttpStore;
+use crate::store::http::HttpStore;
 
 const USAGE: &str = "\
 Puts an edited list into the platform.
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -4,7 +4,7 @@
 use crate::accepted::AcceptedLists;
 use crate::daemon::http_client;
 use crate::lists::ListName;
-use crate::platform::http::HttpStore;
+use crate::store::http::HttpStore;
 
 const USAGE: &str = "\
 Prints a list as it stands in the platform, to be edited and applied.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod check;
 mod demo;
+mod entry;
 mod get;
 mod report;
 mod serve;
@@ -37,6 +38,7 @@
     bench       Measure policies and costs
     check       Validate settings and lists
     demo        Run a whole site in one process and reconcile its budgets
+    entry       Run an entry router on a platform
     get         Print a list as it stands in the platform
     serve       Run a router
     status      Show the fleet and the budgets
@@ -59,6 +61,7 @@
     Bench,
     Check,
     Demo,
+    Entry,
     Get,
     Serve,
     Status,
@@ -132,6 +135,7 @@
         Command::Bench => bench::run(parser),
         Command::Check => check::run(parser),
         Command::Demo => demo::run(parser),
+        Command::Entry => entry::run(parser),
         Command::Get => get::run(parser),
         Command::Serve => serve::run(parser),
         Command::Status => status::run(parser),
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -9,7 +9,7 @@
 use crate::core::ids::BudgetId;
 use crate::core::ledger::{BudgetEntry, GrantRow};
 use crate::core::units::Tokens;
-use crate::platform::ObjectStore;
+use crate::store::ObjectStore;
 use crate::router::billing::settle_all;
 use crate::router::ledger_client::LedgerClient;
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -8,7 +8,7 @@
 use super::report::{print_budgets, read_budgets, BudgetReport};
 use super::{block_on, is_about_command, CommandError};
 use crate::daemon::http_client;
-use crate::platform::http::HttpStore;
+use crate::store::http::HttpStore;
 use crate::vm_list::{HttpVmList, VmList, VmRecord, VmRole};
 
 /// Longest wait for one router.
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -40,6 +40,11 @@
         self.far.is_empty()
     }
 
+    /// True for the set of a grant that has no witness at all.
+    fn names_nobody(&self) -> bool {
+        self == &Self::default()
+    }
+
     /// All processes of the set.
     pub fn all(&self) -> impl Iterator<Item = HolderId> + '_ {
         self.far.iter().copied().chain(self.near)
@@ -81,7 +86,10 @@
     pub paid_tokens: Tokens,
     /// Generation of that list.
     pub generation: Generation,
-    /// One row for each router process that ever held a grant of this budget.
+    /// Tokens charged by rows that were folded: their processes have ended.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
+    pub folded_tokens: Tokens,
+    /// One row for each router process that holds a grant of this budget, or ever held one.
     pub rows: BTreeMap<HolderId, GrantRow>,
 }
 
@@ -94,18 +102,25 @@
     /// Cumulative tokens granted to the holder.
     pub granted_tokens: Tokens,
     /// Cumulative tokens that the holder, or a reclaimer after sealing, gave back.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub returned_tokens: Tokens,
     /// Cumulative tokens received from other holders, as last reported.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub received_tokens: Tokens,
     /// Cumulative tokens handed to each other holder, as last reported.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub sent: BTreeMap<HolderId, Tokens>,
     /// Cumulative tokens spent on requests, as last reported.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub spent_tokens: Tokens,
     /// The router processes that acknowledge the holder's horizon.
+    #[serde(default, skip_serializing_if = "WitnessSet::names_nobody")]
     pub witnesses: WitnessSet,
     /// Consumption that is allowed without an acknowledgement by the present witnesses.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub horizon_floor_tokens: Tokens,
     /// A sealed row gets no further grants.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub sealed: bool,
 }
 
@@ -210,7 +225,17 @@
     pub fn charged_tokens(&self) -> Tokens {
         let granted: Tokens = self.rows.values().map(|row| row.granted_tokens).sum();
         let returned: Tokens = self.rows.values().map(|row| row.returned_tokens).sum();
-        granted - returned
+        self.folded_tokens + granted - returned
+    }
+
+    /// Replaces the row of an ended process by what it may have spent: all that it held.
+    ///
+    /// A write of that process that is still under way cannot bring the row back, since it
+    /// expects an older version of the object.
+    pub fn fold(&mut self, holder: HolderId) {
+        if let Some(row) = self.rows.remove(&holder) {
+            self.folded_tokens += row.granted_tokens - row.returned_tokens;
+        }
     }
 
     /// Tokens that can still be granted.
--- /dev/null
+++ b/src/core/placement.rs
@@ -0,0 +1,279 @@
+//! Which replica gets a request, by the work that lies before it there.
+//!
+//! Work is counted in tokens that a replica has to read before a new request's first token: the
+//! prompts ahead, the part of its own prompt that is not cached, and a charge for each request
+//! that is being generated, since every step serves them all. Prompts that share a part meet on
+//! the replica that rendezvous hashing names for the part, which all routers work out alike,
+//! until that replica has more work ahead than reading the part anew would cost.
+
+use std::hash::Hasher;
+
+use rand::{Rng, RngExt};
+use twox_hash::XxHash64;
+
+use super::ids::{FailureDomain, ReplicaId};
+
+/// Charge, in tokens to read, for each request being generated at a replica.
+const RUNNING_COST_TOKENS: u64 = 150;
+/// Charge, in tokens to read, for a replica in another failure domain.
+const DOMAIN_COST_TOKENS: u64 = 200;
+/// Charge of each request at a replica without an engine.
+const CALL_COST: u64 = 1_000;
+/// Requests taken on beyond a replica's slots, as a share of them, by the most urgent callers.
+const QUEUE_SHARE_PERCENT: u64 = 50;
+/// Failures in a row after which a replica is passed over for a time.
+const FAILURES_TO_EJECT: u32 = 3;
+/// First time for which a replica is passed over; doubles with each further failure.
+const EJECT_MS: u64 = 500;
+/// Longest time for which a replica is passed over.
+const MAX_EJECT_MS: u64 = 8_000;
+/// Replicas that count as holders of a shared part, by rank of the hash.
+const HOLDERS: usize = 2;
+
+/// Work that requests put on a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaLoad {
+    /// Requests there, running and waiting.
+    pub requests: u32,
+    /// Prompt tokens of requests whose first token has not come yet.
+    pub unread_tokens: u64,
+}
+
+impl ReplicaLoad {
+    /// Adds a request.
+    pub fn add(&mut self, unread_tokens: u64) {
+        self.requests += 1;
+        self.unread_tokens += unread_tokens;
+    }
+
+    /// Takes the tokens of a request that has got its first token.
+    pub fn read(&mut self, unread_tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(unread_tokens);
+    }
+
+    /// Takes a request away.
+    pub fn remove(&mut self) {
+        self.requests = self.requests.saturating_sub(1);
+    }
+}
+
+/// One replica as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its name.
+    pub id: ReplicaId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Work of this router there.
+    pub own: ReplicaLoad,
+    /// Work of other routers there, as they last said.
+    pub others: ReplicaLoad,
+    /// Gets no new work: it said that it leaves, or its entry is gone.
+    pub is_leaving: bool,
+    failures: u32,
+    ejected_until_ms: u64,
+    is_probed: bool,
+}
+
+impl Place {
+    /// A replica in service of which nothing else is known.
+    #[must_use]
+    pub fn new(id: ReplicaId, failure_domain: FailureDomain, slots: u32) -> Self {
+        Self {
+            id,
+            failure_domain,
+            slots,
+            own: ReplicaLoad::default(),
+            others: ReplicaLoad::default(),
+            is_leaving: false,
+            failures: 0,
+            ejected_until_ms: 0,
+            is_probed: false,
+        }
+    }
+
+    /// Requests there, of all routers.
+    #[must_use]
+    pub const fn requests(&self) -> u32 {
+        self.own.requests + self.others.requests
+    }
+
+    /// Tokens to be read there before a new prompt.
+    #[must_use]
+    pub const fn unread_tokens(&self) -> u64 {
+        self.own.unread_tokens + self.others.unread_tokens
+    }
+
+    /// Notes an answer.
+    pub fn learn_success(&mut self) {
+        self.failures = 0;
+        self.ejected_until_ms = 0;
+        self.is_probed = false;
+    }
+
+    /// Notes a failure; several in a row take the replica out for a time.
+    pub fn learn_failure(&mut self, now_ms: u64) {
+        self.failures = self.failures.saturating_add(1);
+        self.is_probed = false;
+        if self.failures >= FAILURES_TO_EJECT {
+            self.eject(now_ms);
+        }
+    }
+
+    /// Notes that it accepts no connections.
+    pub fn learn_unreachable(&mut self, now_ms: u64) {
+        self.failures = self.failures.saturating_add(1).max(FAILURES_TO_EJECT);
+        self.is_probed = false;
+        self.eject(now_ms);
+    }
+
+    fn eject(&mut self, now_ms: u64) {
+        let doublings = (self.failures - FAILURES_TO_EJECT).min(5);
+        self.ejected_until_ms = now_ms + (EJECT_MS << doublings).min(MAX_EJECT_MS);
+    }
+
+    /// True when it was taken out and is due one request to try it.
+    const fn is_on_probation(&self) -> bool {
+        self.failures >= FAILURES_TO_EJECT
+    }
+
+    fn is_eligible(&self, wish: &PlaceWish<'_>) -> bool {
+        !self.is_leaving
+            && self.ejected_until_ms <= wish.now_ms
+            && !(self.is_on_probation() && self.is_probed)
+            && !wish.avoid.contains(&self.id)
+    }
+
+    fn has_room(&self, wish: &PlaceWish<'_>) -> bool {
+        let slots = u64::from(self.slots.max(1));
+        let beyond = slots * QUEUE_SHARE_PERCENT / 100 / (1 + u64::from(wish.rank));
+        u64::from(self.requests()) < slots + beyond
+    }
+}
+
+/// What a request wants of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceWish<'a> {
+    /// The router's monotonic clock.
+    pub now_ms: u64,
+    /// The router's failure domain.
+    pub failure_domain: &'a FailureDomain,
+    /// Replicas that were tried already.
+    pub avoid: &'a [ReplicaId],
+    /// Rank of the request, 0 first.
+    pub rank: u32,
+    /// Prompt, if the pool serves models.
+    pub prompt: Option<PromptWish>,
+}
+
+/// The prompt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptWish {
+    /// Length of the whole prompt.
+    pub prompt_tokens: u64,
+    /// Length of the parts that other requests share.
+    pub shared_tokens: u64,
+    /// Digest of the shared parts.
+    pub shared_key: u64,
+}
+
+/// What became of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// This replica, by its place in the list.
+    Place {
+        /// Index of the replica.
+        index: usize,
+        /// Prompt tokens that it probably has to read.
+        unread_tokens: u64,
+    },
+    /// Replicas are in service, but none has room.
+    Full,
+    /// No replica is in service.
+    Nobody,
+}
+
+/// Rank of a replica for a shared part of prompts, higher first.
+fn affinity(key: u64, id: &ReplicaId) -> u64 {
+    let mut hasher = XxHash64::with_seed(key);
+    hasher.write(id.as_str().as_bytes());
+    hasher.finish()
+}
+
+/// Chooses the replica with the least work before the request.
+pub fn choose_place<R>(places: &mut [Place], wish: &PlaceWish<'_>, rng: &mut R) -> Choice
+where
+    R: Rng,
+{
+    let eligible: Vec<usize> = (0..places.len())
+        .filter(|index| places[*index].is_eligible(wish))
+        .collect();
+    if eligible.is_empty() {
+        return Choice::Nobody;
+    }
+    let holders = wish
+        .prompt
+        .filter(|prompt| prompt.shared_tokens > 0)
+        .map(|prompt| holders_of(places, &eligible, prompt.shared_key))
+        .unwrap_or_default();
+    let mut best: Option<(u64, u32, usize, u64)> = None;
+    for index in eligible {
+        let place = &places[index];
+        if !place.has_room(wish) {
+            continue;
+        }
+        let unread_tokens = unread_at(wish.prompt, holders.iter().position(|at| *at == index));
+        let cost = cost_of(place, wish, unread_tokens);
+        let tie: u32 = rng.random();
+        if best.is_none_or(|(least, least_tie, _, _)| (cost, tie) < (least, least_tie)) {
+            best = Some((cost, tie, index, unread_tokens));
+        }
+    }
+    let Some((_, _, index, unread_tokens)) = best else {
+        return Choice::Full;
+    };
+    let place = &mut places[index];
+    place.is_probed = place.is_on_probation();
+    Choice::Place {
+        index,
+        unread_tokens,
+    }
+}
+
+fn holders_of(places: &[Place], eligible: &[usize], key: u64) -> Vec<usize> {
+    let mut ranked: Vec<(u64, usize)> = eligible
+        .iter()
+        .map(|index| (affinity(key, &places[*index].id), *index))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(HOLDERS);
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
+/// Tokens to read there: nothing of the shared part at its first holder, half at the second.
+fn unread_at(prompt: Option<PromptWish>, holder_rank: Option<usize>) -> u64 {
+    let Some(prompt) = prompt else {
+        return 0;
+    };
+    let own_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens);
+    match holder_rank {
+        Some(0) => own_tokens,
+        Some(rank) => own_tokens + prompt.shared_tokens * rank as u64 / HOLDERS as u64,
+        None => prompt.prompt_tokens,
+    }
+}
+
+fn cost_of(place: &Place, wish: &PlaceWish<'_>, unread_tokens: u64) -> u64 {
+    let is_near = place.failure_domain == *wish.failure_domain;
+    let domain_tokens = if is_near { 0 } else { DOMAIN_COST_TOKENS };
+    let requests = u64::from(place.requests());
+    if wish.prompt.is_none() {
+        return requests * CALL_COST + domain_tokens;
+    }
+    let waiting = requests.saturating_sub(u64::from(place.slots));
+    let running = requests - waiting;
+    let per_slot_tokens = (waiting * RUNNING_COST_TOKENS).saturating_mul(20);
+    place.unread_tokens() + unread_tokens + running * RUNNING_COST_TOKENS + per_slot_tokens + domain_tokens
+}
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -102,6 +102,8 @@
     HandOver,
     /// An even share of what is left, with tokens handed from holder to holder.
     Stocked,
+    /// The longest cut that is to be ridden out, by recent demand.
+    Cover,
 }
 
 impl PolicyName {
@@ -114,6 +116,7 @@
             Self::Shrinking => Box::new(ShrinkingPolicy::new(COVER_S)),
             Self::HandOver => Box::new(HandOverPolicy::new(COVER_S)),
             Self::Stocked => Box::new(StockedPolicy::new(STOCK_S)),
+            Self::Cover => Box::new(CoverPolicy::new(CUT_S)),
         }
     }
 }
@@ -122,6 +125,8 @@
 pub const FIXED_GRANT_TOKENS: Tokens = Tokens::new(200_000);
 /// Seconds of recent demand that a grant covers.
 pub const COVER_S: u64 = 20;
+/// Longest cut from the ledger that a grant covers, in seconds; deployments see 7 to 9.
+pub const CUT_S: u64 = 10;
 /// Seconds of recent demand that a stocked grant covers, longer than most partitions.
 pub const STOCK_S: u64 = 900;
 /// A stocked holder draws when its share of the rest is at least this part of what it has.
@@ -369,3 +374,50 @@
     }
     decision
 }
+
+/// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
+/// that long refuses nobody, and holds no more, since what it holds is lost when it dies.
+#[derive(Clone, Copy, Debug)]
+pub struct CoverPolicy {
+    cover_s: u64,
+}
+
+/// Part of a holder's even share of the prepaid amount that it stocks before any demand.
+const UNSEEN_DEMAND_PART: u64 = 6;
+/// A covered holder draws at most this part of what is available, unless a request needs more.
+const AVAILABLE_PART: u64 = 2;
+
+impl CoverPolicy {
+    /// A policy whose grants cover the given seconds of demand.
+    #[must_use]
+    pub const fn new(cover_s: u64) -> Self {
+        Self { cover_s }
+    }
+
+    fn target_tokens(self, view: &GrantView) -> Tokens {
+        let holders = view.holder_count.max(1);
+        let demand_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(self.cover_s));
+        let covered_tokens = demand_tokens + view.largest_request_tokens.scaled(2, 1);
+        let unseen_tokens = view.paid_tokens.scaled(1, UNSEEN_DEMAND_PART * holders);
+        let rest_tokens = view.available_tokens + view.others_free_tokens + view.free_tokens;
+        let rest_share_tokens = rest_tokens.scaled(1, holders);
+        covered_tokens.max(unseen_tokens.min(rest_share_tokens))
+    }
+}
+
+impl GrantPolicy for CoverPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        let target_tokens = self.target_tokens(view);
+        let mut decision = GrantDecision::default();
+        if view.free_tokens < target_tokens.scaled(3, 4) {
+            let lacking_tokens = target_tokens - view.free_tokens;
+            let most_tokens = view.available_tokens.scaled(1, AVAILABLE_PART);
+            decision.draw_tokens = lacking_tokens.min(most_tokens);
+        }
+        let spare_tokens = target_tokens.scaled(1, 2);
+        if view.free_tokens > target_tokens + spare_tokens {
+            decision.return_tokens = view.free_tokens - target_tokens;
+        }
+        decision
+    }
+}
--- /dev/null
+++ b/src/core/retry_share.rs
@@ -0,0 +1,105 @@
+//! One router's share of a retry budget that the whole fleet keeps together.
+//!
+//! In any window, a pool may get `ratio x requests + slack` repeats from all routers. Each router
+//! draws only the ratio of its own requests and an even part of the slack, so the sum holds
+//! without a message when all routers retry at once.
+
+use std::collections::VecDeque;
+
+/// Slots into which a window is divided; older requests fall out one slot at a time.
+const SLOTS: usize = 10;
+/// Part of the budget that is used, in hundredths: repeats that are under way when a window
+/// slides, and clocks that differ, stay within the rest.
+const USED_SHARE_PERCENT: u64 = 80;
+
+/// The rule that the fleet keeps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRule {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio in each window.
+    pub slack: u64,
+    /// Length of a window, in milliseconds.
+    pub window_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+/// Repeats that one router may send to one pool.
+#[derive(Clone, Debug)]
+pub struct RetryShare {
+    rule: RetryRule,
+    slots: VecDeque<Slot>,
+    started_ms: u64,
+}
+
+impl RetryShare {
+    /// A share that starts without any slack, since a process before this one may have used it.
+    ///
+    /// ```
+    /// use currantlever::{RetryRule, RetryShare};
+    /// let rule = RetryRule { ratio: 0.2, slack: 50, window_ms: 10_000 };
+    /// let mut share = RetryShare::new(rule, 0);
+    /// assert!(!share.try_repeat(1, 5));
+    /// (0..100).for_each(|_| share.note_request(2));
+    /// assert!(share.try_repeat(2, 5));
+    /// ```
+    #[must_use]
+    pub fn new(rule: RetryRule, now_ms: u64) -> Self {
+        Self {
+            rule,
+            slots: VecDeque::with_capacity(SLOTS + 1),
+            started_ms: now_ms,
+        }
+    }
+
+    /// Counts a request for the pool.
+    pub fn note_request(&mut self, now_ms: u64) {
+        self.slot(now_ms).requests += 1;
+    }
+
+    /// Takes one repeat out of the share, if there is one. `routers` is the size of the fleet.
+    pub fn try_repeat(&mut self, now_ms: u64, routers: usize) -> bool {
+        self.slot(now_ms);
+        let requests: u64 = self.slots.iter().map(|slot| slot.requests).sum();
+        let repeats: u64 = self.slots.iter().map(|slot| slot.repeats).sum();
+        if repeats + 1 > self.allowed(now_ms, requests, routers) {
+            return false;
+        }
+        self.slot(now_ms).repeats += 1;
+        true
+    }
+
+    /// Repeats allowed in the present window.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "counts of one window"
+    )]
+    fn allowed(&self, now_ms: u64, requests: u64, routers: usize) -> u64 {
+        let age_ms = now_ms.saturating_sub(self.started_ms);
+        let warm_ms = age_ms.min(self.rule.window_ms);
+        let slack = self.rule.slack * warm_ms / self.rule.window_ms.max(1) / routers.max(1) as u64;
+        let by_ratio = (requests as f64 * self.rule.ratio) as u64;
+        (by_ratio + slack) * USED_SHARE_PERCENT / 100
+    }
+
+    fn slot(&mut self, now_ms: u64) -> &mut Slot {
+        let number = now_ms / (self.rule.window_ms / SLOTS as u64).max(1);
+        let oldest = number.saturating_sub(SLOTS as u64);
+        self.slots.retain(|slot| slot.number >= oldest);
+        if self.slots.back().is_none_or(|slot| slot.number < number) {
+            self.slots.push_back(Slot {
+                number,
+                ..Slot::default()
+            });
+        }
+        self.slots.back_mut().expect("a slot was pushed")
+    }
+}
--- a/src/core/units.rs
+++ b/src/core/units.rs
@@ -37,6 +37,13 @@
         Self(count)
     }
 
+    /// True for no tokens.
+    #[must_use]
+    #[allow(clippy::trivially_copy_pass_by_ref, reason = "named in serde attributes")]
+    pub const fn is_zero(&self) -> bool {
+        self.0 == 0
+    }
+
     /// The plain count.
     #[must_use]
     pub const fn get(self) -> u64 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use crate::http_server::{HttpServer, StartError};
 use crate::peer::rpc::{FleetSecret, RpcError, RpcNetwork};
 use crate::peer::{PeerNetwork, PeerRouter};
-use crate::platform::http::HttpStore;
+use crate::store::http::HttpStore;
 use crate::router::{web, Borders, Router, RouterOptions};
 use crate::settings::Settings;
 use crate::telemetry::TelemetryError;
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,235 @@
+//! An entry router: the exchange between callers and replicas on one VM of a platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use slog::{info, o, Logger};
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use crate::core::policy::PolicyName;
+use crate::entry_settings::EntrySettings;
+use crate::exchange::directory::Directory;
+use crate::exchange::engine::Exchange;
+use crate::exchange::grants::{holder_on_vm, Grants};
+use crate::exchange::hellos::{keep_entries, leave, receive_hellos, send_hellos, IsReady};
+use crate::exchange::ledger_sync::LedgerSync;
+use crate::exchange::members::{Members, RouterEntry};
+use crate::exchange::metrics::ExchangeMetrics;
+use crate::exchange::pools::Pools;
+use crate::platform::ingress::Ingress;
+use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
+use crate::platform::objects::PlatformStore;
+use crate::platform::registry::Registry;
+use crate::platform::sinks::{ConfigSink, ReplicaSink};
+use crate::platform::transport::HttpTransport;
+use crate::store::follow::follow;
+use crate::store::kinds::KindStore;
+use crate::util::stable_hash;
+
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Time after SIGTERM for which requests are still taken: callers that were told this router's
+/// address hear of others within it.
+const LEAVING_TIME: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace by which the process has ended.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks at what is still in progress.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Why an entry router does not run.
+#[derive(Debug, Error)]
+pub(crate) enum EntryError {
+    /// An address cannot be listened on.
+    #[error("{place} {address}: {source}")]
+    Listen {
+        /// The setting.
+        place: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A running entry router.
+pub(crate) struct EntryRouter {
+    settings: EntrySettings,
+    exchange: Arc<Exchange>,
+    ingress: Arc<Ingress>,
+    registry: Arc<Registry>,
+    members: Arc<Members>,
+    store: Arc<dyn KindStore>,
+    ledger_task: tokio::task::JoinHandle<()>,
+    last_sync: Arc<Mutex<LedgerSync>>,
+    grants: Arc<Grants>,
+    log: Logger,
+}
+
+impl EntryRouter {
+    /// Starts listening and following the store.
+    pub(crate) async fn start(settings: EntrySettings, log: &Logger) -> Result<Self, EntryError> {
+        let log = log.new(o!("vm" => settings.vm.to_string()));
+        let process: u64 = rand::rng().random();
+        let metrics = Arc::new(ExchangeMetrics::new()?);
+        let store = Arc::new(PlatformStore::new(settings.store_address, Arc::clone(&metrics)));
+        let store: Arc<dyn KindStore> = store;
+        let members = Arc::new(Members::new(RouterEntry {
+            callers_address: settings.callers_listen,
+            peer_address: settings.peer_listen,
+            failure_domain: settings.failure_domain.clone(),
+        }));
+        let pools = Arc::new(Pools::new(
+            settings.failure_domain.clone(),
+            Arc::clone(&members),
+            settings.retries.rule(),
+            process,
+        ));
+        let vm_hash = stable_hash(&[&settings.callers_listen.to_string()]);
+        let holder = holder_on_vm(vm_hash, process);
+        let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
+        let transport = Arc::new(HttpTransport::default());
+        let exchange = Arc::new(Exchange::new(
+            Arc::clone(&pools),
+            Arc::clone(&grants),
+            Arc::clone(&transport) as _,
+            Arc::clone(&metrics),
+            log.clone(),
+        ));
+        let directory = Arc::new(Directory::new(Arc::clone(&pools), log.clone()));
+        let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
+        let registry = Arc::new(Registry::new(
+            Arc::clone(&members),
+            Arc::clone(&exchange),
+            Arc::clone(&pools),
+            Arc::clone(&metrics),
+        ));
+        listen_all(&settings, &ingress, &registry).await?;
+        let socket = UdpSocket::bind(settings.peer_listen)
+            .await
+            .map_err(|source| listen_error("peer_listen", settings.peer_listen, source))?;
+        let socket = Arc::new(socket);
+        let config_sink = Arc::new(ConfigSink::new(Arc::clone(&exchange), log.clone()));
+        tokio::spawn(follow(Arc::clone(&store), CONFIG_KIND, config_sink, log.clone()));
+        let replica_sink = Arc::new(ReplicaSink::new(Arc::clone(&directory)));
+        tokio::spawn(follow(Arc::clone(&store), SERVER_KIND, replica_sink, log.clone()));
+        let is_ready: IsReady = {
+            let registry = Arc::clone(&registry);
+            Arc::new(move || registry.is_ready())
+        };
+        tokio::spawn(send_hellos(
+            Arc::clone(&socket),
+            Arc::clone(&members),
+            Arc::clone(&pools),
+            process,
+            is_ready,
+        ));
+        tokio::spawn(receive_hellos(socket, Arc::clone(&members), log.clone()));
+        tokio::spawn(keep_entries(Arc::clone(&store), Arc::clone(&members), log.clone()));
+        tokio::spawn(keep_house(Arc::clone(&directory), Arc::clone(&transport)));
+        let new_sync = || {
+            LedgerSync::new(
+                Arc::clone(&store),
+                Arc::clone(&grants),
+                Arc::clone(&members),
+                log.clone(),
+            )
+        };
+        let ledger_task = tokio::spawn(new_sync().run());
+        info!(log, "started"; "holder" => holder.to_string(),
+            "failure_domain" => settings.failure_domain.to_string(),
+            "callers_listen" => settings.callers_listen.to_string(),
+            "version" => env!("CARGO_PKG_VERSION"));
+        Ok(Self {
+            last_sync: Arc::new(Mutex::new(new_sync())),
+            settings,
+            exchange,
+            ingress,
+            registry,
+            members,
+            store,
+            ledger_task,
+            grants,
+            log,
+        })
+    }
+
+    /// Leaves the fleet: takes requests for a short time, ends all of them, gives back grants.
+    pub(crate) async fn drain_and_stop(self) {
+        let asked = Instant::now();
+        let grace = Duration::try_from_secs_f64(self.settings.grace_s).unwrap_or_default();
+        let end = asked + grace.saturating_sub(GRACE_MARGIN);
+        info!(self.log, "leaving"; "busy" => self.ingress.busy_count(),
+            "connections" => self.ingress.open_count());
+        self.registry.start_leaving();
+        self.ingress.start_leaving();
+        let leaving = leave(&*self.store, &self.members);
+        // An entry that stays is removed by others.
+        let _ = tokio::time::timeout(LEAVING_TIME, leaving).await;
+        tokio::time::sleep_until((asked + LEAVING_TIME).min(end)).await;
+        self.exchange.close();
+        while self.ingress.busy_count() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+        self.ingress.close_idle();
+        self.ledger_task.abort();
+        let give_back = async { self.last_sync.lock().await.give_back().await };
+        let is_given_back = tokio::time::timeout_at(end, give_back).await.unwrap_or(false);
+        while self.ingress.open_count() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+        let spent = self.grants.spent();
+        let spent: Vec<String> = spent.iter().map(|(team, tokens)| format!("{team}={tokens}")).collect();
+        info!(self.log, "stopped"; "busy" => self.ingress.busy_count(),
+            "grants_given_back" => is_given_back && self.grants.is_given_back(),
+            "spent_tokens" => spent.join(" "));
+    }
+}
+
+fn listen_error(place: &'static str, address: SocketAddr, source: std::io::Error) -> EntryError {
+    EntryError::Listen {
+        place,
+        address,
+        source,
+    }
+}
+
+async fn listen(place: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| listen_error(place, address, source))
+}
+
+async fn listen_all(
+    settings: &EntrySettings,
+    ingress: &Arc<Ingress>,
+    registry: &Arc<Registry>,
+) -> Result<(), EntryError> {
+    let callers = listen("callers_listen", settings.callers_listen).await?;
+    tokio::spawn(Arc::clone(ingress).accept(callers));
+    let small = [
+        ("ready_listen", settings.ready_listen),
+        ("registry_listen", settings.registry_listen),
+        ("metrics_listen", settings.metrics_listen),
+    ];
+    for (place, address) in small {
+        let listener = listen(place, address).await?;
+        tokio::spawn(Arc::clone(registry).accept(listener));
+    }
+    Ok(())
+}
+
+async fn keep_house(directory: Arc<Directory>, transport: Arc<HttpTransport>) {
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        directory.drop_missing(Instant::now());
+        transport.drop_old_connections();
+    }
+}
--- /dev/null
+++ b/src/entry_settings.rs
@@ -0,0 +1,114 @@
+//! Settings of an entry router: one that runs on a platform which gives it a store, callers'
+//! addresses and its bounds.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::ids::{FailureDomain, VmId};
+use crate::core::retry_share::RetryRule;
+use crate::settings::SettingsError;
+
+/// Settings of an entry router, in JSON.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Failure domain of the VM.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub callers_listen: SocketAddr,
+    /// Address for the platform's checks.
+    pub ready_listen: SocketAddr,
+    /// Address for callers that ask where to connect.
+    pub registry_listen: SocketAddr,
+    /// Address for the metrics.
+    pub metrics_listen: SocketAddr,
+    /// Address for other routers' datagrams.
+    pub peer_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Time from SIGTERM until the process is killed.
+    pub grace_s: f64,
+    /// What the fleet may repeat.
+    pub retries: RetrySettings,
+}
+
+/// The fleet's retry budget for each pool.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio in each window.
+    pub slack: f64,
+    /// Length of a window.
+    pub window_s: f64,
+}
+
+impl RetrySettings {
+    /// The rule for the core.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked ranges"
+    )]
+    pub fn rule(&self) -> RetryRule {
+        RetryRule {
+            ratio: self.ratio,
+            slack: self.slack as u64,
+            window_ms: (self.window_s * 1_000.0) as u64,
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the place and reason of the first fault.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        let mut deserializer = serde_json::Deserializer::from_slice(&text);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+                SettingsError::Parse {
+                    path: path.to_owned(),
+                    place: error.path().to_string(),
+                    reason: error.inner().to_string(),
+                }
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the ranges of all values.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the place and reason of the first fault.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_range("grace_s", self.grace_s, 0.5, 3_600.0)?;
+        check_range("retries.ratio", self.retries.ratio, 0.0, 10.0)?;
+        check_range("retries.slack", self.retries.slack, 0.0, 1_000_000.0)?;
+        check_range("retries.window_s", self.retries.window_s, 0.1, 3_600.0)
+    }
+}
+
+fn check_range(place: &'static str, value: f64, least: f64, most: f64) -> Result<(), SettingsError> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError::Range {
+        place,
+        reason: format!("{value} is not between {least} and {most}"),
+    })
+}
--- /dev/null
+++ b/src/exchange/grants.rs
@@ -0,0 +1,406 @@
+//! What this router may spend of each team's prepaid budget.
+//!
+//! A reservation is made in memory from a grant. Grants come from the ledger in the store, where
+//! they count as spent from the moment they are made; what is not needed is given back.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
+
+use super::catalog::Catalog;
+use super::request::{RejectKind, Rejection};
+use crate::core::holder::{Holder, UpdateWish};
+use crate::core::ids::{BudgetId, HolderId};
+use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, WitnessSet};
+use crate::core::policy::{DemandMeter, GrantPolicy, GrantView};
+use crate::core::share::LedgerTotals;
+use crate::core::units::Tokens;
+use crate::util::lock;
+
+/// Longest wait of a request for the ledger: several of its answers, each some milliseconds.
+const LEDGER_WAIT: Duration = Duration::from_millis(250);
+/// Time after which a caller may come back when the ledger cannot be reached.
+const OUT_OF_REACH_RETRY: Duration = Duration::from_millis(1_500);
+/// Time after which a caller may come back when reservations of others may be freed.
+const RESERVED_RETRY: Duration = Duration::from_millis(800);
+/// Age up to which a look at the ledger that found nothing is believed.
+const EMPTY_LEDGER_AGE: Duration = Duration::from_millis(400);
+
+/// One team's grant.
+#[derive(Debug)]
+struct TeamGrant {
+    holder: Holder,
+    demand: DemandMeter,
+    totals: LedgerTotals,
+    paid_tokens: Tokens,
+    /// Largest request that found too little since the last look at the ledger.
+    unmet_tokens: Tokens,
+    /// When the ledger was last seen with this budget.
+    seen: Option<Instant>,
+}
+
+impl TeamGrant {
+    fn new(holder: HolderId, paid_tokens: Tokens) -> Self {
+        Self {
+            holder: Holder::new(holder),
+            demand: DemandMeter::default(),
+            totals: LedgerTotals::default(),
+            paid_tokens,
+            unmet_tokens: Tokens::ZERO,
+            seen: None,
+        }
+    }
+
+    fn view(&self, holders: usize) -> GrantView {
+        let available_tokens = match self.seen {
+            Some(_) => self.paid_tokens - self.totals.charged_tokens,
+            None => self.paid_tokens,
+        };
+        GrantView {
+            available_tokens,
+            others_free_tokens: self.totals.others_free_tokens,
+            paid_tokens: self.paid_tokens,
+            charged_tokens: self.totals.charged_tokens,
+            free_tokens: self.holder.free_tokens(),
+            reserved_tokens: self.holder.reserved_tokens(),
+            demand_tokens_per_s: self.demand.tokens_per_s(),
+            largest_request_tokens: self.demand.largest_tokens(),
+            holder_count: (self.totals.other_count + 1).max(holders as u64),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct GrantState {
+    teams: HashMap<BudgetId, TeamGrant>,
+    generation: Generation,
+    /// Looks at the ledger that failed since the last one that succeeded.
+    failed_looks: u32,
+}
+
+/// All grants of this router.
+#[derive(Debug)]
+pub(crate) struct Grants {
+    holder: HolderId,
+    policy: Box<dyn GrantPolicy>,
+    state: Mutex<GrantState>,
+    wake: Notify,
+    looks: watch::Sender<u64>,
+}
+
+/// Tokens set aside for one request. What was not spent comes back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    grants: Arc<Grants>,
+    budget: BudgetId,
+    reserved_tokens: Tokens,
+    spent_tokens: Tokens,
+}
+
+impl Reservation {
+    /// Says what was spent so far.
+    pub(crate) fn set_spent(&mut self, tokens: Tokens) {
+        self.spent_tokens = tokens;
+    }
+
+    /// What was spent so far.
+    pub(crate) const fn spent_tokens(&self) -> Tokens {
+        self.spent_tokens
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut state = lock(&self.grants.state);
+        if let Some(team) = state.teams.get_mut(&self.budget) {
+            team.holder.settle(self.reserved_tokens, self.spent_tokens);
+            team.demand.note(self.spent_tokens);
+        }
+    }
+}
+
+/// How a reservation found its tokens, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GrantNote {
+    /// Tokens left in this router's grant.
+    pub free_tokens: Tokens,
+    /// Age of the ledger as last seen.
+    pub ledger_age: Option<Duration>,
+}
+
+impl Grants {
+    /// No grants yet.
+    pub(crate) fn new(holder: HolderId, policy: Box<dyn GrantPolicy>) -> Self {
+        Self {
+            holder,
+            policy,
+            state: Mutex::new(GrantState {
+                teams: HashMap::new(),
+                generation: 0,
+                failed_looks: 0,
+            }),
+            wake: Notify::new(),
+            looks: watch::Sender::new(0),
+        }
+    }
+
+    /// This process as the ledger names it.
+    pub(crate) const fn holder(&self) -> HolderId {
+        self.holder
+    }
+
+    /// Takes in the teams and prepaid amounts of newer lists.
+    pub(crate) fn learn_catalog(&self, catalog: &Catalog) {
+        let mut state = lock(&self.state);
+        if catalog.version() <= state.generation {
+            return;
+        }
+        state.generation = catalog.version();
+        for team in catalog.teams() {
+            let Some(paid_tokens) = team.paid_tokens else {
+                continue;
+            };
+            let holder = self.holder;
+            let grant = state
+                .teams
+                .entry(team.budget.clone())
+                .or_insert_with(|| TeamGrant::new(holder, paid_tokens));
+            grant.paid_tokens = paid_tokens;
+        }
+        drop(state);
+        self.wake.notify_one();
+    }
+
+    /// Reserves tokens, asking the ledger for more if the grant is too small.
+    ///
+    /// # Errors
+    ///
+    /// Rejects the request when the budget is used up or cannot be drawn on now.
+    pub(crate) async fn reserve(
+        self: &Arc<Self>,
+        budget: &BudgetId,
+        tokens: Tokens,
+    ) -> Result<Reservation, Rejection> {
+        let give_up = Instant::now() + LEDGER_WAIT;
+        let mut looks = self.looks.subscribe();
+        loop {
+            match self.try_reserve(budget, tokens) {
+                Ok(reservation) => return Ok(reservation),
+                Err(Some(rejection)) => return Err(rejection),
+                Err(None) => {}
+            }
+            self.wake.notify_one();
+            if tokio::time::timeout_at(give_up, looks.changed()).await.is_err() {
+                return self
+                    .try_reserve(budget, tokens)
+                    .map_err(|_| out_of_reach());
+            }
+        }
+    }
+
+    /// Reserves from the present grant. An error without a rejection means: ask the ledger.
+    fn try_reserve(
+        self: &Arc<Self>,
+        budget: &BudgetId,
+        tokens: Tokens,
+    ) -> Result<Reservation, Option<Rejection>> {
+        let mut state = lock(&self.state);
+        let is_cut_off = state.failed_looks > 0;
+        let Some(team) = state.teams.get_mut(budget) else {
+            return Err(Some(out_of_reach()));
+        };
+        if team.holder.reserve(tokens).is_ok() {
+            return Ok(Reservation {
+                grants: Arc::clone(self),
+                budget: budget.clone(),
+                reserved_tokens: tokens,
+                spent_tokens: Tokens::ZERO,
+            });
+        }
+        let is_fresh = team.seen.is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
+        let available_tokens = team.paid_tokens - team.totals.charged_tokens;
+        let free_tokens = team.holder.free_tokens();
+        if is_fresh && available_tokens + free_tokens < tokens {
+            let hidden_tokens = team.totals.others_free_tokens + team.holder.reserved_tokens();
+            if available_tokens + free_tokens + hidden_tokens < tokens {
+                return Err(Some(Rejection::new(RejectKind::BudgetUsed)));
+            }
+            let rejection = Rejection::new(RejectKind::BudgetOutOfReach);
+            return Err(Some(rejection.with_retry_after(RESERVED_RETRY)));
+        }
+        team.unmet_tokens = team.unmet_tokens.max(tokens);
+        if is_cut_off {
+            return Err(Some(out_of_reach()));
+        }
+        Err(None)
+    }
+
+    /// What the log says of a team's grant.
+    pub(crate) fn note(&self, budget: &BudgetId) -> Option<GrantNote> {
+        let state = lock(&self.state);
+        let team = state.teams.get(budget)?;
+        Some(GrantNote {
+            free_tokens: team.holder.free_tokens(),
+            ledger_age: team.seen.map(|seen| seen.elapsed()),
+        })
+    }
+
+    /// Waits until a request needs the ledger.
+    pub(crate) async fn wanted(&self) {
+        self.wake.notified().await;
+    }
+
+    /// Ends an interval of the meters of demand.
+    pub(crate) fn end_interval(&self, interval_ms: u64) {
+        for team in lock(&self.state).teams.values_mut() {
+            team.demand.end_interval(interval_ms);
+        }
+    }
+
+    /// Decides what to ask of the ledger, and tells whether there is anything to ask.
+    pub(crate) fn prepare(&self, holders: usize, is_leaving: bool) -> bool {
+        let mut state = lock(&self.state);
+        let generation = state.generation;
+        let mut is_wanted = false;
+        for team in state.teams.values_mut() {
+            if team.holder.pending().is_some() {
+                is_wanted = true;
+                continue;
+            }
+            let view = team.view(holders);
+            let mut decision = if is_leaving {
+                crate::core::policy::GrantDecision {
+                    draw_tokens: Tokens::ZERO,
+                    return_tokens: view.free_tokens,
+                }
+            } else {
+                let unmet_tokens = team.unmet_tokens;
+                let mut decision = self.policy.decide(&view);
+                if unmet_tokens > view.free_tokens {
+                    let lacking_tokens = unmet_tokens - view.free_tokens;
+                    decision.draw_tokens = decision.draw_tokens.max(lacking_tokens);
+                    decision.return_tokens = Tokens::ZERO;
+                }
+                decision.within_paid(&view)
+            };
+            let is_unread = team.seen.is_none();
+            let is_unmet = team.unmet_tokens > Tokens::ZERO;
+            let is_idle = decision.draw_tokens.is_zero() && decision.return_tokens.is_zero();
+            if is_idle && !is_unmet && (!is_unread || is_leaving) {
+                continue;
+            }
+            if is_unmet {
+                decision.draw_tokens = decision.draw_tokens.max(Tokens::new(1));
+            }
+            team.unmet_tokens = Tokens::ZERO;
+            team.holder.prepare_update(&UpdateWish {
+                generation,
+                paid_tokens: team.paid_tokens,
+                draw_tokens: decision.draw_tokens,
+                return_tokens: decision.return_tokens,
+                witnesses: WitnessSet::default(),
+            });
+            is_wanted = true;
+        }
+        is_wanted
+    }
+
+    /// Puts all pending updates into a copy of the ledger. Returns false when it holds them all.
+    pub(crate) fn apply_to(&self, shard: &mut LedgerShard) -> bool {
+        let mut state = lock(&self.state);
+        let mut is_changed = false;
+        for (budget, team) in &mut state.teams {
+            let Some(update) = team.holder.pending().cloned() else {
+                continue;
+            };
+            let entry = shard.entries.entry(budget.clone()).or_default();
+            is_changed |= self.fold_ended(entry);
+            match entry.apply(&update) {
+                Ok(outcome) => {
+                    is_changed |= outcome == crate::core::ledger::UpdateOutcome::Applied;
+                }
+                Err(_) => {
+                    team.holder.abandon_draw();
+                    if let Some(update) = team.holder.pending() {
+                        is_changed |= entry.apply(update).is_ok();
+                    }
+                }
+            }
+        }
+        is_changed
+    }
+
+    /// Folds rows of processes that ran on this VM before: only one runs at a time.
+    fn fold_ended(&self, entry: &mut BudgetEntry) -> bool {
+        let is_ended = |holder: &&HolderId| {
+            vm_part(**holder) == vm_part(self.holder) && holder.process() != self.holder.process()
+        };
+        let ended: Vec<HolderId> = entry.rows.keys().filter(is_ended).copied().collect();
+        for holder in &ended {
+            entry.fold(*holder);
+        }
+        !ended.is_empty()
+    }
+
+    /// Takes in the ledger as it stands in the store.
+    pub(crate) fn learn_ledger(&self, shard: &LedgerShard) {
+        let mut state = lock(&self.state);
+        state.failed_looks = 0;
+        for (budget, team) in &mut state.teams {
+            team.seen = Some(Instant::now());
+            let Some(entry) = shard.entries.get(budget) else {
+                continue;
+            };
+            if let Some(row) = entry.rows.get(&self.holder) {
+                team.holder.confirm(row);
+            }
+            team.totals = LedgerTotals::of(entry, self.holder);
+        }
+        drop(state);
+        self.looks.send_modify(|count| *count += 1);
+    }
+
+    /// Notes that the ledger could not be reached. Returns how often in a row.
+    pub(crate) fn learn_unreachable(&self) -> u32 {
+        let mut state = lock(&self.state);
+        state.failed_looks = state.failed_looks.saturating_add(1);
+        let count = state.failed_looks;
+        drop(state);
+        self.looks.send_modify(|count| *count += 1);
+        count
+    }
+
+    /// True when nothing is held or pending.
+    pub(crate) fn is_given_back(&self) -> bool {
+        let state = lock(&self.state);
+        let mut teams = state.teams.values();
+        teams.all(|team| team.holder.free_tokens().is_zero() && team.holder.pending().is_none())
+    }
+
+    /// Tokens spent of each budget by this process.
+    pub(crate) fn spent(&self) -> BTreeMap<BudgetId, Tokens> {
+        let state = lock(&self.state);
+        let teams = state.teams.iter();
+        teams
+            .map(|(budget, team)| (budget.clone(), team.holder.spent_tokens()))
+            .collect()
+    }
+}
+
+fn out_of_reach() -> Rejection {
+    Rejection::new(RejectKind::BudgetOutOfReach).with_retry_after(OUT_OF_REACH_RETRY)
+}
+
+/// The part of a holder id that names the VM.
+const fn vm_part(holder: HolderId) -> u64 {
+    holder.get() >> 32
+}
+
+/// The id of a process start on a VM.
+pub(crate) fn holder_on_vm(vm_hash: u64, random: u64) -> HolderId {
+    let vm = vm_hash & 0xffff_ffff;
+    HolderId::from_random((vm << 32) | (random & 0xffff_ffff))
+}
--- /dev/null
+++ b/src/exchange/hellos.rs
@@ -0,0 +1,147 @@
+//! Sends hellos to other routers and takes in theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn, Logger};
+use tokio::net::UdpSocket;
+
+use super::members::{entry_name, Hello, Members, RouterEntry};
+use super::pools::Pools;
+use crate::store::kinds::{Freshness, KindError, KindStore};
+
+/// Kind of the routers' entries.
+const ROUTER_KIND: &str = "routers";
+/// Time between two rounds of hellos.
+const ROUND: Duration = Duration::from_millis(150);
+/// Most hellos sent in one round.
+const HELLOS_PER_ROUND: usize = 12;
+/// Time between two readings of the entries in the store.
+const ENTRIES_INTERVAL: Duration = Duration::from_secs(6);
+/// Pause after a reading that failed.
+const ENTRIES_PAUSE: Duration = Duration::from_millis(500);
+/// Silence after which a router's entry is removed from the store.
+const ENTRY_LIFETIME: Duration = Duration::from_secs(120);
+/// Largest hello.
+const MAX_HELLO_BYTES: usize = 16 * 1024;
+
+/// Whether this router takes requests.
+pub(crate) type IsReady = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// Sends this router's hellos round by round.
+pub(crate) async fn send_hellos(
+    socket: Arc<UdpSocket>,
+    members: Arc<Members>,
+    pools: Arc<Pools>,
+    process: u64,
+    is_ready: IsReady,
+) {
+    let mut sequence = 0;
+    loop {
+        members.drop_silent_loads();
+        sequence += 1;
+        let (receivers, count) = members.next_receivers(HELLOS_PER_ROUND);
+        let rounds = count.div_ceil(HELLOS_PER_ROUND).max(1);
+        let interval = ROUND * u32::try_from(rounds).unwrap_or(u32::MAX);
+        let hello = Hello {
+            entry: members.own().clone(),
+            process,
+            sequence,
+            is_ready: is_ready(),
+            interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
+            loads: pools.told_loads(),
+        };
+        if let Ok(bytes) = postcard::to_allocvec(&hello) {
+            for receiver in receivers {
+                // A lost datagram is made up for by the next round.
+                let _ = socket.try_send_to(&bytes, receiver);
+            }
+        }
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+/// Takes in hellos of other routers.
+pub(crate) async fn receive_hellos(socket: Arc<UdpSocket>, members: Arc<Members>, log: Logger) {
+    let mut buffer = vec![0; MAX_HELLO_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length_bytes, _)) => {
+                if let Ok(hello) = postcard::from_bytes::<Hello>(&buffer[..length_bytes]) {
+                    members.learn_hello(hello);
+                }
+            }
+            Err(error) => {
+                warn!(log, "hello cannot be received"; "reason" => error.to_string());
+                tokio::time::sleep(ROUND).await;
+            }
+        }
+    }
+}
+
+/// Enters this router in the store and reads the other entries again and again.
+pub(crate) async fn keep_entries(store: Arc<dyn KindStore>, members: Arc<Members>, log: Logger) {
+    let mut is_entered = false;
+    loop {
+        if !is_entered {
+            is_entered = enter(&*store, &members, &log).await;
+        }
+        match store.list(ROUTER_KIND, Freshness::Stale).await {
+            Ok(listing) => {
+                let entries: Vec<RouterEntry> = listing
+                    .objects
+                    .iter()
+                    .filter_map(|object| serde_json::from_str(object.value.get()).ok())
+                    .collect();
+                members.learn_entries(entries);
+                remove_silent(&*store, &members, &listing.objects, &log).await;
+                let pause = if is_entered { ENTRIES_INTERVAL } else { ENTRIES_PAUSE };
+                tokio::time::sleep(pause).await;
+            }
+            Err(_) => tokio::time::sleep(ENTRIES_PAUSE).await,
+        }
+    }
+}
+
+async fn enter(store: &dyn KindStore, members: &Members, log: &Logger) -> bool {
+    let name = entry_name(members.own().peer_address);
+    let Ok(value) = serde_json::value::to_raw_value(members.own()) else {
+        return false;
+    };
+    match store.create(ROUTER_KIND, &name, &value).await {
+        Ok(_) | Err(KindError::Conflict(_)) => {
+            info!(log, "router entered"; "entry" => name.as_str());
+            true
+        }
+        Err(error) => {
+            info!(log, "router not entered yet"; "reason" => error.to_string());
+            false
+        }
+    }
+}
+
+async fn remove_silent(
+    store: &dyn KindStore,
+    members: &Members,
+    objects: &[crate::store::kinds::KindObject],
+    log: &Logger,
+) {
+    for address in members.silent_for(ENTRY_LIFETIME) {
+        let name = entry_name(address);
+        let Some(object) = objects.iter().find(|object| object.name == name) else {
+            continue;
+        };
+        if store.remove(ROUTER_KIND, &name, object.revision).await.is_ok() {
+            info!(log, "entry of a silent router removed"; "entry" => name.as_str());
+        }
+    }
+}
+
+/// Takes this router's entry out of the store.
+pub(crate) async fn leave(store: &dyn KindStore, members: &Members) {
+    let name = entry_name(members.own().peer_address);
+    if let Ok(object) = store.get(ROUTER_KIND, &name).await {
+        // An entry that stays is removed by another router once this one is silent.
+        let _ = store.remove(ROUTER_KIND, &name, object.revision).await;
+    }
+}
--- /dev/null
+++ b/src/exchange/ledger_sync.rs
@@ -0,0 +1,213 @@
+//! Carries grants between this router and the ledger in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::value::RawValue;
+use slog::{info, warn, Logger};
+use tokio::time::Instant;
+
+use super::grants::Grants;
+use super::members::Members;
+use crate::core::ledger::LedgerShard;
+use crate::store::kinds::{KindError, KindObject, KindStore, Revision};
+
+/// Kind of the ledger's objects.
+const LEDGER_KIND: &str = "token-ledgers";
+/// Name of the ledger object. One object holds all budgets of a small site.
+const LEDGER_NAME: &str = "all";
+/// Time between two looks at the grants.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two writes of the ledger that no request waits for.
+const REFILL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// First pause after the store gave no answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after the store gave no answer.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// Conflicts in a row after which a write waits for its next turn.
+const MAX_CONFLICTS: u32 = 12;
+
+/// The ledger as this router last saw it.
+#[derive(Debug, Default)]
+struct Seen {
+    shard: LedgerShard,
+    /// None while the object does not exist.
+    revision: Option<Revision>,
+    /// False when the store may hold something else.
+    is_known: bool,
+}
+
+/// Keeps the grants of one router up with the ledger.
+#[derive(Debug)]
+pub(crate) struct LedgerSync {
+    store: Arc<dyn KindStore>,
+    grants: Arc<Grants>,
+    members: Arc<Members>,
+    log: Logger,
+    seen: Seen,
+    last_write: Option<Instant>,
+    is_lost: bool,
+}
+
+impl LedgerSync {
+    /// A sync that has not seen the ledger yet.
+    pub(crate) fn new(
+        store: Arc<dyn KindStore>,
+        grants: Arc<Grants>,
+        members: Arc<Members>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            store,
+            grants,
+            members,
+            log,
+            seen: Seen::default(),
+            last_write: None,
+            is_lost: false,
+        }
+    }
+
+    /// Looks after the grants until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        let mut last_interval = Instant::now();
+        loop {
+            let is_asked = tokio::time::timeout(LOOK_INTERVAL, self.grants.wanted())
+                .await
+                .is_ok();
+            let interval = last_interval.elapsed();
+            if interval >= LOOK_INTERVAL {
+                let interval_ms = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX);
+                self.grants.end_interval(interval_ms);
+                last_interval = Instant::now();
+            }
+            let is_due = self
+                .last_write
+                .is_none_or(|last| last.elapsed() >= REFILL_INTERVAL);
+            if !is_asked && !is_due && !self.is_lost {
+                continue;
+            }
+            if !self.grants.prepare(self.members.known_count(), false) {
+                continue;
+            }
+            self.last_write = Some(Instant::now());
+            match self.sync().await {
+                Ok(()) => {
+                    pause = FIRST_PAUSE;
+                    self.note_reached();
+                }
+                Err(error) => {
+                    self.note_lost(&error);
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Gives back all that is free. Returns true when the ledger has taken it.
+    pub(crate) async fn give_back(&mut self) -> bool {
+        for _ in 0..MAX_CONFLICTS {
+            if !self.grants.prepare(self.members.known_count(), true) {
+                return true;
+            }
+            if self.sync().await.is_err() {
+                tokio::time::sleep(FIRST_PAUSE).await;
+            }
+        }
+        false
+    }
+
+    async fn sync(&mut self) -> Result<(), KindError> {
+        for _ in 0..MAX_CONFLICTS {
+            if !self.seen.is_known {
+                self.read().await?;
+            }
+            let mut next = self.seen.shard.clone();
+            if !self.grants.apply_to(&mut next) {
+                self.grants.learn_ledger(&self.seen.shard);
+                return Ok(());
+            }
+            match self.write(&next).await {
+                Ok(revision) => {
+                    self.seen.shard = next;
+                    self.seen.revision = Some(revision);
+                    self.grants.learn_ledger(&self.seen.shard);
+                    return Ok(());
+                }
+                Err(KindError::Conflict(Some(object))) => self.learn(&object)?,
+                Err(KindError::Conflict(None) | KindError::NotFound) => {
+                    self.seen.is_known = false;
+                }
+                Err(error) => {
+                    self.seen.is_known = false;
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn read(&mut self) -> Result<(), KindError> {
+        match self.store.get(LEDGER_KIND, LEDGER_NAME).await {
+            Ok(object) => self.learn(&object),
+            Err(KindError::NotFound) => {
+                self.seen = Seen {
+                    is_known: true,
+                    ..Seen::default()
+                };
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn learn(&mut self, object: &KindObject) -> Result<(), KindError> {
+        let shard = serde_json::from_str(object.value.get()).map_err(|error| {
+            let reason = compact_str::format_compact!("ledger: {error}");
+            KindError::Decode { reason }
+        })?;
+        self.seen = Seen {
+            shard,
+            revision: Some(object.revision),
+            is_known: true,
+        };
+        Ok(())
+    }
+
+    async fn write(&self, shard: &LedgerShard) -> Result<Revision, KindError> {
+        let text = serde_json::to_string(shard).map_err(decode_error)?;
+        let value = RawValue::from_string(text).map_err(decode_error)?;
+        match self.seen.revision {
+            Some(revision) => {
+                self.store
+                    .replace(LEDGER_KIND, LEDGER_NAME, &value, revision)
+                    .await
+            }
+            None => self.store.create(LEDGER_KIND, LEDGER_NAME, &value).await,
+        }
+    }
+
+    fn note_reached(&mut self) {
+        if self.is_lost {
+            self.is_lost = false;
+            info!(self.log, "ledger regained"; "revision" => self.seen.revision);
+        }
+    }
+
+    fn note_lost(&mut self, error: &KindError) {
+        self.grants.learn_unreachable();
+        if !self.is_lost {
+            self.is_lost = true;
+            warn!(self.log, "ledger lost"; "reason" => error.to_string(),
+                "revision" => self.seen.revision);
+        }
+    }
+}
+
+fn decode_error(error: impl std::fmt::Display) -> KindError {
+    KindError::Decode {
+        reason: compact_str::format_compact!("{error}"),
+    }
+}
--- /dev/null
+++ b/src/exchange/members.rs
@@ -0,0 +1,292 @@
+//! The routers of the fleet as this one sees them: a hint for callers and for choices, never what
+//! safety rests on.
+//!
+//! Routers enter themselves in the store once. From then on they tell one another, by datagrams,
+//! that they are there and what work they have at each replica.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::core::ids::FailureDomain;
+use crate::core::placement::ReplicaLoad;
+use crate::util::lock;
+
+/// Silence after which a router counts as gone, in multiples of the time between its hellos.
+const SILENT_HELLOS: u32 = 5;
+/// Least number of routers that callers are told while there are that many.
+const LEAST_ADDRESSES: usize = 2;
+/// Most routers that callers are told.
+const MOST_ADDRESSES: usize = 16;
+/// Tokens in one unit of a hello's unread work.
+const UNREAD_UNIT_TOKENS: u64 = 64;
+
+/// A router's entry in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RouterEntry {
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where other routers send hellos.
+    pub peer_address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+}
+
+/// Work at one replica, as told in a hello.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ToldLoad {
+    /// Short digest of the replica's id.
+    pub replica: u32,
+    /// Requests there.
+    pub requests: u16,
+    /// Prompt tokens to be read there, in units of 64.
+    pub unread_units: u16,
+}
+
+impl ToldLoad {
+    /// The load of a replica by its digest.
+    pub(crate) fn new(replica: u32, load: ReplicaLoad) -> Self {
+        let unread_units = load.unread_tokens.div_ceil(UNREAD_UNIT_TOKENS);
+        Self {
+            replica,
+            requests: u16::try_from(load.requests).unwrap_or(u16::MAX),
+            unread_units: u16::try_from(unread_units).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn load(self) -> ReplicaLoad {
+        ReplicaLoad {
+            requests: u32::from(self.requests),
+            unread_tokens: u64::from(self.unread_units) * UNREAD_UNIT_TOKENS,
+        }
+    }
+}
+
+/// What a router tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Hello {
+    /// Who says it, as entered in the store.
+    pub entry: RouterEntry,
+    /// Start of its process, as a random number.
+    pub process: u64,
+    /// Rises with each hello of a process.
+    pub sequence: u64,
+    /// True when it takes requests.
+    pub is_ready: bool,
+    /// Time until its next hello to the same router, in milliseconds.
+    pub interval_ms: u32,
+    /// Its work at each replica that has some.
+    pub loads: Vec<ToldLoad>,
+}
+
+#[derive(Debug)]
+struct Member {
+    entry: RouterEntry,
+    heard: Option<Heard>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    process: u64,
+    sequence: u64,
+    is_ready: bool,
+    interval: Duration,
+    loads: Vec<ToldLoad>,
+}
+
+impl Heard {
+    fn is_alive(&self) -> bool {
+        self.at.elapsed() < self.interval * SILENT_HELLOS
+    }
+}
+
+#[derive(Debug, Default)]
+struct Others {
+    members: HashMap<SocketAddr, Member>,
+    loads: HashMap<u32, ReplicaLoad>,
+    turn: usize,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub(crate) struct Members {
+    own: RouterEntry,
+    started: Instant,
+    others: Mutex<Others>,
+}
+
+impl Members {
+    /// A fleet of one.
+    pub(crate) fn new(own: RouterEntry) -> Self {
+        Self {
+            own,
+            started: Instant::now(),
+            others: Mutex::default(),
+        }
+    }
+
+    /// This router's entry.
+    pub(crate) const fn own(&self) -> &RouterEntry {
+        &self.own
+    }
+
+    /// Takes in the entries in the store.
+    pub(crate) fn learn_entries(&self, entries: Vec<RouterEntry>) {
+        let mut others = lock(&self.others);
+        let known: Vec<SocketAddr> = entries.iter().map(|entry| entry.peer_address).collect();
+        others.members.retain(|address, member| {
+            known.contains(address) || member.heard.as_ref().is_some_and(Heard::is_alive)
+        });
+        for entry in entries {
+            if entry.peer_address == self.own.peer_address {
+                continue;
+            }
+            let member = others.members.entry(entry.peer_address);
+            member.or_insert(Member { entry, heard: None });
+        }
+    }
+
+    /// Takes in a hello. Returns false when it is older than one heard before.
+    pub(crate) fn learn_hello(&self, hello: Hello) -> bool {
+        if hello.entry.peer_address == self.own.peer_address {
+            return false;
+        }
+        let mut others = lock(&self.others);
+        let others = &mut *others;
+        let member = others
+            .members
+            .entry(hello.entry.peer_address)
+            .or_insert_with(|| Member {
+                entry: hello.entry.clone(),
+                heard: None,
+            });
+        if let Some(heard) = &member.heard {
+            if heard.process == hello.process && heard.sequence >= hello.sequence {
+                return false;
+            }
+            subtract(&mut others.loads, &heard.loads);
+        }
+        for told in &hello.loads {
+            let sum = others.loads.entry(told.replica).or_default();
+            let load = told.load();
+            sum.requests += load.requests;
+            sum.unread_tokens += load.unread_tokens;
+        }
+        member.entry = hello.entry;
+        member.heard = Some(Heard {
+            at: Instant::now(),
+            process: hello.process,
+            sequence: hello.sequence,
+            is_ready: hello.is_ready,
+            interval: Duration::from_millis(u64::from(hello.interval_ms)),
+            loads: hello.loads,
+        });
+        true
+    }
+
+    /// Forgets the work of routers that fell silent.
+    pub(crate) fn drop_silent_loads(&self) {
+        let mut others = lock(&self.others);
+        let others = &mut *others;
+        for member in others.members.values_mut() {
+            if let Some(heard) = member.heard.as_mut().filter(|heard| !heard.is_alive()) {
+                subtract(&mut others.loads, &std::mem::take(&mut heard.loads));
+            }
+        }
+    }
+
+    /// Work of the other routers at a replica.
+    pub(crate) fn others_load(&self, replica: u32) -> ReplicaLoad {
+        let others = lock(&self.others);
+        others.loads.get(&replica).copied().unwrap_or_default()
+    }
+
+    /// Routers known, this one included.
+    pub(crate) fn known_count(&self) -> usize {
+        lock(&self.others).members.len() + 1
+    }
+
+    /// The next routers to send a hello to, in turn, and the number of all.
+    pub(crate) fn next_receivers(&self, most: usize) -> (Vec<SocketAddr>, usize) {
+        let mut others = lock(&self.others);
+        let mut addresses: Vec<SocketAddr> = others.members.keys().copied().collect();
+        addresses.sort_unstable();
+        let count = addresses.len();
+        if count > most {
+            let start = others.turn % count;
+            addresses.rotate_left(start);
+            addresses.truncate(most);
+            others.turn = (start + most) % count;
+        }
+        (addresses, count)
+    }
+
+    /// Addresses of routers that entries exist for but that were silent for long.
+    pub(crate) fn silent_for(&self, time: Duration) -> Vec<SocketAddr> {
+        if self.started.elapsed() < time {
+            return Vec::new();
+        }
+        let others = lock(&self.others);
+        let silent = others.members.values().filter(|member| {
+            member
+                .heard
+                .as_ref()
+                .is_none_or(|heard| heard.at.elapsed() > time)
+        });
+        silent.map(|member| member.entry.peer_address).collect()
+    }
+
+    /// Addresses for a caller in a failure domain, its own domain first.
+    ///
+    /// When this router hears nobody, it is probably itself that is cut off, so it goes on naming
+    /// the routers that it knows.
+    pub(crate) fn addresses_for(&self, domain: &str, is_own_ready: bool) -> Vec<SocketAddr> {
+        let others = lock(&self.others);
+        let known: Vec<&Member> = others.members.values().collect();
+        let is_alive = |member: &&&Member| {
+            let heard = member.heard.as_ref();
+            heard.is_some_and(|heard| heard.is_alive() && heard.is_ready)
+        };
+        let alive: Vec<&Member> = known.iter().filter(is_alive).copied().collect();
+        let hears_nobody = alive.is_empty() && self.started.elapsed() > Duration::from_secs(3);
+        let usable = if hears_nobody { known } else { alive };
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        let own = is_own_ready.then_some(&self.own);
+        for entry in usable.iter().map(|member| &member.entry).chain(own) {
+            if entry.failure_domain.as_str() == domain {
+                near.push(entry.callers_address);
+            } else {
+                far.push(entry.callers_address);
+            }
+        }
+        near.sort_unstable();
+        far.sort_unstable();
+        if near.len() < LEAST_ADDRESSES {
+            near.extend(far);
+        }
+        near.truncate(MOST_ADDRESSES);
+        near
+    }
+}
+
+fn subtract(sums: &mut HashMap<u32, ReplicaLoad>, loads: &[ToldLoad]) {
+    for told in loads {
+        if let Some(sum) = sums.get_mut(&told.replica) {
+            let load = told.load();
+            sum.requests = sum.requests.saturating_sub(load.requests);
+            sum.unread_tokens = sum.unread_tokens.saturating_sub(load.unread_tokens);
+        }
+    }
+}
+
+/// Name of a router's entry in the store.
+pub(crate) fn entry_name(address: SocketAddr) -> CompactString {
+    compact_str::format_compact!("{}-{}", address.ip(), address.port())
+}
--- /dev/null
+++ b/src/exchange/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and latency histograms of the exchange.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// Metrics of one router.
+#[derive(Debug)]
+pub(crate) struct ExchangeMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    repeats: IntCounter,
+    latency: Histogram,
+    first_event: Histogram,
+    store_calls: IntCounterVec,
+    replicas: IntGaugeVec,
+    dropped_logs: IntCounter,
+}
+
+impl ExchangeMetrics {
+    /// Sets up the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics share a name.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("currantlever_exchanges", "Requests by outcome"),
+            &["outcome"],
+        )?;
+        let repeats = IntCounter::new("currantlever_repeats", "Requests sent to another replica")?;
+        let latency = Histogram::with_opts(
+            HistogramOpts::new("currantlever_exchange_seconds", "Time to the end")
+                .buckets(LATENCY_BOUNDS_S.to_vec()),
+        )?;
+        let first_event = Histogram::with_opts(
+            HistogramOpts::new("currantlever_first_event_seconds", "Time to the first event")
+                .buckets(LATENCY_BOUNDS_S.to_vec()),
+        )?;
+        let store_calls = IntCounterVec::new(
+            Opts::new("currantlever_store_calls", "Calls to the store by result"),
+            &["result"],
+        )?;
+        let replicas = IntGaugeVec::new(
+            Opts::new("currantlever_replicas", "Replicas by pool and state"),
+            &["pool", "state"],
+        )?;
+        let dropped_logs = IntCounter::new("currantlever_dropped_logs", "Log lines dropped")?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(repeats.clone()))?;
+        registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(first_event.clone()))?;
+        registry.register(Box::new(store_calls.clone()))?;
+        registry.register(Box::new(replicas.clone()))?;
+        registry.register(Box::new(dropped_logs.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            repeats,
+            latency,
+            first_event,
+            store_calls,
+            replicas,
+            dropped_logs,
+        })
+    }
+
+    /// Counts an ended request.
+    pub(crate) fn note_request(&self, outcome: &str, elapsed: Duration, tries: u32) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.latency.observe(elapsed.as_secs_f64());
+        self.repeats.inc_by(u64::from(tries.saturating_sub(1)));
+    }
+
+    /// Notes a time to the first event.
+    pub(crate) fn note_first_event(&self, time: Duration) {
+        self.first_event.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn note_store_call(&self, result: &str) {
+        self.store_calls.with_label_values(&[result]).inc();
+    }
+
+    /// Counts log lines that were dropped.
+    pub(crate) fn note_dropped_logs(&self, count: u64) {
+        self.dropped_logs.inc_by(count);
+    }
+
+    /// Sets the number of replicas of a pool.
+    pub(crate) fn set_replicas(&self, pool: &str, in_service: usize, all: usize) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let in_service_gauge = self.replicas.with_label_values(&[pool, "in_service"]);
+        in_service_gauge.set(gauge(in_service));
+        self.replicas
+            .with_label_values(&[pool, "listed"])
+            .set(gauge(all));
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding into memory fails only for metrics without a name.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/src/exchange/pools.rs
@@ -0,0 +1,382 @@
+//! The replicas of all pools, this router's work there, and the choice among them.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use compact_str::CompactString;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use tokio::time::Instant;
+
+use super::catalog::{Catalog, EngineRules};
+use super::members::{Members, ToldLoad};
+use super::request::ReplicaAddress;
+use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish};
+use crate::core::retry_share::{RetryRule, RetryShare};
+use crate::util::{lock, stable_hash};
+
+/// Connections to a replica that a router may always hold, however large the fleet.
+const LEAST_CONNECTIONS: u32 = 4;
+/// Slots assumed for a replica whose entry names none.
+const DEFAULT_SLOTS: u32 = 1;
+
+/// A replica's entry in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ReplicaEntry {
+    /// Its name.
+    pub id: ReplicaId,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Requests that it works on at once.
+    pub slots: Option<u32>,
+    /// True when it is about to leave.
+    pub is_draining: bool,
+    /// Start of this incarnation, in milliseconds since the Unix epoch.
+    pub born_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Replica {
+    address: SocketAddr,
+    digest: u32,
+    born_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    places: Vec<Place>,
+    replicas: Vec<Replica>,
+    connection_limit: u32,
+    engine: Option<EngineRules>,
+    retries: Option<RetryShare>,
+}
+
+impl Pool {
+    fn index_of(&self, id: &ReplicaId) -> Option<usize> {
+        self.places.iter().position(|place| place.id == *id)
+    }
+
+    fn drop_place(&mut self, index: usize) {
+        self.places.swap_remove(index);
+        self.replicas.swap_remove(index);
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    pools: HashMap<PoolId, Pool>,
+    rng: SmallRng,
+}
+
+/// A replica chosen for one try. Its work is taken off the replica when this is dropped.
+#[derive(Debug)]
+pub(crate) struct ChosenReplica {
+    pools: Arc<Pools>,
+    pool: PoolId,
+    /// The replica.
+    pub replica: ReplicaAddress,
+    unread_tokens: u64,
+}
+
+impl ChosenReplica {
+    /// Notes that the first token has come, so that the prompt is read.
+    pub(crate) fn note_first_token(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        self.pools.with_place(&self.pool, &self.replica.id, |place, _| {
+            place.own.read(unread_tokens);
+        });
+    }
+
+    /// Notes that the replica answered.
+    pub(crate) fn learn_success(&self) {
+        self.pools
+            .with_place(&self.pool, &self.replica.id, |place, _| place.learn_success());
+    }
+
+    /// Notes that the replica failed the request.
+    pub(crate) fn learn_failure(&self) {
+        self.pools
+            .with_place(&self.pool, &self.replica.id, Place::learn_failure);
+    }
+
+    /// Notes that the replica takes no connections.
+    pub(crate) fn learn_unreachable(&self) {
+        self.pools
+            .with_place(&self.pool, &self.replica.id, Place::learn_unreachable);
+    }
+
+    /// Prompt tokens that the replica probably has to read.
+    pub(crate) const fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
+    }
+}
+
+impl Drop for ChosenReplica {
+    fn drop(&mut self) {
+        let unread_tokens = self.unread_tokens;
+        self.pools.with_place(&self.pool, &self.replica.id, |place, _| {
+            place.own.read(unread_tokens);
+            place.own.remove();
+        });
+    }
+}
+
+/// What came of the search for a replica.
+#[derive(Debug)]
+pub(crate) enum Search {
+    /// This one.
+    Found(ChosenReplica),
+    /// All are full.
+    Full,
+    /// None is in service.
+    Nobody,
+}
+
+/// What a request wants of a replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplicaWish<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// Replicas that were tried already.
+    pub avoid: &'a [ReplicaId],
+    /// Rank, 0 first.
+    pub rank: u32,
+    /// The prompt, if it has one.
+    pub prompt: Option<PromptWish>,
+}
+
+/// The replicas of all pools.
+#[derive(Debug)]
+pub(crate) struct Pools {
+    failure_domain: FailureDomain,
+    members: Arc<Members>,
+    retry_rule: RetryRule,
+    started: Instant,
+    state: Mutex<State>,
+}
+
+impl Pools {
+    /// No replicas yet.
+    pub(crate) fn new(
+        failure_domain: FailureDomain,
+        members: Arc<Members>,
+        retry_rule: RetryRule,
+        seed: u64,
+    ) -> Self {
+        Self {
+            failure_domain,
+            members,
+            retry_rule,
+            started: Instant::now(),
+            state: Mutex::new(State {
+                pools: HashMap::new(),
+                rng: SmallRng::seed_from_u64(seed),
+            }),
+        }
+    }
+
+    /// Takes in the pools' rules.
+    pub(crate) fn learn_catalog(&self, catalog: &Catalog) {
+        let mut state = lock(&self.state);
+        for (id, rules) in catalog.pools() {
+            let pool = state.pools.entry(id.clone()).or_default();
+            pool.connection_limit = rules.connection_limit;
+            pool.engine.clone_from(&rules.engine);
+        }
+    }
+
+    /// Takes in a replica's entry. Returns true when it changed something.
+    pub(crate) fn learn_replica(&self, entry: &ReplicaEntry) -> bool {
+        let mut state = lock(&self.state);
+        let state = &mut *state;
+        let moved = state
+            .pools
+            .iter_mut()
+            .filter(|(id, _)| **id != entry.pool)
+            .find_map(|(_, pool)| pool.index_of(&entry.id).map(|index| (pool, index)));
+        if let Some((pool, index)) = moved {
+            pool.drop_place(index);
+        }
+        let pool = state.pools.entry(entry.pool.clone()).or_default();
+        let slots = entry.slots.unwrap_or(DEFAULT_SLOTS);
+        if let Some(index) = pool.index_of(&entry.id) {
+            let is_reborn = pool.replicas[index].born_ms != entry.born_ms;
+            if !is_reborn {
+                let place = &mut pool.places[index];
+                // A leaving replica does not come back in the same incarnation.
+                let is_changed = entry.is_draining && !place.is_leaving;
+                place.is_leaving |= entry.is_draining;
+                place.slots = slots;
+                return is_changed;
+            }
+            pool.drop_place(index);
+        }
+        let mut place = Place::new(entry.id.clone(), entry.failure_domain.clone(), slots);
+        place.is_leaving = entry.is_draining;
+        pool.places.push(place);
+        pool.replicas.push(Replica {
+            address: entry.address,
+            digest: digest_of(&entry.id),
+            born_ms: entry.born_ms,
+        });
+        true
+    }
+
+    /// Removes a replica. Returns true when it was known.
+    pub(crate) fn forget_replica(&self, id: &ReplicaId) -> bool {
+        let mut state = lock(&self.state);
+        let known = state
+            .pools
+            .values_mut()
+            .find_map(|pool| pool.index_of(id).map(|index| (pool, index)));
+        let Some((pool, index)) = known else {
+            return false;
+        };
+        pool.drop_place(index);
+        true
+    }
+
+    /// Removes all replicas but the listed ones. Returns those removed.
+    pub(crate) fn retain_replicas(&self, listed: &HashSet<ReplicaId>) -> Vec<ReplicaId> {
+        let known: Vec<ReplicaId> = {
+            let state = lock(&self.state);
+            let places = state.pools.values().flat_map(|pool| &pool.places);
+            places.map(|place| place.id.clone()).collect()
+        };
+        let gone: Vec<ReplicaId> = known.into_iter().filter(|id| !listed.contains(id)).collect();
+        for id in &gone {
+            self.forget_replica(id);
+        }
+        gone
+    }
+
+    /// Chooses a replica and counts the request as work there.
+    pub(crate) fn choose(self: &Arc<Self>, wish: &ReplicaWish<'_>) -> Search {
+        let now_ms = self.now_ms();
+        let routers = u32::try_from(self.members.known_count()).unwrap_or(u32::MAX);
+        let mut state = lock(&self.state);
+        let state = &mut *state;
+        let Some(pool) = state.pools.get_mut(wish.pool) else {
+            return Search::Nobody;
+        };
+        for (place, replica) in pool.places.iter_mut().zip(&pool.replicas) {
+            place.others = self.members.others_load(replica.digest);
+        }
+        let place_wish = PlaceWish {
+            now_ms,
+            failure_domain: &self.failure_domain,
+            avoid: wish.avoid,
+            rank: wish.rank,
+            prompt: wish.prompt.filter(|_| pool.engine.is_some()),
+        };
+        match choose_place(&mut pool.places, &place_wish, &mut state.rng) {
+            Choice::Place {
+                index,
+                unread_tokens,
+            } => {
+                let place = &mut pool.places[index];
+                place.own.add(unread_tokens);
+                let share = (pool.connection_limit / routers).max(LEAST_CONNECTIONS);
+                Search::Found(ChosenReplica {
+                    pools: Arc::clone(self),
+                    pool: wish.pool.clone(),
+                    replica: ReplicaAddress {
+                        id: place.id.clone(),
+                        address: pool.replicas[index].address,
+                        connection_limit: share as usize,
+                    },
+                    unread_tokens,
+                })
+            }
+            Choice::Full => Search::Full,
+            Choice::Nobody => Search::Nobody,
+        }
+    }
+
+    /// Counts a request for a pool, which earns repeats.
+    pub(crate) fn note_request(&self, pool: &PoolId) {
+        let now_ms = self.now_ms();
+        self.with_retries(pool, |retries| retries.note_request(now_ms));
+    }
+
+    /// Takes one repeat out of this router's share for a pool.
+    pub(crate) fn try_repeat(&self, pool: &PoolId) -> bool {
+        let now_ms = self.now_ms();
+        let routers = self.members.known_count();
+        self.with_retries(pool, |retries| retries.try_repeat(now_ms, routers))
+    }
+
+    /// Tokens that one event of a pool's streams holds.
+    pub(crate) fn event_tokens(&self, pool: &PoolId) -> u64 {
+        let state = lock(&self.state);
+        let pool = state.pools.get(pool);
+        let engine = pool.and_then(|pool| pool.engine.as_ref());
+        engine.map_or(1, |engine| engine.event_tokens)
+    }
+
+    /// This router's work, for hellos.
+    pub(crate) fn told_loads(&self) -> Vec<ToldLoad> {
+        let state = lock(&self.state);
+        let mut told = Vec::new();
+        for pool in state.pools.values() {
+            for (place, replica) in pool.places.iter().zip(&pool.replicas) {
+                if place.own.requests > 0 {
+                    told.push(ToldLoad::new(replica.digest, place.own));
+                }
+            }
+        }
+        told
+    }
+
+    /// Replicas in service and all, by pool, for the metrics.
+    pub(crate) fn counts(&self) -> Vec<(CompactString, usize, usize)> {
+        let state = lock(&self.state);
+        let pools = state.pools.iter();
+        pools
+            .map(|(id, pool)| {
+                let in_service = pool.places.iter().filter(|place| !place.is_leaving);
+                (id.as_str().into(), in_service.count(), pool.places.len())
+            })
+            .collect()
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn with_place<F>(&self, pool: &PoolId, id: &ReplicaId, action: F)
+    where
+        F: FnOnce(&mut Place, u64),
+    {
+        let now_ms = self.now_ms();
+        let mut state = lock(&self.state);
+        if let Some(pool) = state.pools.get_mut(pool) {
+            if let Some(index) = pool.index_of(id) {
+                action(&mut pool.places[index], now_ms);
+            }
+        }
+    }
+
+    fn with_retries<F, T>(&self, pool: &PoolId, action: F) -> T
+    where
+        F: FnOnce(&mut RetryShare) -> T,
+    {
+        let rule = self.retry_rule;
+        let mut state = lock(&self.state);
+        let pool = state.pools.entry(pool.clone()).or_default();
+        // Slack grows from the start of the process, not from the first request of a pool.
+        action(pool.retries.get_or_insert_with(|| RetryShare::new(rule, 0)))
+    }
+}
+
+/// Short digest of a replica's id, as hellos carry it.
+#[allow(clippy::cast_possible_truncation, reason = "a digest")]
+fn digest_of(id: &ReplicaId) -> u32 {
+    stable_hash(&[id.as_str()]) as u32
+}
--- a/src/fakes/platform.rs
+++ b/src/fakes/platform.rs
@@ -14,8 +14,8 @@
 use rocket::{get, put, routes, State};
 
 use crate::http_server::{server_config, HttpServer, StartError};
-use crate::platform::memory::MemoryStore;
-use crate::platform::{Expected, Object, ObjectKey, ObjectStore, StoreError, MAX_VALUE_BYTES};
+use crate::store::memory::MemoryStore;
+use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError, MAX_VALUE_BYTES};
 use crate::vm_list::VmRecord;
 
 /// The VM list of the stand-in, shared with the test that edits it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,11 +12,15 @@
 pub mod cmd;
 mod core;
 mod daemon;
+mod entry;
+mod entry_settings;
+mod exchange;
 pub mod fakes;
 mod http_server;
 mod lists;
 mod peer;
 mod platform;
+mod store;
 mod router;
 #[rustfmt::skip]
 #[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
@@ -40,15 +44,18 @@
 };
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
+pub use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish, ReplicaLoad};
 pub use crate::core::retry_budget::RetryBudget;
+pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
 pub use crate::core::suspects::{PlaceVerdict, SuspectPlaces, SuspectRun};
 pub use crate::core::units::Tokens;
 pub use crate::core::witness::{Witness, WitnessRecord};
 pub use crate::daemon::{Daemon, DaemonError};
+pub use crate::entry_settings::{EntrySettings, RetrySettings};
 pub use crate::lists::{find_faults, parse_list, Fault, ListName, PlansList, UsageList};
-pub use crate::platform::memory::{MemoryStore, StoreCounts, StoreFaults};
-pub use crate::platform::{Expected, Object, ObjectKey, ObjectStore, StoreError};
+pub use crate::store::memory::{MemoryStore, StoreCounts, StoreFaults};
+pub use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError};
 pub use crate::router::billing::settle_all;
 pub use crate::router::ledger_client::LedgerClient;
 pub use crate::router::refusal::{ErrorBody, RefusalKind, RunState};
--- /dev/null
+++ b/src/platform/objects.rs
@@ -0,0 +1,323 @@
+//! The client of the platform's store of objects.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::transport::connect;
+use crate::exchange::metrics::ExchangeMetrics;
+use crate::store::kinds::{
+    Change, Changes, Freshness, KindError, KindObject, KindStore, Listing, Revision,
+};
+use crate::util::lock;
+
+/// Longest wait for an answer. A store that is only slow answers within a quarter of a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time beyond its own wait after which a watch counts as lost.
+const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without acknowledgement after which a connection counts as lost. Watches wait in
+/// silence, so probes have to find out.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Idle connections kept.
+const MAX_IDLE: usize = 4;
+
+#[derive(Debug, Deserialize)]
+struct WireMetadata {
+    name: CompactString,
+    revision: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireObject {
+    metadata: WireMetadata,
+    #[serde(default)]
+    spec: Option<Box<RawValue>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireListing {
+    items: Vec<WireObject>,
+    has_more: bool,
+    current_rev: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireEvent {
+    removed: bool,
+    object: WireObject,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireEvents {
+    events: Vec<WireEvent>,
+    current_rev: Revision,
+}
+
+#[derive(Debug, Serialize)]
+struct OutMetadata<'a> {
+    name: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    finalizers: [&'a str; 0],
+}
+
+#[derive(Debug, Serialize)]
+struct OutObject<'a> {
+    metadata: OutMetadata<'a>,
+    spec: &'a RawValue,
+}
+
+impl From<WireObject> for KindObject {
+    fn from(wire: WireObject) -> Self {
+        Self {
+            name: wire.metadata.name,
+            revision: wire.metadata.revision,
+            value: wire.spec.unwrap_or_else(|| RawValue::NULL.to_owned()),
+        }
+    }
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// The platform's store.
+#[derive(Debug)]
+pub(crate) struct PlatformStore {
+    address: SocketAddr,
+    metrics: Arc<ExchangeMetrics>,
+    idle: Mutex<Vec<Sender>>,
+}
+
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl PlatformStore {
+    /// A client of the store at an address.
+    pub(crate) fn new(address: SocketAddr, metrics: Arc<ExchangeMetrics>) -> Self {
+        Self {
+            address,
+            metrics,
+            idle: Mutex::default(),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        wait: Duration,
+    ) -> Result<Answer, KindError> {
+        let result = tokio::time::timeout(wait, self.exchange(method, path, body)).await;
+        let result = result.unwrap_or_else(|_| Err(no_answer("timed out")));
+        let label = match &result {
+            Ok(answer) => CompactString::from(answer.status.as_str()),
+            Err(_) => "no_answer".into(),
+        };
+        self.metrics.note_store_call(&label);
+        result
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Answer, KindError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string());
+        if body.is_some() {
+            request = request.header("content-type", "application/json");
+        }
+        let body = Full::new(Bytes::from(body.unwrap_or_default()));
+        let request = request.body(body).map_err(no_answer)?;
+        let mut sender = self.sender().await?;
+        let response = sender.send_request(request).await.map_err(no_answer)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(no_answer)?;
+        let mut idle = lock(&self.idle);
+        if idle.len() < MAX_IDLE {
+            idle.push(sender);
+        }
+        Ok(Answer {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+
+    async fn sender(&self) -> Result<Sender, KindError> {
+        loop {
+            let Some(mut sender) = lock(&self.idle).pop() else {
+                break;
+            };
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let stream = connect(self.address, CONNECT_TIMEOUT, SILENCE_LIMIT)
+            .await
+            .map_err(no_answer)?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(stream)
+            .await
+            .map_err(no_answer)?;
+        // The calls on the connection see its errors.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Bytes, KindError> {
+        let answer = self.call(method, path, body, CALL_TIMEOUT).await?;
+        check(answer)
+    }
+}
+
+/// Turns a status that is not a success into an error.
+fn check(answer: Answer) -> Result<Bytes, KindError> {
+    match answer.status.as_u16() {
+        200..=299 => Ok(answer.body),
+        404 => Err(KindError::NotFound),
+        409 => {
+            let object = serde_json::from_slice::<WireObject>(&answer.body).ok();
+            Err(KindError::Conflict(object.map(|object| Box::new(object.into()))))
+        }
+        410 => Err(KindError::HistoryGone),
+        status => Err(KindError::Busy { status }),
+    }
+}
+
+fn no_answer(error: impl std::fmt::Display) -> KindError {
+    KindError::NoAnswer {
+        reason: compact_str::format_compact!("{error}"),
+    }
+}
+
+fn decode<'a, T>(body: &'a [u8]) -> Result<T, KindError>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(body).map_err(|error| KindError::Decode {
+        reason: compact_str::format_compact!("{error}"),
+    })
+}
+
+fn object_body(
+    name: &str,
+    value: &RawValue,
+    revision: Option<Revision>,
+) -> Result<Vec<u8>, KindError> {
+    let object = OutObject {
+        metadata: OutMetadata {
+            name,
+            revision,
+            finalizers: [],
+        },
+        spec: value,
+    };
+    serde_json::to_vec(&object).map_err(|error| KindError::Decode {
+        reason: compact_str::format_compact!("{error}"),
+    })
+}
+
+#[async_trait]
+impl KindStore for PlatformStore {
+    async fn list(&self, kind: &str, freshness: Freshness) -> Result<Listing, KindError> {
+        let mut listing = Listing::default();
+        loop {
+            let mut path = format!("/objects/{kind}");
+            let mut separator = '?';
+            if freshness == Freshness::Stale {
+                path.push_str("?serializable=1");
+                separator = '&';
+            }
+            if let Some(last) = listing.objects.last() {
+                path.push_str(&format!("{separator}after={}", last.name));
+            }
+            let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
+            let page: WireListing = decode(&check(answer)?)?;
+            // Changes between two pages come again in the watch.
+            if listing.objects.is_empty() {
+                listing.revision = page.current_rev;
+            }
+            let is_last = !page.has_more || page.items.is_empty();
+            listing.objects.extend(page.items.into_iter().map(KindObject::from));
+            if is_last {
+                return Ok(listing);
+            }
+        }
+    }
+
+    async fn watch(
+        &self,
+        kind: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, KindError> {
+        let path = format!("/objects/{kind}?watch={after}&wait_ms={}", wait.as_millis());
+        let answer = self.call(Method::GET, &path, None, wait + WATCH_MARGIN).await?;
+        let events: WireEvents = decode(&check(answer)?)?;
+        let changes = events.events.into_iter().map(|event| Change {
+            object: event.object.into(),
+            is_removed: event.removed,
+        });
+        Ok(Changes {
+            changes: changes.collect(),
+            revision: events.current_rev,
+        })
+    }
+
+    async fn get(&self, kind: &str, name: &str) -> Result<KindObject, KindError> {
+        let path = format!("/objects/{kind}/{name}");
+        let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
+        Ok(decode::<WireObject>(&check(answer)?)?.into())
+    }
+
+    async fn create(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &RawValue,
+    ) -> Result<Revision, KindError> {
+        let body = object_body(name, value, None)?;
+        let body = self.write(Method::POST, &format!("/objects/{kind}"), Some(body)).await?;
+        Ok(decode::<WireObject>(&body)?.metadata.revision)
+    }
+
+    async fn replace(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &RawValue,
+        expected: Revision,
+    ) -> Result<Revision, KindError> {
+        let body = object_body(name, value, Some(expected))?;
+        let path = format!("/objects/{kind}/{name}");
+        let body = self.write(Method::PUT, &path, Some(body)).await?;
+        Ok(decode::<WireObject>(&body)?.metadata.revision)
+    }
+
+    async fn remove(&self, kind: &str, name: &str, expected: Revision) -> Result<(), KindError> {
+        let path = format!("/objects/{kind}/{name}?revision={expected}");
+        self.write(Method::DELETE, &path, None).await.map(drop)
+    }
+}
--- /dev/null
+++ b/src/platform/replica_entry.rs
@@ -0,0 +1,43 @@
+//! Decodes the entries by which replicas make themselves known.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::exchange::pools::ReplicaEntry;
+use crate::store::kinds::KindObject;
+
+#[derive(Debug, Deserialize)]
+struct WireServer {
+    service: CompactString,
+    address: SocketAddr,
+    zone: CompactString,
+    #[serde(default)]
+    slots: Option<u32>,
+    /// `ready` or `draining`.
+    phase: CompactString,
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+/// Decodes an entry. None when it names no replica to use: other writers leave entries that
+/// cannot be read.
+pub(crate) fn decode_replica(object: &KindObject) -> Option<ReplicaEntry> {
+    let wire: WireServer = serde_json::from_str(object.value.get()).ok()?;
+    let is_draining = match wire.phase.as_str() {
+        "ready" => false,
+        "draining" => true,
+        _ => return None,
+    };
+    Some(ReplicaEntry {
+        id: ReplicaId::new(object.name.clone()).ok()?,
+        pool: PoolId::new(wire.service).ok()?,
+        address: wire.address,
+        failure_domain: FailureDomain::new(wire.zone).ok()?,
+        slots: wire.slots,
+        is_draining,
+        born_ms: wire.born,
+    })
+}
--- /dev/null
+++ b/src/platform/transport.rs
@@ -0,0 +1,404 @@
+//! Sends requests to replicas over HTTP and checks that answers are theirs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_stream::stream;
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use futures::StreamExt;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::names;
+use crate::exchange::request::{
+    BodyStream, BrokenBody, Dispatch, DispatchError, ReplicaAddress, ReplicaAnswer,
+    ReplicaTransport, UnsentCause,
+};
+use crate::util::lock;
+
+/// Longest wait for a connection to a replica in the same region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without acknowledgement after which a connection counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Idle time after which a connection is not used again where its replica names no time-out.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// The same for requests that must not run twice: a replica may have dropped the connection
+/// without notice, which only a time of a few round trips rules out.
+const RUN_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(100);
+/// Margin before the time-out that a replica names.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Most idle connections kept to one replica.
+const MAX_IDLE: usize = 6;
+
+/// Opens a TCP connection that notices a peer which has gone silent.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+    silence_limit: Duration,
+) -> std::io::Result<TokioIo<TcpStream>> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    notice_silence(&stream, silence_limit)?;
+    Ok(TokioIo::new(stream))
+}
+
+/// Sets the probes and limits by which a silent peer is noticed.
+pub(crate) fn notice_silence(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1));
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    address: SocketAddr,
+    is_used: bool,
+    idle_since: Instant,
+    usable_until: Instant,
+    open: Arc<OpenCounts>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+        let mut open = lock(&self.open.by_address);
+        if let Some(count) = open.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.address);
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct OpenCounts {
+    by_address: Mutex<HashMap<SocketAddr, usize>>,
+}
+
+#[derive(Debug, Default)]
+struct IdleConnections {
+    by_address: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl IdleConnections {
+    /// The connection that was used last, if it can be used again.
+    fn take(&self, address: SocketAddr, limit: Duration) -> Option<Connection> {
+        let mut idle = lock(&self.by_address);
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        connections.retain(|connection| {
+            !connection.sender.is_closed() && connection.usable_until > now
+        });
+        let last = connections.last()?;
+        if now - last.idle_since > limit || !last.sender.is_ready() {
+            return None;
+        }
+        connections.pop()
+    }
+
+    fn give(&self, connection: Connection) {
+        let mut idle = lock(&self.by_address);
+        let connections = idle.entry(connection.address).or_default();
+        connections.push(connection);
+        if connections.len() > MAX_IDLE {
+            connections.remove(0);
+        }
+    }
+
+    /// Closes connections that are too old to be used again.
+    fn drop_old(&self) {
+        let now = Instant::now();
+        lock(&self.by_address).retain(|_, connections| {
+            connections.retain(|connection| {
+                !connection.sender.is_closed() && connection.usable_until > now
+            });
+            !connections.is_empty()
+        });
+    }
+}
+
+/// Connections to replicas.
+#[derive(Debug, Default)]
+pub(crate) struct HttpTransport {
+    idle: Arc<IdleConnections>,
+    open: Arc<OpenCounts>,
+}
+
+impl HttpTransport {
+    /// Closes connections that are too old to be used again.
+    pub(crate) fn drop_old_connections(&self) {
+        self.idle.drop_old();
+    }
+
+    async fn connection(
+        &self,
+        replica: &ReplicaAddress,
+        runs_once: bool,
+    ) -> Result<Connection, DispatchError> {
+        let limit = if runs_once {
+            RUN_ONCE_IDLE_LIMIT
+        } else {
+            IDLE_LIMIT
+        };
+        if let Some(connection) = self.idle.take(replica.address, limit) {
+            return Ok(connection);
+        }
+        let guard = self.count_open(replica)?;
+        let stream = connect(replica.address, CONNECT_TIMEOUT, SILENCE_LIMIT)
+            .await
+            .map_err(|error| {
+                let cause = if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                    UnsentCause::Refused
+                } else {
+                    UnsentCause::Unreachable
+                };
+                not_sent(cause, error)
+            })?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(stream)
+            .await
+            .map_err(|error| not_sent(UnsentCause::Unreachable, error))?;
+        // The exchange on the connection sees its errors.
+        let task = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            address: replica.address,
+            is_used: false,
+            idle_since: Instant::now(),
+            usable_until: Instant::now() + IDLE_LIMIT,
+            open: guard.into_counts(),
+        })
+    }
+
+    fn count_open(&self, replica: &ReplicaAddress) -> Result<OpenGuard, DispatchError> {
+        let mut open = lock(&self.open.by_address);
+        let count = open.entry(replica.address).or_default();
+        if *count >= replica.connection_limit {
+            let reason = "the share of the replica's connections is used up";
+            return Err(not_sent(UnsentCause::NoConnectionLeft, reason));
+        }
+        *count += 1;
+        Ok(OpenGuard {
+            address: replica.address,
+            open: Some(Arc::clone(&self.open)),
+        })
+    }
+}
+
+/// Takes the count back if the connection is not opened.
+struct OpenGuard {
+    address: SocketAddr,
+    open: Option<Arc<OpenCounts>>,
+}
+
+impl OpenGuard {
+    fn into_counts(mut self) -> Arc<OpenCounts> {
+        self.open.take().unwrap_or_default()
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        if let Some(open) = self.open.take() {
+            if let Some(count) = lock(&open.by_address).get_mut(&self.address) {
+                *count = count.saturating_sub(1);
+            }
+        }
+    }
+}
+
+fn not_sent(cause: UnsentCause, reason: impl std::fmt::Display) -> DispatchError {
+    DispatchError::NotSent {
+        cause,
+        reason: compact_str::format_compact!("{reason}"),
+    }
+}
+
+fn unknown(reason: impl std::fmt::Display) -> DispatchError {
+    DispatchError::Unknown {
+        reason: compact_str::format_compact!("{reason}"),
+    }
+}
+
+/// The request as a replica gets it.
+fn build_request(dispatch: &Dispatch<'_>) -> Result<Request<Full<Bytes>>, DispatchError> {
+    let source = dispatch.request;
+    let mut request = Request::builder()
+        .method(source.method.clone())
+        .uri(source.target.as_str())
+        .body(Full::new(source.body.clone()))
+        .map_err(|error| not_sent(UnsentCause::BadRequest, error))?;
+    let headers = request.headers_mut();
+    headers.clone_from(&source.headers);
+    let deadline_ms = dispatch.time_left.as_millis().to_compact_string();
+    set_header(headers, names::DEADLINE_MS, &deadline_ms);
+    set_header(headers, names::EXPECT_REPLICA, dispatch.replica.id.as_str());
+    set_header(headers, names::REQUEST_PRIORITY, &dispatch.rank.min(9).to_compact_string());
+    if let Some(team) = dispatch.team {
+        set_header(headers, names::TENANT, team);
+    }
+    if let Some(last_id) = dispatch.resume_after {
+        set_header(headers, names::LAST_EVENT_ID, &last_id.to_compact_string());
+    }
+    Ok(request)
+}
+
+fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+#[async_trait]
+impl ReplicaTransport for HttpTransport {
+    async fn send(&self, dispatch: Dispatch<'_>) -> Result<ReplicaAnswer, DispatchError> {
+        let request = build_request(&dispatch)?;
+        let mut connection = self.connection(dispatch.replica, dispatch.runs_once).await?;
+        let is_first = !std::mem::replace(&mut connection.is_used, true);
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let was_sent = error.take_message().is_none();
+                let error = error.into_error();
+                return Err(if was_sent {
+                    unknown(describe(&error))
+                } else {
+                    not_sent(UnsentCause::ConnectionClosed, describe(&error))
+                });
+            }
+        };
+        check_answer(&dispatch, &response, is_first)?;
+        Ok(self.answer(response, connection))
+    }
+}
+
+/// Checks that an answer belongs to the request and is the replica's own.
+fn check_answer(
+    dispatch: &Dispatch<'_>,
+    response: &Response<Incoming>,
+    is_first: bool,
+) -> Result<(), DispatchError> {
+    let headers = response.headers();
+    let echoed = headers.get(names::ATTEMPT_ID).map(HeaderValue::as_bytes);
+    match echoed {
+        Some(echoed) if echoed == dispatch.request.attempt.as_bytes() => {}
+        None if is_first => {}
+        _ => return Err(unknown("answer of another request")),
+    }
+    if headers.contains_key("content-encoding") {
+        return Err(unknown("body is encoded"));
+    }
+    if response.status().is_success() && !headers.contains_key(names::SIGNATURE) {
+        return Err(unknown("success without signature"));
+    }
+    Ok(())
+}
+
+impl HttpTransport {
+    fn answer(&self, response: Response<Incoming>, connection: Connection) -> ReplicaAnswer {
+        let (parts, body) = response.into_parts();
+        let reuse_limit = reuse_limit(&parts.headers);
+        let is_not_run = parts.headers.contains_key(names::NOT_EXECUTED);
+        let is_other_replica = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+        let mut headers = parts.headers;
+        remove_connection_headers(&mut headers);
+        ReplicaAnswer {
+            status: parts.status.as_u16(),
+            headers,
+            is_not_run: is_not_run || is_other_replica,
+            is_other_replica,
+            body: read_body(body, connection, reuse_limit, Arc::clone(&self.idle)),
+        }
+    }
+}
+
+/// How long the connection may be idle before it is not used again; none if it is to be closed.
+fn reuse_limit(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return None;
+    }
+    let named = text("keep-alive")
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse().ok())
+        .map(Duration::from_secs);
+    let limit = named.map_or(IDLE_LIMIT, |named| named.saturating_sub(KEEP_ALIVE_MARGIN));
+    Some(limit.min(IDLE_LIMIT))
+}
+
+fn read_body(
+    mut body: Incoming,
+    mut connection: Connection,
+    reuse_limit: Option<Duration>,
+    idle: Arc<IdleConnections>,
+) -> BodyStream {
+    let pieces = stream! {
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => {
+                    if let Ok(piece) = frame.into_data() {
+                        yield Ok(piece);
+                    }
+                }
+                Err(error) => {
+                    yield Err(BrokenBody { reason: describe(&error) });
+                    return;
+                }
+            }
+        }
+        if let Some(limit) = reuse_limit {
+            connection.idle_since = Instant::now();
+            connection.usable_until = connection.idle_since + limit;
+            idle.give(connection);
+        }
+    };
+    pieces.boxed()
+}
+
+/// Removes headers that concern one connection, also those that `Connection` names.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in names::HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("content-length");
+}
+
+/// An error with its cause.
+fn describe(error: &hyper::Error) -> CompactString {
+    let cause = std::error::Error::source(error);
+    match cause {
+        Some(cause) => compact_str::format_compact!("{error}: {cause}"),
+        None => compact_str::format_compact!("{error}"),
+    }
+}
--- a/src/router/billing.rs
+++ b/src/router/billing.rs
@@ -15,8 +15,8 @@
 use crate::core::bill::{Bill, BillBatch, RunId, Settlement};
 use crate::core::ids::HolderId;
 use crate::peer::PeerNetwork;
-use crate::platform::update::{read_json, write_json, UpdateError};
-use crate::platform::{Expected, ObjectKey, ObjectStore, StoreError};
+use crate::store::update::{read_json, write_json, UpdateError};
+use crate::store::{Expected, ObjectKey, ObjectStore, StoreError};
 use crate::util::lock;
 
 /// Start of the names of bill batches.
--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -5,8 +5,8 @@
 use super::combine::{Change, CombinedWriter};
 use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
 use crate::core::ids::HolderId;
-use crate::platform::update::{read_json, UpdateError};
-use crate::platform::{ObjectKey, ObjectStore};
+use crate::store::update::{read_json, UpdateError};
+use crate::store::{ObjectKey, ObjectStore};
 use crate::util::{stable_hash, unix_time_s};
 
 /// Claim objects over which the requests are spread.
--- a/src/router/combine.rs
+++ b/src/router/combine.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
-use crate::platform::update::{update_json, UpdateError};
-use crate::platform::{ObjectKey, ObjectStore, StoreError};
+use crate::store::update::{update_json, UpdateError};
+use crate::store::{ObjectKey, ObjectStore, StoreError};
 use crate::util::lock;
 
 /// A repeatable change of a value: gives its result and whether anything needs writing.
--- a/src/router/configuration.rs
+++ b/src/router/configuration.rs
@@ -10,7 +10,7 @@
 use crate::accepted::{head_key, AcceptedLists, Head, ListsDelta};
 use crate::catalog::Catalog;
 use crate::core::ledger::Generation;
-use crate::platform::Version;
+use crate::store::Version;
 use crate::util::lock;
 
 /// Routers that watch the platform; the others hear from their peers.
--- a/src/router/ledger_client.rs
+++ b/src/router/ledger_client.rs
@@ -10,8 +10,8 @@
 };
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
-use crate::platform::update::{read_json, UpdateError};
-use crate::platform::{ObjectKey, ObjectStore};
+use crate::store::update::{read_json, UpdateError};
+use crate::store::{ObjectKey, ObjectStore};
 use crate::util::{lock, stable_hash};
 
 /// Ledger objects over which the budgets are spread.
--- /dev/null
+++ b/src/store/follow.rs
@@ -0,0 +1,88 @@
+//! Follows all objects of a kind: lists them, then watches, and lists anew when history is gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn, Logger};
+
+use super::kinds::{Change, Freshness, KindError, KindObject, KindStore};
+
+/// Longest wait of one watch. Each answer is priced, so it is long; silent connections are found
+/// by the transport's probes.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// First pause after the store gave no answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+/// Longest pause after the store gave no answer.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Takes in what a follower sees.
+pub(crate) trait KindSink: Send + Sync {
+    /// All objects at once.
+    fn learn_all(&self, objects: Vec<KindObject>);
+
+    /// One change.
+    fn learn(&self, change: Change);
+
+    /// Whether changes would be heard of.
+    fn set_reached(&self, is_reached: bool);
+}
+
+/// Follows a kind until the process ends.
+pub(crate) async fn follow(
+    store: Arc<dyn KindStore>,
+    kind: &'static str,
+    sink: Arc<dyn KindSink>,
+    log: Logger,
+) {
+    let mut pause = FIRST_PAUSE;
+    let mut is_lost = false;
+    let mut revision = None;
+    loop {
+        let step = match revision {
+            None => list(&*store, kind, &*sink).await,
+            Some(after) => watch(&*store, kind, after, &*sink).await,
+        };
+        match step {
+            Ok(next) => {
+                revision = Some(next);
+                pause = FIRST_PAUSE;
+                sink.set_reached(true);
+                if std::mem::take(&mut is_lost) {
+                    info!(log, "store regained"; "kind" => kind, "revision" => next);
+                }
+            }
+            Err(KindError::HistoryGone) => {
+                info!(log, "history gone; listing anew"; "kind" => kind, "revision" => revision);
+                revision = None;
+            }
+            Err(error) => {
+                sink.set_reached(false);
+                if !std::mem::replace(&mut is_lost, true) {
+                    warn!(log, "store lost"; "kind" => kind, "revision" => revision,
+                        "reason" => error.to_string());
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+async fn list(store: &dyn KindStore, kind: &str, sink: &dyn KindSink) -> Result<u64, KindError> {
+    let listing = store.list(kind, Freshness::Linearizable).await?;
+    sink.learn_all(listing.objects);
+    Ok(listing.revision)
+}
+
+async fn watch(
+    store: &dyn KindStore,
+    kind: &str,
+    after: u64,
+    sink: &dyn KindSink,
+) -> Result<u64, KindError> {
+    let changes = store.watch(kind, after, WATCH_WAIT).await?;
+    for change in changes.changes {
+        sink.learn(change);
+    }
+    Ok(changes.revision)
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,117 @@
+//! The platform's object API: versions, conditional updates and watches.
+
+pub mod follow;
+pub mod http;
+pub mod kinds;
+pub mod memory;
+pub mod update;
+
+use std::fmt;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The largest value that the platform takes, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Name of an object: segments of letters, digits and `. _ : -` joined by `/`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ObjectKey(CompactString);
+
+impl ObjectKey {
+    /// Wraps a name.
+    #[must_use]
+    pub fn new<T>(name: T) -> Self
+    where
+        T: Into<CompactString>,
+    {
+        Self(name.into())
+    }
+
+    /// The name as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Version of an object. Rises with every change anywhere in the platform.
+pub type Version = u64;
+
+/// An object as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Version of this value.
+    pub version: Version,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// The state that an object must be in for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expected {
+    /// No such object exists.
+    Absent,
+    /// The object has this version.
+    Version(Version),
+}
+
+/// Why a platform call failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// The object is not in the expected state; nothing was written.
+    #[error("object {key} has changed")]
+    Conflict {
+        /// The object.
+        key: ObjectKey,
+    },
+    /// No answer came. A write may or may not have taken effect.
+    #[error("platform gave no answer: {reason}")]
+    Unavailable {
+        /// What the transport saw.
+        reason: String,
+    },
+    /// The platform refused the call for good.
+    #[error("platform refused: {reason}")]
+    Refused {
+        /// What the platform said.
+        reason: String,
+    },
+}
+
+/// A client of the platform's object API.
+#[async_trait]
+pub trait ObjectStore: fmt::Debug + Send + Sync {
+    /// Reads an object.
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError>;
+
+    /// Writes an object if it is in the expected state, and returns its new version.
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        value: Bytes,
+        expected: Expected,
+    ) -> Result<Version, StoreError>;
+
+    /// Names of all objects whose name starts with a prefix, in order.
+    async fn list(&self, prefix: &str) -> Result<Vec<ObjectKey>, StoreError>;
+
+    /// Waits until an object is newer than a version, or until the time is over.
+    async fn watch(
+        &self,
+        key: &ObjectKey,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Object>, StoreError>;
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -36,6 +36,11 @@
     logger_to(std::io::stderr())
 }
 
+/// A logger that writes one JSON object a line to standard output.
+pub fn json_logger_to_stdout() -> Logger {
+    logger_to(std::io::stdout())
+}
+
 /// A logger that writes one JSON object a line to a writer.
 pub fn logger_to<W>(writer: W) -> Logger
 where
