Return unused grants when another router is short, and list anew after a cut

Change: hellos name short budgets and others give back all but a second of cover; the meter is right from its first second; the first stock waits until the fleet is found; after any failed watch the kind is listed anew. Ruled out: the store refusing calls (0 refusals before the cut), late config decoding (in force 3 ms after the watch answered).

--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -9,9 +9,9 @@
 use crate::core::ids::BudgetId;
 use crate::core::ledger::{BudgetEntry, GrantRow};
 use crate::core::units::Tokens;
-use crate::store::ObjectStore;
 use crate::router::billing::settle_all;
 use crate::router::ledger_client::LedgerClient;
+use crate::store::ObjectStore;
 
 /// One budget's accounts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -275,5 +275,9 @@
     let waiting = requests.saturating_sub(u64::from(place.slots));
     let running = requests - waiting;
     let per_slot_tokens = (waiting * RUNNING_COST_TOKENS).saturating_mul(20);
-    place.unread_tokens() + unread_tokens + running * RUNNING_COST_TOKENS + per_slot_tokens + domain_tokens
+    place.unread_tokens()
+        + unread_tokens
+        + running * RUNNING_COST_TOKENS
+        + per_slot_tokens
+        + domain_tokens
 }
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -383,9 +383,11 @@
 }
 
 /// Part of a holder's even share of the prepaid amount that it stocks before any demand.
-const UNSEEN_DEMAND_PART: u64 = 6;
+const UNSEEN_DEMAND_PART: u64 = 12;
 /// A covered holder draws at most this part of what is available, unless a request needs more.
 const AVAILABLE_PART: u64 = 2;
+/// Seconds of recent demand that are kept of a budget of which another holder is short.
+const SHORT_COVER_S: u64 = 1;
 
 impl CoverPolicy {
     /// A policy whose grants cover the given seconds of demand.
@@ -403,6 +405,16 @@
         let rest_share_tokens = rest_tokens.scaled(1, holders);
         covered_tokens.max(unseen_tokens.min(rest_share_tokens))
     }
+
+    /// What is given back of a budget of which another holder is short: all but a short cover.
+    #[must_use]
+    pub fn decide_for_short(view: &GrantView) -> GrantDecision {
+        let kept_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(SHORT_COVER_S));
+        GrantDecision {
+            draw_tokens: Tokens::ZERO,
+            return_tokens: view.free_tokens - kept_tokens,
+        }
+    }
 }
 
 impl GrantPolicy for CoverPolicy {
@@ -421,3 +433,64 @@
         decision
     }
 }
+
+/// Recent demand as an average that is right from its first second on: what was seen is divided
+/// by the weight of the time in which it was seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WarmMeter {
+    tokens: f64,
+    seconds: f64,
+    largest_tokens: Tokens,
+}
+
+/// Time in which the weight of past demand falls to a third, in seconds.
+const WARM_MEMORY_S: f64 = 6.0;
+
+impl WarmMeter {
+    /// Counts a request by what it spent and what it had reserved.
+    #[allow(clippy::cast_precision_loss, reason = "an average")]
+    pub fn note(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
+        self.tokens += spent_tokens.get() as f64;
+        self.largest_tokens = self.largest_tokens.max(reserved_tokens);
+    }
+
+    /// Lets time pass. Time before the first demand does not count.
+    pub fn pass(&mut self, interval_s: f64) {
+        if self.tokens <= 0.0 && self.seconds <= 0.0 {
+            return;
+        }
+        let kept = (-interval_s / WARM_MEMORY_S).exp();
+        self.tokens *= kept;
+        self.seconds = self.seconds * kept + interval_s;
+        if self.tokens < 1.0 {
+            *self = Self::default();
+        }
+    }
+
+    /// Tokens spent a second.
+    ///
+    /// ```
+    /// use currantlever::{Tokens, WarmMeter};
+    /// let mut meter = WarmMeter::default();
+    /// for _ in 0..10 {
+    ///     meter.note(Tokens::new(100), Tokens::new(150));
+    ///     meter.pass(0.1);
+    /// }
+    /// assert!((900..1100).contains(&meter.tokens_per_s()));
+    /// ```
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a positive average"
+    )]
+    pub fn tokens_per_s(&self) -> u64 {
+        (self.tokens / self.seconds.max(1.0)) as u64
+    }
+
+    /// Largest reservation since the demand was last zero.
+    #[must_use]
+    pub const fn largest_tokens(&self) -> Tokens {
+        self.largest_tokens
+    }
+}
--- a/src/core/units.rs
+++ b/src/core/units.rs
@@ -39,7 +39,10 @@
 
     /// True for no tokens.
     #[must_use]
-    #[allow(clippy::trivially_copy_pass_by_ref, reason = "named in serde attributes")]
+    #[allow(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "named in serde attributes"
+    )]
     pub const fn is_zero(&self) -> bool {
         self.0 == 0
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,9 +12,9 @@
 use crate::http_server::{HttpServer, StartError};
 use crate::peer::rpc::{FleetSecret, RpcError, RpcNetwork};
 use crate::peer::{PeerNetwork, PeerRouter};
-use crate::store::http::HttpStore;
 use crate::router::{web, Borders, Router, RouterOptions};
 use crate::settings::Settings;
+use crate::store::http::HttpStore;
 use crate::telemetry::TelemetryError;
 use crate::vm_list::HttpVmList;
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -79,7 +79,10 @@
         let log = log.new(o!("vm" => settings.vm.to_string()));
         let process: u64 = rand::rng().random();
         let metrics = Arc::new(ExchangeMetrics::new()?);
-        let store = Arc::new(PlatformStore::new(settings.store_address, Arc::clone(&metrics)));
+        let store = Arc::new(PlatformStore::new(
+            settings.store_address,
+            Arc::clone(&metrics),
+        ));
         let store: Arc<dyn KindStore> = store;
         let members = Arc::new(Members::new(RouterEntry {
             callers_address: settings.callers_listen,
@@ -117,9 +120,19 @@
             .map_err(|source| listen_error("peer_listen", settings.peer_listen, source))?;
         let socket = Arc::new(socket);
         let config_sink = Arc::new(ConfigSink::new(Arc::clone(&exchange), log.clone()));
-        tokio::spawn(follow(Arc::clone(&store), CONFIG_KIND, config_sink, log.clone()));
+        tokio::spawn(follow(
+            Arc::clone(&store),
+            CONFIG_KIND,
+            config_sink,
+            log.clone(),
+        ));
         let replica_sink = Arc::new(ReplicaSink::new(Arc::clone(&directory)));
-        tokio::spawn(follow(Arc::clone(&store), SERVER_KIND, replica_sink, log.clone()));
+        tokio::spawn(follow(
+            Arc::clone(&store),
+            SERVER_KIND,
+            replica_sink,
+            log.clone(),
+        ));
         let is_ready: IsReady = {
             let registry = Arc::clone(&registry);
             Arc::new(move || registry.is_ready())
@@ -128,11 +141,21 @@
             Arc::clone(&socket),
             Arc::clone(&members),
             Arc::clone(&pools),
+            Arc::clone(&grants),
             process,
             is_ready,
         ));
-        tokio::spawn(receive_hellos(socket, Arc::clone(&members), log.clone()));
-        tokio::spawn(keep_entries(Arc::clone(&store), Arc::clone(&members), log.clone()));
+        tokio::spawn(receive_hellos(
+            socket,
+            Arc::clone(&members),
+            Arc::clone(&grants),
+            log.clone(),
+        ));
+        tokio::spawn(keep_entries(
+            Arc::clone(&store),
+            Arc::clone(&members),
+            log.clone(),
+        ));
         tokio::spawn(keep_house(Arc::clone(&directory), Arc::clone(&transport)));
         let new_sync = || {
             LedgerSync::new(
@@ -181,12 +204,17 @@
         self.ingress.close_idle();
         self.ledger_task.abort();
         let give_back = async { self.last_sync.lock().await.give_back().await };
-        let is_given_back = tokio::time::timeout_at(end, give_back).await.unwrap_or(false);
+        let is_given_back = tokio::time::timeout_at(end, give_back)
+            .await
+            .unwrap_or(false);
         while self.ingress.open_count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         let spent = self.grants.spent();
-        let spent: Vec<String> = spent.iter().map(|(team, tokens)| format!("{team}={tokens}")).collect();
+        let spent: Vec<String> = spent
+            .iter()
+            .map(|(team, tokens)| format!("{team}={tokens}"))
+            .collect();
         info!(self.log, "stopped"; "busy" => self.ingress.busy_count(),
             "grants_given_back" => is_given_back && self.grants.is_given_back(),
             "spent_tokens" => spent.join(" "));
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -103,7 +103,12 @@
     }
 }
 
-fn check_range(place: &'static str, value: f64, least: f64, most: f64) -> Result<(), SettingsError> {
+fn check_range(
+    place: &'static str,
+    value: f64,
+    least: f64,
+    most: f64,
+) -> Result<(), SettingsError> {
     if (least..=most).contains(&value) {
         return Ok(());
     }
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -56,8 +56,13 @@
     /// Takes in an entry.
     pub(crate) fn learn_entry(&self, entry: &ReplicaEntry, now: Instant) {
         let mut state = lock(&self.state);
-        state.left.retain(|_, (_, since)| now - *since < LEFT_MEMORY);
-        let has_left = state.left.get(&entry.id).is_some_and(|(born, _)| *born == entry.born_ms);
+        state
+            .left
+            .retain(|_, (_, since)| now - *since < LEFT_MEMORY);
+        let has_left = state
+            .left
+            .get(&entry.id)
+            .is_some_and(|(born, _)| *born == entry.born_ms);
         if has_left {
             return;
         }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -17,8 +17,8 @@
 use super::pools::{ChosenReplica, Pools, ReplicaWish, Search};
 use super::record::RequestRecord;
 use super::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection, Reply,
-    ReplyBody, ReplicaAnswer, ReplicaTransport, UnsentCause,
+    BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
+    ReplicaAnswer, ReplicaTransport, Reply, ReplyBody, UnsentCause,
 };
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::PromptWish;
@@ -114,7 +114,10 @@
     /// Puts newer lists in force. Returns false when they are not newer.
     pub(crate) fn learn_catalog(&self, catalog: Catalog) -> bool {
         let present = self.catalog.load();
-        if present.as_ref().is_some_and(|present| present.version() >= catalog.version()) {
+        if present
+            .as_ref()
+            .is_some_and(|present| present.version() >= catalog.version())
+        {
             return false;
         }
         self.pools.learn_catalog(&catalog);
@@ -277,12 +280,18 @@
 /// The prompt's length, and its parts but the last, which no other request shares.
 fn prompt_wish(request: &ExchangeRequest) -> Option<PromptWish> {
     let bound = request.tokens?;
-    let shared = request.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared = request
+        .prompt_parts
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
     let ids: Vec<String> = shared.iter().map(|part| part.id.to_string()).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     Some(PromptWish {
         prompt_tokens: bound.prompt_tokens.get(),
-        shared_tokens: shared.iter().map(|part| u64::from(part.length_tokens)).sum(),
+        shared_tokens: shared
+            .iter()
+            .map(|part| u64::from(part.length_tokens))
+            .sum(),
         shared_key: stable_hash(&ids),
     })
 }
@@ -344,13 +353,15 @@
                 Ok(Ok(body)) => {
                     if answer.status >= 500 && self.route.kind == RouteKind::Idempotent {
                         chosen.learn_failure();
-                        self.record.note_try(chosen.replica.id.as_str(), answer.status);
+                        self.record
+                            .note_try(chosen.replica.id.as_str(), answer.status);
                         if self.may_send_again() {
                             continue;
                         }
                     } else {
                         chosen.learn_success();
-                        self.record.note_try(chosen.replica.id.as_str(), answer.status);
+                        self.record
+                            .note_try(chosen.replica.id.as_str(), answer.status);
                     }
                     return Ok(Served::Whole {
                         status: answer.status,
@@ -373,11 +384,13 @@
     /// Tries replicas until one has made the first event.
     async fn serve_stream(&mut self) -> Result<Served, Rejection> {
         loop {
-            let Answered { answer, mut chosen } = self.next_answer(self.request.resume_after).await?;
+            let Answered { answer, mut chosen } =
+                self.next_answer(self.request.resume_after).await?;
             if !(200..300).contains(&answer.status) {
                 let body = read_whole(answer.body).await;
                 chosen.learn_failure();
-                self.record.note_try(chosen.replica.id.as_str(), answer.status);
+                self.record
+                    .note_try(chosen.replica.id.as_str(), answer.status);
                 let body = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
                 return Ok(Served::Whole {
                     status: answer.status,
@@ -400,7 +413,8 @@
                     }
                 }
                 Err(_) => {
-                    self.record.note_try(chosen.replica.id.as_str(), "no event in time");
+                    self.record
+                        .note_try(chosen.replica.id.as_str(), "no event in time");
                     return Err(Rejection::new(RejectKind::TimedOut));
                 }
             }
@@ -436,7 +450,8 @@
                 Ok(Ok(answer)) if answer.is_not_run || answer.is_other_replica => {
                     self.sends += 1;
                     self.unspend_prompt();
-                    self.record.note_try(replica, format_args!("{} not run", answer.status));
+                    self.record
+                        .note_try(replica, format_args!("{} not run", answer.status));
                     if answer.is_other_replica {
                         chosen.learn_unreachable();
                     }
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -4,6 +4,7 @@
 //! they count as spent from the moment they are made; what is not needed is given back.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,10 +16,10 @@
 use crate::core::holder::{Holder, UpdateWish};
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, WitnessSet};
-use crate::core::policy::{DemandMeter, GrantPolicy, GrantView};
+use crate::core::policy::{CoverPolicy, GrantDecision, GrantPolicy, GrantView, WarmMeter};
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
-use crate::util::lock;
+use crate::util::{lock, short_digest};
 
 /// Longest wait of a request for the ledger: several of its answers, each some milliseconds.
 const LEDGER_WAIT: Duration = Duration::from_millis(250);
@@ -29,24 +30,36 @@
 /// Age up to which a look at the ledger that found nothing is believed.
 const EMPTY_LEDGER_AGE: Duration = Duration::from_millis(400);
 
+/// Time for which others are told that a budget is short.
+const SHORT_TIME: Duration = Duration::from_millis(600);
+
 /// One team's grant.
 #[derive(Debug)]
 struct TeamGrant {
     holder: Holder,
-    demand: DemandMeter,
+    demand: WarmMeter,
     totals: LedgerTotals,
     paid_tokens: Tokens,
     /// Largest request that found too little since the last look at the ledger.
     unmet_tokens: Tokens,
     /// When the ledger was last seen with this budget.
     seen: Option<Instant>,
+    /// Short name of the budget in hellos.
+    digest: u32,
+    /// Until when this router tells others that it is short.
+    short_until: Option<Instant>,
+    /// True when another holder was short since the last look at the grants.
+    is_others_short: bool,
 }
 
 impl TeamGrant {
-    fn new(holder: HolderId, paid_tokens: Tokens) -> Self {
+    fn new(holder: HolderId, budget: &BudgetId, paid_tokens: Tokens) -> Self {
         Self {
+            digest: short_digest(budget.as_str()),
+            short_until: None,
+            is_others_short: false,
             holder: Holder::new(holder),
-            demand: DemandMeter::default(),
+            demand: WarmMeter::default(),
             totals: LedgerTotals::default(),
             paid_tokens,
             unmet_tokens: Tokens::ZERO,
@@ -117,11 +130,19 @@
         let mut state = lock(&self.grants.state);
         if let Some(team) = state.teams.get_mut(&self.budget) {
             team.holder.settle(self.reserved_tokens, self.spent_tokens);
-            team.demand.note(self.spent_tokens);
+            team.demand.note(self.spent_tokens, self.reserved_tokens);
         }
     }
 }
 
+/// What was asked of the ledger for one budget.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct GrantAsk {
+    budget: BudgetId,
+    draw_tokens: Tokens,
+    return_tokens: Tokens,
+}
+
 /// How a reservation found its tokens, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct GrantNote {
@@ -167,7 +188,7 @@
             let grant = state
                 .teams
                 .entry(team.budget.clone())
-                .or_insert_with(|| TeamGrant::new(holder, paid_tokens));
+                .or_insert_with(|| TeamGrant::new(holder, &team.budget, paid_tokens));
             grant.paid_tokens = paid_tokens;
         }
         drop(state);
@@ -193,10 +214,11 @@
                 Err(None) => {}
             }
             self.wake.notify_one();
-            if tokio::time::timeout_at(give_up, looks.changed()).await.is_err() {
-                return self
-                    .try_reserve(budget, tokens)
-                    .map_err(|_| out_of_reach());
+            if tokio::time::timeout_at(give_up, looks.changed())
+                .await
+                .is_err()
+            {
+                return self.try_reserve(budget, tokens).map_err(|_| out_of_reach());
             }
         }
     }
@@ -220,10 +242,13 @@
                 spent_tokens: Tokens::ZERO,
             });
         }
-        let is_fresh = team.seen.is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
+        let is_fresh = team
+            .seen
+            .is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
         let available_tokens = team.paid_tokens - team.totals.charged_tokens;
         let free_tokens = team.holder.free_tokens();
         if is_fresh && available_tokens + free_tokens < tokens {
+            team.short_until = Some(Instant::now() + SHORT_TIME);
             let hidden_tokens = team.totals.others_free_tokens + team.holder.reserved_tokens();
             if available_tokens + free_tokens + hidden_tokens < tokens {
                 return Err(Some(Rejection::new(RejectKind::BudgetUsed)));
@@ -254,28 +279,57 @@
     }
 
     /// Ends an interval of the meters of demand.
-    pub(crate) fn end_interval(&self, interval_ms: u64) {
+    pub(crate) fn end_interval(&self, interval: Duration) {
         for team in lock(&self.state).teams.values_mut() {
-            team.demand.end_interval(interval_ms);
+            team.demand.pass(interval.as_secs_f64());
         }
     }
 
-    /// Decides what to ask of the ledger, and tells whether there is anything to ask.
-    pub(crate) fn prepare(&self, holders: usize, is_leaving: bool) -> bool {
+    /// Budgets of which requests found too little and the ledger has no more, as short digests.
+    pub(crate) fn short_budgets(&self) -> Vec<u32> {
+        let state = lock(&self.state);
+        let short = state
+            .teams
+            .values()
+            .filter(|team| team.short_until.is_some_and(|until| until > Instant::now()));
+        short.map(|team| team.digest).collect()
+    }
+
+    /// Notes budgets of which other holders are short.
+    pub(crate) fn learn_short(&self, budgets: &[u32]) {
+        if budgets.is_empty() {
+            return;
+        }
         let mut state = lock(&self.state);
-        let generation = state.generation;
-        let mut is_wanted = false;
         for team in state.teams.values_mut() {
-            if team.holder.pending().is_some() {
-                is_wanted = true;
+            team.is_others_short |= budgets.contains(&team.digest);
+        }
+    }
+
+    /// Decides what to ask of the ledger. Nothing is asked when the list is empty.
+    pub(crate) fn prepare(&self, holders: usize, is_leaving: bool) -> Vec<GrantAsk> {
+        let mut state = lock(&self.state);
+        let generation = state.generation;
+        let mut asked = Vec::new();
+        for (budget, team) in &mut state.teams {
+            if let Some(pending) = team.holder.pending() {
+                asked.push(GrantAsk {
+                    budget: budget.clone(),
+                    draw_tokens: pending.draw_tokens,
+                    return_tokens: Tokens::ZERO,
+                });
                 continue;
             }
             let view = team.view(holders);
+            let is_others_short = std::mem::take(&mut team.is_others_short);
+            let is_short = team.short_until.is_some_and(|until| until > Instant::now());
             let mut decision = if is_leaving {
-                crate::core::policy::GrantDecision {
+                GrantDecision {
                     draw_tokens: Tokens::ZERO,
                     return_tokens: view.free_tokens,
                 }
+            } else if is_others_short && !is_short {
+                CoverPolicy::decide_for_short(&view).within_paid(&view)
             } else {
                 let unmet_tokens = team.unmet_tokens;
                 let mut decision = self.policy.decide(&view);
@@ -303,9 +357,13 @@
                 return_tokens: decision.return_tokens,
                 witnesses: WitnessSet::default(),
             });
-            is_wanted = true;
+            asked.push(GrantAsk {
+                budget: budget.clone(),
+                draw_tokens: decision.draw_tokens,
+                return_tokens: decision.return_tokens,
+            });
         }
-        is_wanted
+        asked
     }
 
     /// Puts all pending updates into a copy of the ledger. Returns false when it holds them all.
@@ -373,6 +431,32 @@
         count
     }
 
+    /// What the log says of the grants that a look at the ledger changed or asked for.
+    pub(crate) fn describe(&self, asked: &[GrantAsk]) -> String {
+        let state = lock(&self.state);
+        let mut text = String::new();
+        for ask in asked {
+            let Some(team) = state.teams.get(&ask.budget) else {
+                continue;
+            };
+            let available_tokens = team.paid_tokens - team.totals.charged_tokens;
+            // Writing to a string cannot fail.
+            let _ = write!(
+                text,
+                "{} draw={} return={} free={} reserved={} paid={} available={} others={}; ",
+                ask.budget,
+                ask.draw_tokens,
+                ask.return_tokens,
+                team.holder.free_tokens(),
+                team.holder.reserved_tokens(),
+                team.paid_tokens,
+                available_tokens,
+                team.totals.others_free_tokens,
+            );
+        }
+        text
+    }
+
     /// True when nothing is held or pending.
     pub(crate) fn is_given_back(&self) -> bool {
         let state = lock(&self.state);
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -6,6 +6,7 @@
 use slog::{info, warn, Logger};
 use tokio::net::UdpSocket;
 
+use super::grants::Grants;
 use super::members::{entry_name, Hello, Members, RouterEntry};
 use super::pools::Pools;
 use crate::store::kinds::{Freshness, KindError, KindStore};
@@ -33,6 +34,7 @@
     socket: Arc<UdpSocket>,
     members: Arc<Members>,
     pools: Arc<Pools>,
+    grants: Arc<Grants>,
     process: u64,
     is_ready: IsReady,
 ) {
@@ -50,6 +52,7 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
+            short_budgets: grants.short_budgets(),
         };
         if let Ok(bytes) = postcard::to_allocvec(&hello) {
             for receiver in receivers {
@@ -62,12 +65,18 @@
 }
 
 /// Takes in hellos of other routers.
-pub(crate) async fn receive_hellos(socket: Arc<UdpSocket>, members: Arc<Members>, log: Logger) {
+pub(crate) async fn receive_hellos(
+    socket: Arc<UdpSocket>,
+    members: Arc<Members>,
+    grants: Arc<Grants>,
+    log: Logger,
+) {
     let mut buffer = vec![0; MAX_HELLO_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length_bytes, _)) => {
                 if let Ok(hello) = postcard::from_bytes::<Hello>(&buffer[..length_bytes]) {
+                    grants.learn_short(&hello.short_budgets);
                     members.learn_hello(hello);
                 }
             }
@@ -95,7 +104,11 @@
                     .collect();
                 members.learn_entries(entries);
                 remove_silent(&*store, &members, &listing.objects, &log).await;
-                let pause = if is_entered { ENTRIES_INTERVAL } else { ENTRIES_PAUSE };
+                let pause = if is_entered {
+                    ENTRIES_INTERVAL
+                } else {
+                    ENTRIES_PAUSE
+                };
                 tokio::time::sleep(pause).await;
             }
             Err(_) => tokio::time::sleep(ENTRIES_PAUSE).await,
@@ -131,7 +144,11 @@
         let Some(object) = objects.iter().find(|object| object.name == name) else {
             continue;
         };
-        if store.remove(ROUTER_KIND, &name, object.revision).await.is_ok() {
+        if store
+            .remove(ROUTER_KIND, &name, object.revision)
+            .await
+            .is_ok()
+        {
             info!(log, "entry of a silent router removed"; "entry" => name.as_str());
         }
     }
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -20,6 +20,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two writes of the ledger that no request waits for.
 const REFILL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time after the start within which a router has found the others.
+const FLEET_FOUND: Duration = Duration::from_millis(1_500);
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after the store gave no answer.
@@ -71,15 +73,15 @@
     /// Looks after the grants until the process ends.
     pub(crate) async fn run(mut self) {
         let mut pause = FIRST_PAUSE;
-        let mut last_interval = Instant::now();
+        let started = Instant::now();
+        let mut last_interval = started;
         loop {
             let is_asked = tokio::time::timeout(LOOK_INTERVAL, self.grants.wanted())
                 .await
                 .is_ok();
             let interval = last_interval.elapsed();
             if interval >= LOOK_INTERVAL {
-                let interval_ms = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX);
-                self.grants.end_interval(interval_ms);
+                self.grants.end_interval(interval);
                 last_interval = Instant::now();
             }
             let is_due = self
@@ -88,7 +90,12 @@
             if !is_asked && !is_due && !self.is_lost {
                 continue;
             }
-            if !self.grants.prepare(self.members.known_count(), false) {
+            // The even share of a fleet that is still being found would be too large.
+            if !is_asked && started.elapsed() < FLEET_FOUND {
+                continue;
+            }
+            let asked = self.grants.prepare(self.members.known_count(), false);
+            if asked.is_empty() {
                 continue;
             }
             self.last_write = Some(Instant::now());
@@ -96,6 +103,8 @@
                 Ok(()) => {
                     pause = FIRST_PAUSE;
                     self.note_reached();
+                    info!(self.log, "grants changed"; "revision" => self.seen.revision,
+                        "grants" => self.grants.describe(&asked));
                 }
                 Err(error) => {
                     self.note_lost(&error);
@@ -109,7 +118,11 @@
     /// Gives back all that is free. Returns true when the ledger has taken it.
     pub(crate) async fn give_back(&mut self) -> bool {
         for _ in 0..MAX_CONFLICTS {
-            if !self.grants.prepare(self.members.known_count(), true) {
+            if self
+                .grants
+                .prepare(self.members.known_count(), true)
+                .is_empty()
+            {
                 return true;
             }
             if self.sync().await.is_err() {
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -82,6 +82,8 @@
     pub interval_ms: u32,
     /// Its work at each replica that has some.
     pub loads: Vec<ToldLoad>,
+    /// Budgets of which it is short, as short digests.
+    pub short_budgets: Vec<u32>,
 }
 
 #[derive(Debug)]
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -43,8 +43,11 @@
                 .buckets(LATENCY_BOUNDS_S.to_vec()),
         )?;
         let first_event = Histogram::with_opts(
-            HistogramOpts::new("currantlever_first_event_seconds", "Time to the first event")
-                .buckets(LATENCY_BOUNDS_S.to_vec()),
+            HistogramOpts::new(
+                "currantlever_first_event_seconds",
+                "Time to the first event",
+            )
+            .buckets(LATENCY_BOUNDS_S.to_vec()),
         )?;
         let store_calls = IntCounterVec::new(
             Opts::new("currantlever_store_calls", "Calls to the store by result"),
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -15,7 +15,7 @@
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
 use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish};
 use crate::core::retry_share::{RetryRule, RetryShare};
-use crate::util::{lock, stable_hash};
+use crate::util::{lock, short_digest};
 
 /// Connections to a replica that a router may always hold, however large the fleet.
 const LEAST_CONNECTIONS: u32 = 4;
@@ -88,15 +88,18 @@
     /// Notes that the first token has come, so that the prompt is read.
     pub(crate) fn note_first_token(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
-        self.pools.with_place(&self.pool, &self.replica.id, |place, _| {
-            place.own.read(unread_tokens);
-        });
+        self.pools
+            .with_place(&self.pool, &self.replica.id, |place, _| {
+                place.own.read(unread_tokens);
+            });
     }
 
     /// Notes that the replica answered.
     pub(crate) fn learn_success(&self) {
         self.pools
-            .with_place(&self.pool, &self.replica.id, |place, _| place.learn_success());
+            .with_place(&self.pool, &self.replica.id, |place, _| {
+                place.learn_success()
+            });
     }
 
     /// Notes that the replica failed the request.
@@ -120,10 +123,11 @@
 impl Drop for ChosenReplica {
     fn drop(&mut self) {
         let unread_tokens = self.unread_tokens;
-        self.pools.with_place(&self.pool, &self.replica.id, |place, _| {
-            place.own.read(unread_tokens);
-            place.own.remove();
-        });
+        self.pools
+            .with_place(&self.pool, &self.replica.id, |place, _| {
+                place.own.read(unread_tokens);
+                place.own.remove();
+            });
     }
 }
 
@@ -222,7 +226,7 @@
         pool.places.push(place);
         pool.replicas.push(Replica {
             address: entry.address,
-            digest: digest_of(&entry.id),
+            digest: short_digest(entry.id.as_str()),
             born_ms: entry.born_ms,
         });
         true
@@ -249,7 +253,10 @@
             let places = state.pools.values().flat_map(|pool| &pool.places);
             places.map(|place| place.id.clone()).collect()
         };
-        let gone: Vec<ReplicaId> = known.into_iter().filter(|id| !listed.contains(id)).collect();
+        let gone: Vec<ReplicaId> = known
+            .into_iter()
+            .filter(|id| !listed.contains(id))
+            .collect();
         for id in &gone {
             self.forget_replica(id);
         }
@@ -374,9 +381,3 @@
         action(pool.retries.get_or_insert_with(|| RetryShare::new(rule, 0)))
     }
 }
-
-/// Short digest of a replica's id, as hellos carry it.
-#[allow(clippy::cast_possible_truncation, reason = "a digest")]
-fn digest_of(id: &ReplicaId) -> u32 {
-    stable_hash(&[id.as_str()]) as u32
-}
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -35,7 +35,9 @@
 
 impl fmt::Debug for Opened {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Opened").field("status", &self.status).finish_non_exhaustive()
+        f.debug_struct("Opened")
+            .field("status", &self.status)
+            .finish_non_exhaustive()
     }
 }
 
@@ -169,11 +171,14 @@
     while run.may_resume() {
         let Answered { answer, mut chosen } = run.next_answer(Some(last_id)).await.ok()?;
         if !(200..300).contains(&answer.status) {
-            run.record.note_try(chosen.replica.id.as_str(), answer.status);
+            run.record
+                .note_try(chosen.replica.id.as_str(), answer.status);
             continue;
         }
         let mut opened = Opened::new(answer, Some(last_id));
-        let first = tokio::time::timeout_at(run.deadline, opened.read_first()).await.ok()?;
+        let first = tokio::time::timeout_at(run.deadline, opened.read_first())
+            .await
+            .ok()?;
         if let Err(error) = first {
             run.record.note_try(chosen.replica.id.as_str(), &error);
             chosen.learn_failure();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,8 +20,8 @@
 mod lists;
 mod peer;
 mod platform;
-mod store;
 mod router;
+mod store;
 #[rustfmt::skip]
 #[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
 mod router_capnp;
@@ -42,9 +42,11 @@
     BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons,
     UpdateOutcome, WitnessSet,
 };
-pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
-pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish, ReplicaLoad};
+pub use crate::core::policy::{
+    CoverPolicy, DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName, WarmMeter,
+};
+pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
@@ -54,12 +56,12 @@
 pub use crate::daemon::{Daemon, DaemonError};
 pub use crate::entry_settings::{EntrySettings, RetrySettings};
 pub use crate::lists::{find_faults, parse_list, Fault, ListName, PlansList, UsageList};
-pub use crate::store::memory::{MemoryStore, StoreCounts, StoreFaults};
-pub use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError};
 pub use crate::router::billing::settle_all;
 pub use crate::router::ledger_client::LedgerClient;
 pub use crate::router::refusal::{ErrorBody, RefusalKind, RunState};
 pub use crate::router::web::{AddressesAnswer, RequestStatus};
 pub use crate::settings::{Settings, SettingsError};
+pub use crate::store::memory::{MemoryStore, StoreCounts, StoreFaults};
+pub use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError};
 pub use crate::telemetry::{json_logger, silent_logger};
 pub use crate::vm_list::{VmRecord, VmRole, VmState};
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -118,7 +118,9 @@
         let max_head_bytes = self
             .exchange
             .catalog()
-            .map_or(FIRST_MAX_HEAD_BYTES, |catalog| catalog.limits().max_head_bytes);
+            .map_or(FIRST_MAX_HEAD_BYTES, |catalog| {
+                catalog.limits().max_head_bytes
+            });
         let connection = http1::Builder::new()
             .max_buf_size(max_head_bytes.max(LEAST_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
@@ -170,7 +172,9 @@
         let max_body_bytes = self
             .exchange
             .catalog()
-            .map_or(FIRST_MAX_BODY_BYTES, |catalog| catalog.limits().max_body_bytes);
+            .map_or(FIRST_MAX_BODY_BYTES, |catalog| {
+                catalog.limits().max_body_bytes
+            });
         let body = match Limited::new(body, max_body_bytes).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) if error.is::<LengthLimitError>() => {
@@ -258,12 +262,18 @@
         .and_then(|value| value.parse::<f64>().ok())
         .and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
     let tokens = text(names::TOKEN_USAGE).and_then(decode_usage);
-    let prompt_parts = text(names::PREFIX_PARTS).map(decode_parts).unwrap_or_default();
+    let prompt_parts = text(names::PREFIX_PARTS)
+        .map(decode_parts)
+        .unwrap_or_default();
     let output_hint_tokens = text(names::LENGTH_HINT)
         .and_then(|value| value.parse().ok())
         .map(Tokens::new);
     let resume_after = text(names::LAST_EVENT_ID).and_then(|value| value.parse().ok());
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).into();
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str())
+        .into();
     remove_caller_headers(&mut headers);
     ExchangeRequest {
         attempt,
@@ -288,7 +298,12 @@
     for name in names::RESERVED {
         headers.remove(name);
     }
-    for name in ["authorization", "expect", names::LAST_EVENT_ID, names::DEADLINE_MS] {
+    for name in [
+        "authorization",
+        "expect",
+        names::LAST_EVENT_ID,
+        names::DEADLINE_MS,
+    ] {
         headers.remove(name);
     }
 }
@@ -364,5 +379,7 @@
 }
 
 fn whole(body: Bytes) -> ReplyStream {
-    Full::new(body).map_err(|never| match never {}).boxed_unsync()
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -199,7 +199,9 @@
         404 => Err(KindError::NotFound),
         409 => {
             let object = serde_json::from_slice::<WireObject>(&answer.body).ok();
-            Err(KindError::Conflict(object.map(|object| Box::new(object.into()))))
+            Err(KindError::Conflict(
+                object.map(|object| Box::new(object.into())),
+            ))
         }
         410 => Err(KindError::HistoryGone),
         status => Err(KindError::Busy { status }),
@@ -260,7 +262,9 @@
                 listing.revision = page.current_rev;
             }
             let is_last = !page.has_more || page.items.is_empty();
-            listing.objects.extend(page.items.into_iter().map(KindObject::from));
+            listing
+                .objects
+                .extend(page.items.into_iter().map(KindObject::from));
             if is_last {
                 return Ok(listing);
             }
@@ -274,7 +278,9 @@
         wait: Duration,
     ) -> Result<Changes, KindError> {
         let path = format!("/objects/{kind}?watch={after}&wait_ms={}", wait.as_millis());
-        let answer = self.call(Method::GET, &path, None, wait + WATCH_MARGIN).await?;
+        let answer = self
+            .call(Method::GET, &path, None, wait + WATCH_MARGIN)
+            .await?;
         let events: WireEvents = decode(&check(answer)?)?;
         let changes = events.events.into_iter().map(|event| Change {
             object: event.object.into(),
@@ -299,7 +305,9 @@
         value: &RawValue,
     ) -> Result<Revision, KindError> {
         let body = object_body(name, value, None)?;
-        let body = self.write(Method::POST, &format!("/objects/{kind}"), Some(body)).await?;
+        let body = self
+            .write(Method::POST, &format!("/objects/{kind}"), Some(body))
+            .await?;
         Ok(decode::<WireObject>(&body)?.metadata.revision)
     }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -96,7 +96,11 @@
                 for (pool, in_service, all) in self.pools.counts() {
                     self.metrics.set_replicas(&pool, in_service, all);
                 }
-                answer(StatusCode::OK, "text/plain; version=0.0.4", self.metrics.text())
+                answer(
+                    StatusCode::OK,
+                    "text/plain; version=0.0.4",
+                    self.metrics.text(),
+                )
             }
             _ => answer(StatusCode::NOT_FOUND, "text/plain", "not found"),
         }
@@ -104,9 +108,15 @@
 
     fn resolve(&self, query: &str) -> Response<Full<Bytes>> {
         let zone = query.split('&').find_map(|pair| pair.strip_prefix("zone="));
-        let addresses = self.members.addresses_for(zone.unwrap_or_default(), self.is_ready());
+        let addresses = self
+            .members
+            .addresses_for(zone.unwrap_or_default(), self.is_ready());
         if addresses.is_empty() {
-            return answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no router is ready");
+            return answer(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "text/plain",
+                "no router is ready",
+            );
         }
         let addresses = Addresses {
             addresses,
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -105,9 +105,8 @@
         let mut idle = lock(&self.by_address);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|connection| {
-            !connection.sender.is_closed() && connection.usable_until > now
-        });
+        connections
+            .retain(|connection| !connection.sender.is_closed() && connection.usable_until > now);
         let last = connections.last()?;
         if now - last.idle_since > limit || !last.sender.is_ready() {
             return None;
@@ -254,7 +253,11 @@
     let deadline_ms = dispatch.time_left.as_millis().to_compact_string();
     set_header(headers, names::DEADLINE_MS, &deadline_ms);
     set_header(headers, names::EXPECT_REPLICA, dispatch.replica.id.as_str());
-    set_header(headers, names::REQUEST_PRIORITY, &dispatch.rank.min(9).to_compact_string());
+    set_header(
+        headers,
+        names::REQUEST_PRIORITY,
+        &dispatch.rank.min(9).to_compact_string(),
+    );
     if let Some(team) = dispatch.team {
         set_header(headers, names::TENANT, team);
     }
@@ -274,7 +277,9 @@
 impl ReplicaTransport for HttpTransport {
     async fn send(&self, dispatch: Dispatch<'_>) -> Result<ReplicaAnswer, DispatchError> {
         let request = build_request(&dispatch)?;
-        let mut connection = self.connection(dispatch.replica, dispatch.runs_once).await?;
+        let mut connection = self
+            .connection(dispatch.replica, dispatch.runs_once)
+            .await?;
         let is_first = !std::mem::replace(&mut connection.is_used, true);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -340,7 +345,11 @@
         return None;
     }
     let named = text("keep-alive")
-        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
         .and_then(|seconds| seconds.trim().parse().ok())
         .map(Duration::from_secs);
     let limit = named.map_or(IDLE_LIMIT, |named| named.saturating_sub(KEEP_ALIVE_MARGIN));
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -27,8 +27,8 @@
 use crate::core::suspects::SuspectPlaces;
 use crate::core::witness::Witness;
 use crate::peer::PeerNetwork;
-use crate::store::ObjectStore;
 use crate::settings::Settings;
+use crate::store::ObjectStore;
 use crate::telemetry::{Telemetry, TelemetryError};
 use crate::vm_list::VmList;
 
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -38,7 +38,8 @@
     let mut is_lost = false;
     let mut revision = None;
     loop {
-        let step = match revision {
+        let after = revision;
+        let step = match after {
             None => list(&*store, kind, &*sink).await,
             Some(after) => watch(&*store, kind, after, &*sink).await,
         };
@@ -56,9 +57,12 @@
                 revision = None;
             }
             Err(error) => {
+                // A watch from before a cut may wait for ever: the store tells that the history is
+                // gone only with the next change.
+                revision = None;
                 sink.set_reached(false);
                 if !std::mem::replace(&mut is_lost, true) {
-                    warn!(log, "store lost"; "kind" => kind, "revision" => revision,
+                    warn!(log, "store lost"; "kind" => kind, "revision" => after,
                         "reason" => error.to_string());
                 }
                 tokio::time::sleep(pause).await;
--- a/src/store/kinds.rs
+++ b/src/store/kinds.rs
@@ -124,12 +124,8 @@
     /// # Errors
     ///
     /// Fails with a conflict when it exists.
-    async fn create(
-        &self,
-        kind: &str,
-        name: &str,
-        value: &RawValue,
-    ) -> Result<Revision, KindError>;
+    async fn create(&self, kind: &str, name: &str, value: &RawValue)
+        -> Result<Revision, KindError>;
 
     /// Replaces an object that is at a revision, and returns the new one.
     ///
--- a/src/util.rs
+++ b/src/util.rs
@@ -21,6 +21,12 @@
     hasher.finish()
 }
 
+/// Short hash of a text that is the same on all routers.
+#[allow(clippy::cast_possible_truncation, reason = "a digest")]
+pub(crate) fn short_digest(text: &str) -> u32 {
+    stable_hash(&[text]) as u32
+}
+
 /// Seconds since the Unix epoch, for records that people read and for dropping old ones.
 pub(crate) fn unix_time_s() -> u64 {
     SystemTime::now()
