Cover cuts from the ledger by rank, and keep what is left for the more urgent

Change: grants cover 10, 7 and 5 s of demand by the route's rank plus one standard deviation; while cut off, tokens that more urgent requests will need are kept for them.

--- /dev/null
+++ b/src/core/cover.rs
@@ -0,0 +1,203 @@
+//! Grants for a fleet whose ledger lies in a store that it is cut off from now and then.
+//!
+//! A grant counts as spent when it is made, and is lost when its holder dies. So a holder keeps
+//! what the longest cut would need and no more, and while it is cut off the tokens that are left
+//! are kept for the more urgent requests of the team.
+
+use super::policy::{GrantDecision, GrantPolicy, GrantView};
+use super::units::Tokens;
+
+/// Ranks of requests that are told apart; those beyond count as the last.
+pub const RANKS: usize = 3;
+/// Longest cut that grants cover, in seconds; deployments see 7 to 9.
+pub const CUT_S: f64 = 10.0;
+/// Seconds of demand that grants cover for each rank. What is granted is lost when all routers
+/// die at once, so the less urgent ranks are covered for a part of the longest cut.
+const RANK_COVER_S: [f64; RANKS] = [10.0, 7.0, 5.0];
+
+/// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
+/// that long refuses nobody, and holds no more, since what it holds is lost when it dies.
+#[derive(Clone, Copy, Debug)]
+pub struct CoverPolicy;
+
+/// Part of a holder's even share of the prepaid amount that it stocks before any demand.
+const UNSEEN_DEMAND_PART: u64 = 12;
+/// A covered holder draws at most this part of what is available, unless a request needs more.
+const AVAILABLE_PART: u64 = 2;
+/// Seconds of recent demand that are kept of a budget of which another holder is short.
+const SHORT_COVER_S: u64 = 1;
+
+impl CoverPolicy {
+    fn target_tokens(view: &GrantView) -> Tokens {
+        let holders = view.holder_count.max(1);
+        let unseen_tokens = view.paid_tokens.scaled(1, UNSEEN_DEMAND_PART * holders);
+        let rest_tokens = view.available_tokens + view.others_free_tokens + view.free_tokens;
+        let rest_share_tokens = rest_tokens.scaled(1, holders);
+        view.cover_tokens.max(unseen_tokens.min(rest_share_tokens))
+    }
+
+    /// What is given back of a budget of which another holder is short: all but a short cover.
+    #[must_use]
+    pub fn decide_for_short(view: &GrantView) -> GrantDecision {
+        let kept_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(SHORT_COVER_S));
+        GrantDecision {
+            draw_tokens: Tokens::ZERO,
+            return_tokens: view.free_tokens - kept_tokens,
+        }
+    }
+}
+
+impl GrantPolicy for CoverPolicy {
+    fn decide(&self, view: &GrantView) -> GrantDecision {
+        let target_tokens = Self::target_tokens(view);
+        let mut decision = GrantDecision::default();
+        if view.free_tokens < target_tokens.scaled(3, 4) {
+            let lacking_tokens = target_tokens - view.free_tokens;
+            let most_tokens = view.available_tokens.scaled(1, AVAILABLE_PART);
+            decision.draw_tokens = lacking_tokens.min(most_tokens);
+        }
+        let spare_tokens = target_tokens.scaled(1, 2);
+        if view.free_tokens > target_tokens + spare_tokens {
+            decision.return_tokens = view.free_tokens - target_tokens;
+        }
+        decision
+    }
+}
+
+/// Recent demand as an average that is right from its first second on: what was seen is divided
+/// by the weight of the time in which it was seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WarmMeter {
+    tokens: f64,
+    squares: f64,
+    seconds: f64,
+    largest_tokens: Tokens,
+}
+
+/// Time in which the weight of past demand falls to a third, in seconds.
+const WARM_MEMORY_S: f64 = 6.0;
+
+impl WarmMeter {
+    /// Counts a request by what it spent and what it had reserved.
+    #[allow(clippy::cast_precision_loss, reason = "an average")]
+    pub fn note(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
+        let tokens = spent_tokens.get() as f64;
+        self.tokens += tokens;
+        self.squares += tokens * tokens;
+        self.largest_tokens = self.largest_tokens.max(reserved_tokens);
+    }
+
+    /// Lets time pass. Time before the first demand does not count.
+    pub fn pass(&mut self, interval_s: f64) {
+        if self.tokens <= 0.0 && self.seconds <= 0.0 {
+            return;
+        }
+        let kept = (-interval_s / WARM_MEMORY_S).exp();
+        self.tokens *= kept;
+        self.squares *= kept;
+        self.seconds = self.seconds * kept + interval_s;
+        if self.tokens < 1.0 {
+            *self = Self::default();
+        }
+    }
+
+    /// Tokens spent a second.
+    ///
+    /// ```
+    /// use currantlever::{Tokens, WarmMeter};
+    /// let mut meter = WarmMeter::default();
+    /// for _ in 0..10 {
+    ///     meter.note(Tokens::new(100), Tokens::new(150));
+    ///     meter.pass(0.1);
+    /// }
+    /// assert!((900..1100).contains(&meter.tokens_per_s()));
+    /// ```
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a positive average"
+    )]
+    pub fn tokens_per_s(&self) -> u64 {
+        (self.tokens / self.seconds.max(1.0)) as u64
+    }
+
+    /// What a time of this demand needs: its average and one standard deviation, for requests
+    /// that come independently of one another.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a positive average"
+    )]
+    pub fn need_tokens(&self, time_s: f64) -> Tokens {
+        let seconds = self.seconds.max(1.0);
+        let average = self.tokens / seconds * time_s;
+        let spread = (self.squares / seconds * time_s).sqrt();
+        Tokens::new((average + spread) as u64)
+    }
+
+    /// Largest reservation since the demand was last zero.
+    #[must_use]
+    pub const fn largest_tokens(&self) -> Tokens {
+        self.largest_tokens
+    }
+}
+
+/// Recent demand on one budget by the rank of the requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RankedDemand {
+    meters: [WarmMeter; RANKS],
+}
+
+impl RankedDemand {
+    /// Counts a request.
+    pub fn note(&mut self, rank: u8, spent_tokens: Tokens, reserved_tokens: Tokens) {
+        let index = usize::from(rank).min(RANKS - 1);
+        self.meters[index].note(spent_tokens, reserved_tokens);
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, interval_s: f64) {
+        for meter in &mut self.meters {
+            meter.pass(interval_s);
+        }
+    }
+
+    /// Tokens spent a second.
+    #[must_use]
+    pub fn tokens_per_s(&self) -> u64 {
+        self.meters.iter().map(WarmMeter::tokens_per_s).sum()
+    }
+
+    /// Largest reservation seen lately.
+    #[must_use]
+    pub fn largest_tokens(&self) -> Tokens {
+        let largest = self.meters.iter().map(WarmMeter::largest_tokens);
+        largest.max().unwrap_or_default()
+    }
+
+    /// What a cut from the ledger would need.
+    #[must_use]
+    pub fn cover_tokens(&self) -> Tokens {
+        let covers = self.meters.iter().zip(RANK_COVER_S);
+        covers.map(|(meter, cover_s)| meter.need_tokens(cover_s)).sum()
+    }
+
+    /// What requests more urgent than a rank need for a time.
+    ///
+    /// ```
+    /// use currantlever::{RankedDemand, Tokens};
+    /// let mut demand = RankedDemand::default();
+    /// demand.note(0, Tokens::new(100), Tokens::new(100));
+    /// demand.pass(1.0);
+    /// assert_eq!(demand.more_urgent_tokens(0, 5.0), Tokens::ZERO);
+    /// assert!(demand.more_urgent_tokens(2, 5.0) > Tokens::ZERO);
+    /// ```
+    #[must_use]
+    pub fn more_urgent_tokens(&self, rank: u8, time_s: f64) -> Tokens {
+        let index = usize::from(rank).min(RANKS - 1);
+        let urgent = &self.meters[..index];
+        urgent.iter().map(|meter| meter.need_tokens(time_s)).sum()
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod bill;
 pub mod claim;
+pub mod cover;
 pub mod fair_queue;
 pub mod holder;
 pub mod ids;
--- a/src/core/policy.rs
+++ b/src/core/policy.rs
@@ -4,6 +4,7 @@
 
 use strum::{Display, EnumIter, EnumString};
 
+use super::cover::CoverPolicy;
 use super::units::Tokens;
 
 /// What a policy sees of one budget at one holder.
@@ -25,6 +26,8 @@
     pub demand_tokens_per_s: u64,
     /// Largest reservation seen lately.
     pub largest_request_tokens: Tokens,
+    /// What recent demand needs for the longest cut from the ledger.
+    pub cover_tokens: Tokens,
     /// Routers that draw on the budget.
     pub holder_count: u64,
 }
@@ -116,7 +119,7 @@
             Self::Shrinking => Box::new(ShrinkingPolicy::new(COVER_S)),
             Self::HandOver => Box::new(HandOverPolicy::new(COVER_S)),
             Self::Stocked => Box::new(StockedPolicy::new(STOCK_S)),
-            Self::Cover => Box::new(CoverPolicy::new(CUT_S)),
+            Self::Cover => Box::new(CoverPolicy),
         }
     }
 }
@@ -125,8 +128,6 @@
 pub const FIXED_GRANT_TOKENS: Tokens = Tokens::new(200_000);
 /// Seconds of recent demand that a grant covers.
 pub const COVER_S: u64 = 20;
-/// Longest cut from the ledger that a grant covers, in seconds; deployments see 7 to 9.
-pub const CUT_S: u64 = 10;
 /// Seconds of recent demand that a stocked grant covers, longer than most partitions.
 pub const STOCK_S: u64 = 900;
 /// A stocked holder draws when its share of the rest is at least this part of what it has.
@@ -374,123 +375,3 @@
     }
     decision
 }
-
-/// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
-/// that long refuses nobody, and holds no more, since what it holds is lost when it dies.
-#[derive(Clone, Copy, Debug)]
-pub struct CoverPolicy {
-    cover_s: u64,
-}
-
-/// Part of a holder's even share of the prepaid amount that it stocks before any demand.
-const UNSEEN_DEMAND_PART: u64 = 12;
-/// A covered holder draws at most this part of what is available, unless a request needs more.
-const AVAILABLE_PART: u64 = 2;
-/// Seconds of recent demand that are kept of a budget of which another holder is short.
-const SHORT_COVER_S: u64 = 1;
-
-impl CoverPolicy {
-    /// A policy whose grants cover the given seconds of demand.
-    #[must_use]
-    pub const fn new(cover_s: u64) -> Self {
-        Self { cover_s }
-    }
-
-    fn target_tokens(self, view: &GrantView) -> Tokens {
-        let holders = view.holder_count.max(1);
-        let demand_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(self.cover_s));
-        let covered_tokens = demand_tokens + view.largest_request_tokens.scaled(2, 1);
-        let unseen_tokens = view.paid_tokens.scaled(1, UNSEEN_DEMAND_PART * holders);
-        let rest_tokens = view.available_tokens + view.others_free_tokens + view.free_tokens;
-        let rest_share_tokens = rest_tokens.scaled(1, holders);
-        covered_tokens.max(unseen_tokens.min(rest_share_tokens))
-    }
-
-    /// What is given back of a budget of which another holder is short: all but a short cover.
-    #[must_use]
-    pub fn decide_for_short(view: &GrantView) -> GrantDecision {
-        let kept_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(SHORT_COVER_S));
-        GrantDecision {
-            draw_tokens: Tokens::ZERO,
-            return_tokens: view.free_tokens - kept_tokens,
-        }
-    }
-}
-
-impl GrantPolicy for CoverPolicy {
-    fn decide(&self, view: &GrantView) -> GrantDecision {
-        let target_tokens = self.target_tokens(view);
-        let mut decision = GrantDecision::default();
-        if view.free_tokens < target_tokens.scaled(3, 4) {
-            let lacking_tokens = target_tokens - view.free_tokens;
-            let most_tokens = view.available_tokens.scaled(1, AVAILABLE_PART);
-            decision.draw_tokens = lacking_tokens.min(most_tokens);
-        }
-        let spare_tokens = target_tokens.scaled(1, 2);
-        if view.free_tokens > target_tokens + spare_tokens {
-            decision.return_tokens = view.free_tokens - target_tokens;
-        }
-        decision
-    }
-}
-
-/// Recent demand as an average that is right from its first second on: what was seen is divided
-/// by the weight of the time in which it was seen.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct WarmMeter {
-    tokens: f64,
-    seconds: f64,
-    largest_tokens: Tokens,
-}
-
-/// Time in which the weight of past demand falls to a third, in seconds.
-const WARM_MEMORY_S: f64 = 6.0;
-
-impl WarmMeter {
-    /// Counts a request by what it spent and what it had reserved.
-    #[allow(clippy::cast_precision_loss, reason = "an average")]
-    pub fn note(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
-        self.tokens += spent_tokens.get() as f64;
-        self.largest_tokens = self.largest_tokens.max(reserved_tokens);
-    }
-
-    /// Lets time pass. Time before the first demand does not count.
-    pub fn pass(&mut self, interval_s: f64) {
-        if self.tokens <= 0.0 && self.seconds <= 0.0 {
-            return;
-        }
-        let kept = (-interval_s / WARM_MEMORY_S).exp();
-        self.tokens *= kept;
-        self.seconds = self.seconds * kept + interval_s;
-        if self.tokens < 1.0 {
-            *self = Self::default();
-        }
-    }
-
-    /// Tokens spent a second.
-    ///
-    /// ```
-    /// use currantlever::{Tokens, WarmMeter};
-    /// let mut meter = WarmMeter::default();
-    /// for _ in 0..10 {
-    ///     meter.note(Tokens::new(100), Tokens::new(150));
-    ///     meter.pass(0.1);
-    /// }
-    /// assert!((900..1100).contains(&meter.tokens_per_s()));
-    /// ```
-    #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive average"
-    )]
-    pub fn tokens_per_s(&self) -> u64 {
-        (self.tokens / self.seconds.max(1.0)) as u64
-    }
-
-    /// Largest reservation since the demand was last zero.
-    #[must_use]
-    pub const fn largest_tokens(&self) -> Tokens {
-        self.largest_tokens
-    }
-}
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -7,7 +7,7 @@
 use super::holder::Holder;
 use super::ids::{FailureDomain, HolderId};
 use super::ledger::{BudgetEntry, WitnessSet};
-use super::policy::{near_allowance, DemandMeter, GrantView};
+use super::policy::{COVER_S, near_allowance, DemandMeter, GrantView};
 use super::units::Tokens;
 
 /// Routers among which a team's callers choose.
@@ -111,6 +111,7 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
+            cover_tokens: Tokens::new(self.demand.tokens_per_s().saturating_mul(COVER_S)),
             holder_count: (self.totals.other_count + 1).max(ROUTERS_PER_TEAM as u64),
         }
     }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -187,19 +187,22 @@
         if let Some(team) = &team {
             record.team = team.budget.as_str().into();
         }
+        let rank = team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority);
+        record.rank = rank;
         let Some(pool) = self.pick_pool(&route) else {
             return Err(not_ready());
         };
         record.pool = pool.as_str().into();
         let patience = request.patience.unwrap_or(DEFAULT_PATIENCE);
         let deadline = request.arrived + patience.min(route.timeout);
-        let reservation = self.reserve(&request, team.as_ref(), record).await?;
+        let reservation = self.reserve(&request, team.as_ref(), &route, record).await?;
         Ok(Start {
             request,
             route,
             team,
             pool,
             deadline,
+            rank,
             reservation,
         })
     }
@@ -208,6 +211,7 @@
         &self,
         request: &ExchangeRequest,
         team: Option<&Arc<Team>>,
+        route: &Route,
         record: &mut RequestRecord,
     ) -> Result<Option<Reservation>, Rejection> {
         let (Some(team), Some(bound)) = (team, request.tokens) else {
@@ -218,7 +222,7 @@
         }
         let tokens = bound.total_tokens();
         record.reserved_tokens = tokens.get();
-        let reserved = self.grants.reserve(&team.budget, tokens).await;
+        let reserved = self.grants.reserve(&team.budget, route.priority, tokens).await;
         record.grant = self.grants.note(&team.budget);
         reserved.map(Some)
     }
@@ -251,16 +255,16 @@
     team: Option<Arc<Team>>,
     pool: PoolId,
     deadline: Instant,
+    rank: u8,
     reservation: Option<Reservation>,
 }
 
 impl Start {
     fn into_run(self, exchange: &Arc<Exchange>, record: RequestRecord) -> Run {
-        let priority = self.team.as_ref().and_then(|team| team.priority);
         Run {
             exchange: Arc::clone(exchange),
             prompt: prompt_wish(&self.request),
-            rank: priority.unwrap_or(self.route.priority),
+            rank: self.rank,
             request: self.request,
             route: self.route,
             pool: self.pool,
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -16,7 +16,8 @@
 use crate::core::holder::{Holder, UpdateWish};
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, WitnessSet};
-use crate::core::policy::{CoverPolicy, GrantDecision, GrantPolicy, GrantView, WarmMeter};
+use crate::core::cover::{CoverPolicy, RankedDemand, CUT_S};
+use crate::core::policy::{GrantDecision, GrantPolicy, GrantView};
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::util::{lock, short_digest};
@@ -30,6 +31,8 @@
 /// Age up to which a look at the ledger that found nothing is believed.
 const EMPTY_LEDGER_AGE: Duration = Duration::from_millis(400);
 
+/// Least time for which a cut from the ledger is expected to last on, in seconds.
+const LEAST_CUT_REST_S: f64 = 1.0;
 /// Time for which others are told that a budget is short.
 const SHORT_TIME: Duration = Duration::from_millis(600);
 
@@ -37,7 +40,7 @@
 #[derive(Debug)]
 struct TeamGrant {
     holder: Holder,
-    demand: WarmMeter,
+    demand: RankedDemand,
     totals: LedgerTotals,
     paid_tokens: Tokens,
     /// Largest request that found too little since the last look at the ledger.
@@ -59,7 +62,7 @@
             short_until: None,
             is_others_short: false,
             holder: Holder::new(holder),
-            demand: WarmMeter::default(),
+            demand: RankedDemand::default(),
             totals: LedgerTotals::default(),
             paid_tokens,
             unmet_tokens: Tokens::ZERO,
@@ -81,6 +84,7 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
+            cover_tokens: self.demand.cover_tokens(),
             holder_count: (self.totals.other_count + 1).max(holders as u64),
         }
     }
@@ -90,8 +94,8 @@
 struct GrantState {
     teams: HashMap<BudgetId, TeamGrant>,
     generation: Generation,
-    /// Looks at the ledger that failed since the last one that succeeded.
-    failed_looks: u32,
+    /// When the ledger could first not be reached, since it last could.
+    cut_off_since: Option<Instant>,
 }
 
 /// All grants of this router.
@@ -109,6 +113,7 @@
 pub(crate) struct Reservation {
     grants: Arc<Grants>,
     budget: BudgetId,
+    rank: u8,
     reserved_tokens: Tokens,
     spent_tokens: Tokens,
 }
@@ -130,7 +135,7 @@
         let mut state = lock(&self.grants.state);
         if let Some(team) = state.teams.get_mut(&self.budget) {
             team.holder.settle(self.reserved_tokens, self.spent_tokens);
-            team.demand.note(self.spent_tokens, self.reserved_tokens);
+            team.demand.note(self.rank, self.spent_tokens, self.reserved_tokens);
         }
     }
 }
@@ -161,7 +166,7 @@
             state: Mutex::new(GrantState {
                 teams: HashMap::new(),
                 generation: 0,
-                failed_looks: 0,
+                cut_off_since: None,
             }),
             wake: Notify::new(),
             looks: watch::Sender::new(0),
@@ -203,12 +208,13 @@
     pub(crate) async fn reserve(
         self: &Arc<Self>,
         budget: &BudgetId,
+        rank: u8,
         tokens: Tokens,
     ) -> Result<Reservation, Rejection> {
         let give_up = Instant::now() + LEDGER_WAIT;
         let mut looks = self.looks.subscribe();
         loop {
-            match self.try_reserve(budget, tokens) {
+            match self.try_reserve(budget, rank, tokens) {
                 Ok(reservation) => return Ok(reservation),
                 Err(Some(rejection)) => return Err(rejection),
                 Err(None) => {}
@@ -218,7 +224,7 @@
                 .await
                 .is_err()
             {
-                return self.try_reserve(budget, tokens).map_err(|_| out_of_reach());
+                return self.try_reserve(budget, rank, tokens).map_err(|_| out_of_reach());
             }
         }
     }
@@ -227,17 +233,26 @@
     fn try_reserve(
         self: &Arc<Self>,
         budget: &BudgetId,
+        rank: u8,
         tokens: Tokens,
     ) -> Result<Reservation, Option<Rejection>> {
         let mut state = lock(&self.state);
-        let is_cut_off = state.failed_looks > 0;
+        let cut_off_since = state.cut_off_since;
         let Some(team) = state.teams.get_mut(budget) else {
             return Err(Some(out_of_reach()));
         };
+        if let Some(since) = cut_off_since {
+            let rest_s = (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S);
+            let kept_tokens = team.demand.more_urgent_tokens(rank, rest_s);
+            if team.holder.free_tokens() < tokens + kept_tokens {
+                return Err(Some(out_of_reach()));
+            }
+        }
         if team.holder.reserve(tokens).is_ok() {
             return Ok(Reservation {
                 grants: Arc::clone(self),
                 budget: budget.clone(),
+                rank,
                 reserved_tokens: tokens,
                 spent_tokens: Tokens::ZERO,
             });
@@ -257,7 +272,7 @@
             return Err(Some(rejection.with_retry_after(RESERVED_RETRY)));
         }
         team.unmet_tokens = team.unmet_tokens.max(tokens);
-        if is_cut_off {
+        if cut_off_since.is_some() {
             return Err(Some(out_of_reach()));
         }
         Err(None)
@@ -406,7 +421,7 @@
     /// Takes in the ledger as it stands in the store.
     pub(crate) fn learn_ledger(&self, shard: &LedgerShard) {
         let mut state = lock(&self.state);
-        state.failed_looks = 0;
+        state.cut_off_since = None;
         for (budget, team) in &mut state.teams {
             team.seen = Some(Instant::now());
             let Some(entry) = shard.entries.get(budget) else {
@@ -421,14 +436,10 @@
         self.looks.send_modify(|count| *count += 1);
     }
 
-    /// Notes that the ledger could not be reached. Returns how often in a row.
-    pub(crate) fn learn_unreachable(&self) -> u32 {
-        let mut state = lock(&self.state);
-        state.failed_looks = state.failed_looks.saturating_add(1);
-        let count = state.failed_looks;
-        drop(state);
+    /// Notes that the ledger could not be reached.
+    pub(crate) fn learn_unreachable(&self) {
+        lock(&self.state).cut_off_since.get_or_insert_with(Instant::now);
         self.looks.send_modify(|count| *count += 1);
-        count
     }
 
     /// What the log says of the grants that a look at the ledger changed or asked for.
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -30,6 +30,8 @@
     pub pool: CompactString,
     /// The grant when the request was reserved.
     pub grant: Option<GrantNote>,
+    /// Rank of the request, 0 first.
+    pub rank: u8,
     /// Tokens reserved.
     pub reserved_tokens: u64,
     /// Tokens spent.
@@ -61,6 +63,7 @@
             team: CompactString::default(),
             pool: CompactString::default(),
             grant: None,
+            rank: 0,
             reserved_tokens: 0,
             spent_tokens: 0,
             status: 0,
@@ -118,6 +121,7 @@
             "route" => self.route.as_str(),
             "team" => self.team.as_str(),
             "pool" => self.pool.as_str(),
+            "rank" => self.rank,
             "config_version" => self.config_version,
             "tries" => self.tries.as_str(),
             "reserved_tokens" => self.reserved_tokens,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::accepted::{accept_edit, AcceptError, AcceptedLists, Edit};
 pub use crate::core::bill::{Bill, BudgetTotals, RunEnd, RunId, Settlement};
 pub use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
+pub use crate::core::cover::{CoverPolicy, RankedDemand, WarmMeter};
 pub use crate::core::holder::{Holder, ReserveError, UpdateWish};
 pub use crate::core::ids::{
     BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
@@ -43,9 +44,7 @@
     UpdateOutcome, WitnessSet,
 };
 pub use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish, ReplicaLoad};
-pub use crate::core::policy::{
-    CoverPolicy, DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName, WarmMeter,
-};
+pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
