Shrink covers as the rest of a budget runs out

Change: covers are cut to the part that the rest of the budget lasts of 60 s, at least a fifth. The fleet's demand is estimated from the holder's part of what was spent.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -11,6 +11,11 @@
 pub const RANKS: usize = 3;
 /// Longest cut that grants cover, in seconds; deployments see 7 to 9.
 pub const CUT_S: f64 = 10.0;
+/// Time for which the rest of a budget must last for full covers, in seconds. As it runs out,
+/// covers shrink with it, since what is lost with a holder is then refused to callers.
+const FULL_COVER_REST_S: f64 = 60.0;
+/// Least part of the full cover.
+const LEAST_COVER_PART: f64 = 0.2;
 /// Seconds of demand that grants cover for each rank. What is granted is lost when all routers
 /// die at once, so the less urgent ranks are covered for a part of the longest cut.
 const RANK_COVER_S: [f64; RANKS] = [10.0, 7.0, 5.0];
@@ -177,11 +182,13 @@
         largest.max().unwrap_or_default()
     }
 
-    /// What a cut from the ledger would need.
+    /// What a cut from the ledger would need, or a part of that as the budget runs out: the rest
+    /// lasts for `rest_s` at the present demand of all holders.
     #[must_use]
-    pub fn cover_tokens(&self) -> Tokens {
+    pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
+        let part = (rest_s / FULL_COVER_REST_S).clamp(LEAST_COVER_PART, 1.0);
         let covers = self.meters.iter().zip(RANK_COVER_S);
-        covers.map(|(meter, cover_s)| meter.need_tokens(cover_s)).sum()
+        covers.map(|(meter, cover_s)| meter.need_tokens(cover_s * part)).sum()
     }
 
     /// What requests more urgent than a rank need for a time.
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -30,6 +30,8 @@
     pub others_free_tokens: Tokens,
     /// Other holders with tokens left.
     pub other_count: u64,
+    /// Tokens that other holders reported as spent, or that were lost with them.
+    pub others_spent_tokens: Tokens,
 }
 
 impl LedgerTotals {
@@ -37,6 +39,7 @@
     #[must_use]
     pub fn of(entry: &BudgetEntry, holder: HolderId) -> Self {
         let others = entry.rows.iter().filter(|(id, _)| **id != holder);
+        let others_spent: Tokens = others.clone().map(|(_, row)| row.spent_tokens).sum();
         let unspent = others.map(|(_, row)| row.unspent_tokens());
         let unspent: Vec<Tokens> = unspent.filter(|tokens| *tokens > Tokens::ZERO).collect();
         Self {
@@ -44,6 +47,7 @@
             charged_tokens: entry.charged_tokens(),
             others_free_tokens: unspent.iter().copied().sum(),
             other_count: unspent.len() as u64,
+            others_spent_tokens: others_spent + entry.folded_tokens,
         }
     }
 }
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -70,6 +70,22 @@
         }
     }
 
+    /// How long the rest of the budget lasts at the demand of all holders, in seconds. This
+    /// holder's part of that demand is taken to be its part of what was spent.
+    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+    fn rest_s(&self, available_tokens: Tokens) -> f64 {
+        let own_spent = self.holder.spent_tokens().get() as f64;
+        let all_spent = own_spent + self.totals.others_spent_tokens.get() as f64;
+        let own_demand = self.demand.tokens_per_s() as f64;
+        if own_spent < 1.0 || own_demand < 1.0 {
+            return f64::INFINITY;
+        }
+        let rest_tokens =
+            available_tokens + self.totals.others_free_tokens + self.holder.free_tokens();
+        let all_demand = own_demand * all_spent / own_spent;
+        rest_tokens.get() as f64 / all_demand
+    }
+
     fn view(&self, holders: usize) -> GrantView {
         let available_tokens = match self.seen {
             Some(_) => self.paid_tokens - self.totals.charged_tokens,
@@ -84,7 +100,7 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
-            cover_tokens: self.demand.cover_tokens(),
+            cover_tokens: self.demand.cover_tokens(self.rest_s(available_tokens)),
             holder_count: (self.totals.other_count + 1).max(holders as u64),
         }
     }
