--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -188,7 +188,9 @@
     pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
         let part = (rest_s / FULL_COVER_REST_S).clamp(LEAST_COVER_PART, 1.0);
         let covers = self.meters.iter().zip(RANK_COVER_S);
-        covers.map(|(meter, cover_s)| meter.need_tokens(cover_s * part)).sum()
+        covers
+            .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
+            .sum()
     }
 
     /// What requests more urgent than a rank need for a time.
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -140,10 +140,9 @@
     }
 
     fn is_eligible(&self, wish: &PlaceWish<'_>) -> bool {
-        !self.is_leaving
-            && self.ejected_until_ms <= wish.now_ms
-            && !(self.is_on_probation() && self.is_probed)
-            && !wish.avoid.contains(&self.id)
+        let waits_for_probe = self.is_on_probation() && self.is_probed;
+        let is_usable = !self.is_leaving && self.ejected_until_ms <= wish.now_ms;
+        is_usable && !waits_for_probe && !wish.avoid.contains(&self.id)
     }
 
     fn has_room(&self, wish: &PlaceWish<'_>) -> bool {
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -7,7 +7,7 @@
 use super::holder::Holder;
 use super::ids::{FailureDomain, HolderId};
 use super::ledger::{BudgetEntry, WitnessSet};
-use super::policy::{COVER_S, near_allowance, DemandMeter, GrantView};
+use super::policy::{near_allowance, DemandMeter, GrantView, COVER_S};
 use super::units::Tokens;
 
 /// Routers among which a team's callers choose.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -119,44 +119,18 @@
             .await
             .map_err(|source| listen_error("peer_listen", settings.peer_listen, source))?;
         let socket = Arc::new(socket);
-        let config_sink = Arc::new(ConfigSink::new(Arc::clone(&exchange), log.clone()));
-        tokio::spawn(follow(
-            Arc::clone(&store),
-            CONFIG_KIND,
-            config_sink,
-            log.clone(),
-        ));
-        let replica_sink = Arc::new(ReplicaSink::new(Arc::clone(&directory)));
-        tokio::spawn(follow(
-            Arc::clone(&store),
-            SERVER_KIND,
-            replica_sink,
-            log.clone(),
-        ));
-        let is_ready: IsReady = {
-            let registry = Arc::clone(&registry);
-            Arc::new(move || registry.is_ready())
-        };
-        tokio::spawn(send_hellos(
-            Arc::clone(&socket),
-            Arc::clone(&members),
-            Arc::clone(&pools),
-            Arc::clone(&grants),
-            process,
-            is_ready,
-        ));
-        tokio::spawn(receive_hellos(
-            socket,
-            Arc::clone(&members),
-            Arc::clone(&grants),
-            log.clone(),
-        ));
-        tokio::spawn(keep_entries(
-            Arc::clone(&store),
-            Arc::clone(&members),
-            log.clone(),
-        ));
-        tokio::spawn(keep_house(Arc::clone(&directory), Arc::clone(&transport)));
+        Tasks {
+            store: &store,
+            exchange: &exchange,
+            directory: &directory,
+            members: &members,
+            pools: &pools,
+            grants: &grants,
+            registry: &registry,
+            transport: &transport,
+            log: &log,
+        }
+        .spawn(socket, process);
         let new_sync = || {
             LedgerSync::new(
                 Arc::clone(&store),
@@ -221,6 +195,48 @@
     }
 }
 
+/// The parts that work in the background.
+struct Tasks<'a> {
+    store: &'a Arc<dyn KindStore>,
+    exchange: &'a Arc<Exchange>,
+    directory: &'a Arc<Directory>,
+    members: &'a Arc<Members>,
+    pools: &'a Arc<Pools>,
+    grants: &'a Arc<Grants>,
+    registry: &'a Arc<Registry>,
+    transport: &'a Arc<HttpTransport>,
+    log: &'a Logger,
+}
+
+impl Tasks<'_> {
+    fn spawn(&self, socket: Arc<UdpSocket>, process: u64) {
+        let store = || Arc::clone(self.store);
+        let members = || Arc::clone(self.members);
+        let grants = || Arc::clone(self.grants);
+        let log = || self.log.clone();
+        let config_sink = Arc::new(ConfigSink::new(Arc::clone(self.exchange), log()));
+        tokio::spawn(follow(store(), CONFIG_KIND, config_sink, log()));
+        let replica_sink = Arc::new(ReplicaSink::new(Arc::clone(self.directory)));
+        tokio::spawn(follow(store(), SERVER_KIND, replica_sink, log()));
+        let registry = Arc::clone(self.registry);
+        let is_ready: IsReady = Arc::new(move || registry.is_ready());
+        let pools = Arc::clone(self.pools);
+        let sending = Arc::clone(&socket);
+        tokio::spawn(send_hellos(
+            sending,
+            members(),
+            pools,
+            grants(),
+            process,
+            is_ready,
+        ));
+        tokio::spawn(receive_hellos(socket, members(), grants(), log()));
+        tokio::spawn(keep_entries(store(), members(), log()));
+        let transport = Arc::clone(self.transport);
+        tokio::spawn(keep_house(Arc::clone(self.directory), transport));
+    }
+}
+
 fn listen_error(place: &'static str, address: SocketAddr, source: std::io::Error) -> EntryError {
     EntryError::Listen {
         place,
--- a/src/exchange/catalog.rs
+++ b/src/exchange/catalog.rs
@@ -183,11 +183,6 @@
         &self.teams
     }
 
-    /// One pool.
-    pub(crate) fn pool(&self, pool: &PoolId) -> Option<&PoolRules> {
-        self.pools.get(pool)
-    }
-
     /// All pools.
     pub(crate) fn pools(&self) -> impl Iterator<Item = (&PoolId, &PoolRules)> {
         self.pools.iter()
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -187,15 +187,20 @@
         if let Some(team) = &team {
             record.team = team.budget.as_str().into();
         }
-        let rank = team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority);
+        let rank = team
+            .as_ref()
+            .and_then(|team| team.priority)
+            .unwrap_or(route.priority);
         record.rank = rank;
-        let Some(pool) = self.pick_pool(&route) else {
+        let Some(pool) = pick_pool(&route) else {
             return Err(not_ready());
         };
         record.pool = pool.as_str().into();
         let patience = request.patience.unwrap_or(DEFAULT_PATIENCE);
         let deadline = request.arrived + patience.min(route.timeout);
-        let reservation = self.reserve(&request, team.as_ref(), &route, record).await?;
+        let reservation = self
+            .reserve(&request, team.as_ref(), &route, record)
+            .await?;
         Ok(Start {
             request,
             route,
@@ -222,7 +227,10 @@
         }
         let tokens = bound.total_tokens();
         record.reserved_tokens = tokens.get();
-        let reserved = self.grants.reserve(&team.budget, route.priority, tokens).await;
+        let reserved = self
+            .grants
+            .reserve(&team.budget, route.priority, tokens)
+            .await;
         record.grant = self.grants.note(&team.budget);
         reserved.map(Some)
     }
@@ -234,18 +242,19 @@
         }
         Rejection::new(kind)
     }
+}
 
-    fn pick_pool(&self, route: &Route) -> Option<PoolId> {
-        let total: u64 = route.pools.iter().map(|pool| pool.weight).sum();
-        let mut place = rand::rng().random_range(0..total.max(1));
-        for pool in &route.pools {
-            if place < pool.weight {
-                return Some(pool.pool.clone());
-            }
-            place -= pool.weight;
+/// One of the route's pools, by their weights.
+fn pick_pool(route: &Route) -> Option<PoolId> {
+    let total: u64 = route.pools.iter().map(|pool| pool.weight).sum();
+    let mut place = rand::rng().random_range(0..total.max(1));
+    for pool in &route.pools {
+        if place < pool.weight {
+            return Some(pool.pool.clone());
         }
-        route.pools.first().map(|pool| pool.pool.clone())
+        place -= pool.weight;
     }
+    route.pools.first().map(|pool| pool.pool.clone())
 }
 
 /// A request that may go to a replica.
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -13,10 +13,10 @@
 
 use super::catalog::Catalog;
 use super::request::{RejectKind, Rejection};
+use crate::core::cover::{CoverPolicy, RankedDemand, CUT_S};
 use crate::core::holder::{Holder, UpdateWish};
 use crate::core::ids::{BudgetId, HolderId};
-use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, WitnessSet};
-use crate::core::cover::{CoverPolicy, RankedDemand, CUT_S};
+use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, UpdateOutcome, WitnessSet};
 use crate::core::policy::{GrantDecision, GrantPolicy, GrantView};
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
@@ -139,11 +139,6 @@
     pub(crate) fn set_spent(&mut self, tokens: Tokens) {
         self.spent_tokens = tokens;
     }
-
-    /// What was spent so far.
-    pub(crate) const fn spent_tokens(&self) -> Tokens {
-        self.spent_tokens
-    }
 }
 
 impl Drop for Reservation {
@@ -151,7 +146,8 @@
         let mut state = lock(&self.grants.state);
         if let Some(team) = state.teams.get_mut(&self.budget) {
             team.holder.settle(self.reserved_tokens, self.spent_tokens);
-            team.demand.note(self.rank, self.spent_tokens, self.reserved_tokens);
+            team.demand
+                .note(self.rank, self.spent_tokens, self.reserved_tokens);
         }
     }
 }
@@ -189,11 +185,6 @@
         }
     }
 
-    /// This process as the ledger names it.
-    pub(crate) const fn holder(&self) -> HolderId {
-        self.holder
-    }
-
     /// Takes in the teams and prepaid amounts of newer lists.
     pub(crate) fn learn_catalog(&self, catalog: &Catalog) {
         let mut state = lock(&self.state);
@@ -240,7 +231,9 @@
                 .await
                 .is_err()
             {
-                return self.try_reserve(budget, rank, tokens).map_err(|_| out_of_reach());
+                return self
+                    .try_reserve(budget, rank, tokens)
+                    .map_err(|_| out_of_reach());
             }
         }
     }
@@ -407,16 +400,14 @@
             };
             let entry = shard.entries.entry(budget.clone()).or_default();
             is_changed |= self.fold_ended(entry);
-            match entry.apply(&update) {
-                Ok(outcome) => {
-                    is_changed |= outcome == crate::core::ledger::UpdateOutcome::Applied;
-                }
-                Err(_) => {
-                    team.holder.abandon_draw();
-                    if let Some(update) = team.holder.pending() {
-                        is_changed |= entry.apply(update).is_ok();
-                    }
-                }
+            if let Ok(outcome) = entry.apply(&update) {
+                is_changed |= outcome == UpdateOutcome::Applied;
+                continue;
+            }
+            // Newer lists granted from the budget already: what is given back still holds.
+            team.holder.abandon_draw();
+            if let Some(update) = team.holder.pending() {
+                is_changed |= entry.apply(update).is_ok();
             }
         }
         is_changed
@@ -454,7 +445,9 @@
 
     /// Notes that the ledger could not be reached.
     pub(crate) fn learn_unreachable(&self) {
-        lock(&self.state).cut_off_since.get_or_insert_with(Instant::now);
+        lock(&self.state)
+            .cut_off_since
+            .get_or_insert_with(Instant::now);
         self.looks.send_modify(|count| *count += 1);
     }
 
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -19,7 +19,7 @@
 /// Time between two looks at the grants.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two writes of the ledger that no request waits for.
-const REFILL_INTERVAL: Duration = Duration::from_millis(1_000);
+const REFILL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after the start within which a router has found the others.
 const FLEET_FOUND: Duration = Duration::from_millis(1_500);
 /// First pause after the store gave no answer.
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -22,7 +22,6 @@
     first_event: Histogram,
     store_calls: IntCounterVec,
     replicas: IntGaugeVec,
-    dropped_logs: IntCounter,
 }
 
 impl ExchangeMetrics {
@@ -57,14 +56,12 @@
             Opts::new("currantlever_replicas", "Replicas by pool and state"),
             &["pool", "state"],
         )?;
-        let dropped_logs = IntCounter::new("currantlever_dropped_logs", "Log lines dropped")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(repeats.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(first_event.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
-        registry.register(Box::new(dropped_logs.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -73,7 +70,6 @@
             first_event,
             store_calls,
             replicas,
-            dropped_logs,
         })
     }
 
@@ -94,11 +90,6 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
-    /// Counts log lines that were dropped.
-    pub(crate) fn note_dropped_logs(&self, count: u64) {
-        self.dropped_logs.inc_by(count);
-    }
-
     /// Sets the number of replicas of a pool.
     pub(crate) fn set_replicas(&self, pool: &str, in_service: usize, all: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -1,6 +1,6 @@
 //! The replicas of all pools, this router's work there, and the choice among them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -98,7 +98,7 @@
     pub(crate) fn learn_success(&self) {
         self.pools
             .with_place(&self.pool, &self.replica.id, |place, _| {
-                place.learn_success()
+                place.learn_success();
             });
     }
 
@@ -113,11 +113,6 @@
         self.pools
             .with_place(&self.pool, &self.replica.id, Place::learn_unreachable);
     }
-
-    /// Prompt tokens that the replica probably has to read.
-    pub(crate) const fn unread_tokens(&self) -> u64 {
-        self.unread_tokens
-    }
 }
 
 impl Drop for ChosenReplica {
@@ -246,23 +241,6 @@
         true
     }
 
-    /// Removes all replicas but the listed ones. Returns those removed.
-    pub(crate) fn retain_replicas(&self, listed: &HashSet<ReplicaId>) -> Vec<ReplicaId> {
-        let known: Vec<ReplicaId> = {
-            let state = lock(&self.state);
-            let places = state.pools.values().flat_map(|pool| &pool.places);
-            places.map(|place| place.id.clone()).collect()
-        };
-        let gone: Vec<ReplicaId> = known
-            .into_iter()
-            .filter(|id| !listed.contains(id))
-            .collect();
-        for id in &gone {
-            self.forget_replica(id);
-        }
-        gone
-    }
-
     /// Chooses a replica and counts the request as work there.
     pub(crate) fn choose(self: &Arc<Self>, wish: &ReplicaWish<'_>) -> Search {
         let now_ms = self.now_ms();
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -17,7 +17,7 @@
 use super::request::{BodyStream, BrokenBody, ReplicaAnswer};
 
 /// Least silence after which a stream that may go on elsewhere does.
-const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
 /// The same in multiples of the longest pause that is still on time.
 const SILENCE_PAUSES: u32 = 4;
 
@@ -140,14 +140,12 @@
             let last_id = opened.splitter.last_id();
             // The connection is closed before another replica goes on.
             drop(opened);
-            match resume(&mut run, last_id).await {
-                Some(next) => opened = next,
-                None => {
-                    run.record.note_outcome("stream_broken");
-                    yield Err(reason);
-                    return;
-                }
-            }
+            let Some(next) = resume(&mut run, last_id).await else {
+                run.record.note_outcome("stream_broken");
+                yield Err(reason);
+                return;
+            };
+            opened = next;
         }
     };
     pieces.boxed()
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -65,8 +65,6 @@
     pub tokens: Option<TokenBound>,
     /// The prompt's parts in order.
     pub prompt_parts: Vec<PromptPart>,
-    /// The caller's estimate of the answer's length.
-    pub output_hint_tokens: Option<Tokens>,
     /// Last event that the caller already has of a resumed stream.
     pub resume_after: Option<u64>,
 }
@@ -208,8 +206,6 @@
     Overloaded,
     /// Replicas refused the request and stated that it did not run.
     ReplicasRefused,
-    /// The retry budget of the fleet is used up; the request did not run.
-    RetriesUsed,
     /// The request may have run and its answer was lost.
     AnswerLost,
     /// The route's time is over.
@@ -232,7 +228,6 @@
             | Self::NoReplica
             | Self::Overloaded
             | Self::ReplicasRefused
-            | Self::RetriesUsed
             | Self::TimedOutUnsent => 503,
             Self::AnswerLost => 502,
             Self::TimedOut => 504,
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -265,9 +265,6 @@
     let prompt_parts = text(names::PREFIX_PARTS)
         .map(decode_parts)
         .unwrap_or_default();
-    let output_hint_tokens = text(names::LENGTH_HINT)
-        .and_then(|value| value.parse().ok())
-        .map(Tokens::new);
     let resume_after = text(names::LAST_EVENT_ID).and_then(|value| value.parse().ok());
     let target = parts
         .uri
@@ -287,7 +284,6 @@
         patience,
         tokens,
         prompt_parts,
-        output_hint_tokens,
         resume_after,
     }
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -8,8 +8,6 @@
 pub(crate) const TOKEN_USAGE: &str = "currantlever-token-usage";
 /// The prompt's parts. The name misleads: it is a list of ids with lengths, not one hash.
 pub(crate) const PREFIX_PARTS: &str = "currantlever-prefix-hash";
-/// The caller's estimate of the output tokens.
-pub(crate) const LENGTH_HINT: &str = "currantlever-length-hint";
 /// The replica that a request is meant for; any other answers 421.
 pub(crate) const EXPECT_REPLICA: &str = "currantlever-expect-replica";
 /// Name of the team that pays.
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's store of objects.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -28,7 +29,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without acknowledgement after which a connection counts as lost. Watches wait in
 /// silence, so probes have to find out.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Idle connections kept.
 const MAX_IDLE: usize = 4;
 
@@ -253,7 +254,8 @@
                 separator = '&';
             }
             if let Some(last) = listing.objects.last() {
-                path.push_str(&format!("{separator}after={}", last.name));
+                // Writing to a string cannot fail.
+                let _ = write!(path, "{separator}after={}", last.name);
             }
             let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
             let page: WireListing = decode(&check(answer)?)?;
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -37,7 +37,7 @@
 /// without notice, which only a time of a few round trips rules out.
 const RUN_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(100);
 /// Margin before the time-out that a replica names.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 /// Most idle connections kept to one replica.
 const MAX_IDLE: usize = 6;
 
