Fold the rows of ended processes at the first look at the ledger

Cause: a restarted router folded its former row of a team only with that team's next update, so others took its lost tokens for unspent ones and told callers to come back.

--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -24,7 +24,8 @@
 
 /// Longest wait of a request for the ledger: several of its answers, each some milliseconds.
 const LEDGER_WAIT: Duration = Duration::from_millis(250);
-/// Time after which a caller may come back when the ledger cannot be reached.
+/// Time after which a caller may come back when the ledger cannot be reached: time to reach
+/// another router, or for a short cut to end.
 const OUT_OF_REACH_RETRY: Duration = Duration::from_millis(1_500);
 /// Time after which a caller may come back when reservations of others may be freed.
 const RESERVED_RETRY: Duration = Duration::from_millis(800);
@@ -281,9 +282,6 @@
             return Err(Some(rejection.with_retry_after(RESERVED_RETRY)));
         }
         team.unmet_tokens = team.unmet_tokens.max(tokens);
-        if cut_off_since.is_some() {
-            return Err(Some(out_of_reach()));
-        }
         Err(None)
     }
 
@@ -394,12 +392,14 @@
     pub(crate) fn apply_to(&self, shard: &mut LedgerShard) -> bool {
         let mut state = lock(&self.state);
         let mut is_changed = false;
+        for entry in shard.entries.values_mut() {
+            is_changed |= self.fold_ended(entry);
+        }
         for (budget, team) in &mut state.teams {
             let Some(update) = team.holder.pending().cloned() else {
                 continue;
             };
             let entry = shard.entries.entry(budget.clone()).or_default();
-            is_changed |= self.fold_ended(entry);
             if let Ok(outcome) = entry.apply(&update) {
                 is_changed |= outcome == UpdateOutcome::Applied;
                 continue;
