--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -27,6 +27,8 @@
 /// Time after which a caller may come back when the ledger cannot be reached: time to reach
 /// another router, or for a short cut to end.
 const OUT_OF_REACH_RETRY: Duration = Duration::from_millis(1_500);
+/// Longest advice in a cut, since it may end sooner than the longest one.
+const MAX_CUT_RETRY: Duration = Duration::from_secs(3);
 /// Time after which a caller may come back when reservations of others may be freed.
 const RESERVED_RETRY: Duration = Duration::from_millis(800);
 /// Age up to which a look at the ledger that found nothing is believed.
@@ -255,7 +257,7 @@
             let rest_s = (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S);
             let kept_tokens = team.demand.more_urgent_tokens(rank, rest_s);
             if team.holder.free_tokens() < tokens + kept_tokens {
-                return Err(Some(out_of_reach()));
+                return Err(Some(cut_off(rest_s)));
             }
         }
         if team.holder.reserve(tokens).is_ok() {
@@ -494,6 +496,13 @@
     }
 }
 
+/// A rejection in a cut that is expected to last for a time.
+fn cut_off(rest_s: f64) -> Rejection {
+    let back = Duration::try_from_secs_f64(rest_s).unwrap_or_default();
+    let back = back.clamp(OUT_OF_REACH_RETRY, MAX_CUT_RETRY);
+    Rejection::new(RejectKind::BudgetOutOfReach).with_retry_after(back)
+}
+
 fn out_of_reach() -> Rejection {
     Rejection::new(RejectKind::BudgetOutOfReach).with_retry_after(OUT_OF_REACH_RETRY)
 }
