Read very long prompts apart, and charge for reading shared parts again

Change: a part of the replicas, by the mix of prompts seen and ranked alike by all routers, reads prompts of over 20,000 unread tokens; reading a shared part away from its holder counts twice.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -27,8 +27,27 @@
 const EJECT_MS: u64 = 500;
 /// Longest time for which a replica is passed over.
 const MAX_EJECT_MS: u64 = 8_000;
+/// Key by which all routers rank the same replicas as readers of long prompts.
+const READERS_KEY: u64 = 0x7265_6164_6572_7300;
+/// Charge for reading a shared part that another replica holds, in hundredths of its tokens,
+/// beside the time that reading takes: it also drives other parts out of the cache.
+const READ_AGAIN_PERCENT: u64 = 100;
 /// Replicas that count as holders of a shared part, by rank of the hash.
 const HOLDERS: usize = 2;
+/// Prompts with more tokens to read hold up the streams beside them for longer than the pauses
+/// that callers expect: each step of an engine reads a part of them.
+const LONG_PROMPT_TOKENS: u64 = 20_000;
+/// Part of the replicas that read long prompts, in hundredths of the long prompts' part of all
+/// tokens read: reading leaves room for the streams that follow.
+const READERS_PERCENT: f64 = 80.0;
+/// Most replicas that read long prompts, in hundredths of all.
+const MAX_READERS_PERCENT: usize = 40;
+/// Charge of a short prompt at a replica that reads long ones, in tokens to read.
+const READER_COST_TOKENS: u64 = 12_000;
+/// Charge of a long prompt for each stream at a replica that does not read long ones.
+const HELD_UP_COST_TOKENS: u64 = 2_000;
+/// Weight of past prompts when a new one is counted in.
+const PROMPT_MEMORY: f64 = 0.99;
 
 /// Work that requests put on a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -201,8 +220,48 @@
     hasher.finish()
 }
 
+/// The part of long prompts in what is read, as this router sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PromptMix {
+    long_tokens: f64,
+    all_tokens: f64,
+}
+
+impl PromptMix {
+    /// Counts a prompt by what has to be read of it.
+    #[allow(clippy::cast_precision_loss, reason = "an average")]
+    pub fn note(&mut self, unread_tokens: u64) {
+        self.long_tokens *= PROMPT_MEMORY;
+        self.all_tokens = self.all_tokens * PROMPT_MEMORY + unread_tokens as f64;
+        if unread_tokens > LONG_PROMPT_TOKENS {
+            self.long_tokens += unread_tokens as f64;
+        }
+    }
+
+    /// How many of some replicas read long prompts.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a small positive number"
+    )]
+    fn readers(&self, replicas: usize) -> usize {
+        if self.all_tokens < 1.0 {
+            return 0;
+        }
+        let share = self.long_tokens / self.all_tokens * READERS_PERCENT / 100.0;
+        let readers = (share * replicas as f64).round() as usize;
+        readers.min(replicas * MAX_READERS_PERCENT / 100)
+    }
+}
+
 /// Chooses the replica with the least work before the request.
-pub fn choose_place<R>(places: &mut [Place], wish: &PlaceWish<'_>, rng: &mut R) -> Choice
+pub fn choose_place<R>(
+    places: &mut [Place],
+    wish: &PlaceWish<'_>,
+    mix: &PromptMix,
+    rng: &mut R,
+) -> Choice
 where
     R: Rng,
 {
@@ -212,10 +271,14 @@
     if eligible.is_empty() {
         return Choice::Nobody;
     }
+    let readers = match wish.prompt {
+        Some(_) => holders_of(places, &eligible, READERS_KEY, mix.readers(eligible.len())),
+        None => Vec::new(),
+    };
     let holders = wish
         .prompt
         .filter(|prompt| prompt.shared_tokens > 0)
-        .map(|prompt| holders_of(places, &eligible, prompt.shared_key))
+        .map(|prompt| holders_of(places, &eligible, prompt.shared_key, HOLDERS))
         .unwrap_or_default();
     let mut best: Option<(u64, u32, usize, u64)> = None;
     for index in eligible {
@@ -224,7 +287,7 @@
             continue;
         }
         let unread_tokens = unread_at(wish.prompt, holders.iter().position(|at| *at == index));
-        let cost = cost_of(place, wish, unread_tokens);
+        let cost = cost_of(place, wish, unread_tokens, readers.contains(&index));
         let tie: u32 = rng.random();
         if best.is_none_or(|(least, least_tie, _, _)| (cost, tie) < (least, least_tie)) {
             best = Some((cost, tie, index, unread_tokens));
@@ -241,13 +304,17 @@
     }
 }
 
-fn holders_of(places: &[Place], eligible: &[usize], key: u64) -> Vec<usize> {
+/// The first replicas by the rank of a key.
+fn holders_of(places: &[Place], eligible: &[usize], key: u64, count: usize) -> Vec<usize> {
+    if count == 0 {
+        return Vec::new();
+    }
     let mut ranked: Vec<(u64, usize)> = eligible
         .iter()
         .map(|index| (affinity(key, &places[*index].id), *index))
         .collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.truncate(HOLDERS);
+    ranked.truncate(count);
     ranked.into_iter().map(|(_, index)| index).collect()
 }
 
@@ -264,7 +331,7 @@
     }
 }
 
-fn cost_of(place: &Place, wish: &PlaceWish<'_>, unread_tokens: u64) -> u64 {
+fn cost_of(place: &Place, wish: &PlaceWish<'_>, unread_tokens: u64, is_reader: bool) -> u64 {
     let is_near = place.failure_domain == *wish.failure_domain;
     let domain_tokens = if is_near { 0 } else { DOMAIN_COST_TOKENS };
     let requests = u64::from(place.requests());
@@ -274,9 +341,21 @@
     let waiting = requests.saturating_sub(u64::from(place.slots));
     let running = requests - waiting;
     let per_slot_tokens = (waiting * RUNNING_COST_TOKENS).saturating_mul(20);
+    let again_tokens = wish.prompt.map_or(0, |prompt| {
+        let own_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens);
+        unread_tokens.saturating_sub(own_tokens)
+    });
+    let is_long = unread_tokens > LONG_PROMPT_TOKENS;
+    let mixing_tokens = match (is_long, is_reader) {
+        (true, false) => running * HELD_UP_COST_TOKENS,
+        (false, true) => READER_COST_TOKENS,
+        _ => 0,
+    };
     place.unread_tokens()
         + unread_tokens
+        + again_tokens * READ_AGAIN_PERCENT / 100
         + running * RUNNING_COST_TOKENS
         + per_slot_tokens
         + domain_tokens
+        + mixing_tokens
 }
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -13,7 +13,7 @@
 use super::members::{Members, ToldLoad};
 use super::request::ReplicaAddress;
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
-use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish};
+use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptMix, PromptWish};
 use crate::core::retry_share::{RetryRule, RetryShare};
 use crate::util::{lock, short_digest};
 
@@ -55,6 +55,7 @@
     connection_limit: u32,
     engine: Option<EngineRules>,
     retries: Option<RetryShare>,
+    mix: PromptMix,
 }
 
 impl Pool {
@@ -260,13 +261,16 @@
             rank: wish.rank,
             prompt: wish.prompt.filter(|_| pool.engine.is_some()),
         };
-        match choose_place(&mut pool.places, &place_wish, &mut state.rng) {
+        match choose_place(&mut pool.places, &place_wish, &pool.mix, &mut state.rng) {
             Choice::Place {
                 index,
                 unread_tokens,
             } => {
                 let place = &mut pool.places[index];
                 place.own.add(unread_tokens);
+                if place_wish.prompt.is_some() {
+                    pool.mix.note(unread_tokens);
+                }
                 let share = (pool.connection_limit / routers).max(LEAST_CONNECTIONS);
                 Search::Found(ChosenReplica {
                     pools: Arc::clone(self),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,7 +43,9 @@
     BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons,
     UpdateOutcome, WitnessSet,
 };
-pub use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptWish, ReplicaLoad};
+pub use crate::core::placement::{
+    choose_place, Choice, Place, PlaceWish, PromptMix, PromptWish, ReplicaLoad,
+};
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
