--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -15,10 +15,10 @@
 /// covers shrink with it, since what is lost with a holder is then refused to callers.
 const FULL_COVER_REST_S: f64 = 60.0;
 /// Least part of the full cover.
-const LEAST_COVER_PART: f64 = 0.2;
+const LEAST_COVER_PART: f64 = 0.15;
 /// Seconds of demand that grants cover for each rank. What is granted is lost when all routers
 /// die at once, so the less urgent ranks are covered for a part of the longest cut.
-const RANK_COVER_S: [f64; RANKS] = [10.0, 7.0, 5.0];
+const RANK_COVER_S: [f64; RANKS] = [12.0, 10.0, 9.0];
 
 /// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
 /// that long refuses nobody, and holds no more, since what it holds is lost when it dies.
@@ -186,7 +186,7 @@
     /// lasts for `rest_s` at the present demand of all holders.
     #[must_use]
     pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
-        let part = (rest_s / FULL_COVER_REST_S).clamp(LEAST_COVER_PART, 1.0);
+        let part = (rest_s / FULL_COVER_REST_S).min(1.0).powi(2).max(LEAST_COVER_PART);
         let covers = self.meters.iter().zip(RANK_COVER_S);
         covers
             .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
