--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -186,7 +186,10 @@
     /// lasts for `rest_s` at the present demand of all holders.
     #[must_use]
     pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
-        let part = (rest_s / FULL_COVER_REST_S).min(1.0).powi(2).max(LEAST_COVER_PART);
+        let part = (rest_s / FULL_COVER_REST_S)
+            .min(1.0)
+            .powi(2)
+            .max(LEAST_COVER_PART);
         let covers = self.meters.iter().zip(RANK_COVER_S);
         covers
             .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -28,6 +28,7 @@
 use crate::platform::sinks::{ConfigSink, ReplicaSink};
 use crate::platform::transport::HttpTransport;
 use crate::store::follow::follow;
+use crate::store::health::StoreHealth;
 use crate::store::kinds::KindStore;
 use crate::util::stable_hash;
 
@@ -79,11 +80,12 @@
         let log = log.new(o!("vm" => settings.vm.to_string()));
         let process: u64 = rand::rng().random();
         let metrics = Arc::new(ExchangeMetrics::new()?);
-        let store = Arc::new(PlatformStore::new(
+        let store_health = Arc::new(StoreHealth::default());
+        let store: Arc<dyn KindStore> = Arc::new(PlatformStore::new(
             settings.store_address,
             Arc::clone(&metrics),
+            Arc::clone(&store_health),
         ));
-        let store: Arc<dyn KindStore> = store;
         let members = Arc::new(Members::new(RouterEntry {
             callers_address: settings.callers_listen,
             peer_address: settings.peer_listen,
@@ -103,10 +105,15 @@
             Arc::clone(&pools),
             Arc::clone(&grants),
             Arc::clone(&transport) as _,
+            Arc::clone(&store_health),
             Arc::clone(&metrics),
             log.clone(),
         ));
-        let directory = Arc::new(Directory::new(Arc::clone(&pools), log.clone()));
+        let directory = Arc::new(Directory::new(
+            Arc::clone(&pools),
+            store_health,
+            log.clone(),
+        ));
         let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
         let registry = Arc::new(Registry::new(
             Arc::clone(&members),
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -12,6 +12,7 @@
 
 use super::pools::{Pools, ReplicaEntry};
 use crate::core::ids::ReplicaId;
+use crate::store::health::StoreHealth;
 use crate::util::lock;
 
 /// Time after an outage within which lapsed entries come back, by the platform's word.
@@ -27,32 +28,28 @@
     /// Incarnations that said that they leave.
     draining: HashMap<ReplicaId, Option<u64>>,
     left: HashMap<ReplicaId, (Option<u64>, Instant)>,
-    last_outage: Option<Instant>,
 }
 
 /// The replicas' entries as this router knows them.
 #[derive(Debug)]
 pub(crate) struct Directory {
     pools: Arc<Pools>,
+    store_health: Arc<StoreHealth>,
     log: Logger,
     state: Mutex<State>,
 }
 
 impl Directory {
     /// A directory without entries.
-    pub(crate) fn new(pools: Arc<Pools>, log: Logger) -> Self {
+    pub(crate) fn new(pools: Arc<Pools>, store_health: Arc<StoreHealth>, log: Logger) -> Self {
         Self {
             pools,
+            store_health,
             log,
             state: Mutex::default(),
         }
     }
 
-    /// Notes that the store did not answer, to this or any other call.
-    pub(crate) fn note_outage(&self, now: Instant) {
-        lock(&self.state).last_outage = Some(now);
-    }
-
     /// Takes in an entry.
     pub(crate) fn learn_entry(&self, entry: &ReplicaEntry, now: Instant) {
         let mut state = lock(&self.state);
@@ -83,7 +80,7 @@
         let mut state = lock(&self.state);
         if let Some(born_ms) = state.draining.remove(id) {
             state.left.insert(id.clone(), (born_ms, now));
-        } else if let Some(end) = return_limit(state.last_outage, now) {
+        } else if let Some(end) = return_limit(self.store_health.last_failure(), now) {
             state.missing.entry(id.clone()).or_insert(end);
             info!(self.log, "entry lapsed; kept for now"; "replica" => id.as_str());
             return;
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -1,7 +1,7 @@
 //! Takes a request from its arrival to a replica's answer.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -23,7 +23,8 @@
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::PromptWish;
 use crate::core::units::Tokens;
-use crate::util::{lock, stable_hash};
+use crate::store::health::StoreHealth;
+use crate::util::stable_hash;
 
 /// Replicas that may turn out to be out of reach before a request is rejected.
 const MAX_UNSENT_TRIES: u32 = 4;
@@ -48,8 +49,7 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     catalog: ArcSwapOption<Catalog>,
-    /// When the store stopped telling of newer lists.
-    lists_lost: Mutex<Option<Instant>>,
+    store_health: Arc<StoreHealth>,
     is_closed: AtomicBool,
     pub(super) pools: Arc<Pools>,
     grants: Arc<Grants>,
@@ -91,12 +91,13 @@
         pools: Arc<Pools>,
         grants: Arc<Grants>,
         transport: Arc<dyn ReplicaTransport>,
+        store_health: Arc<StoreHealth>,
         metrics: Arc<ExchangeMetrics>,
         log: Logger,
     ) -> Self {
         Self {
             catalog: ArcSwapOption::empty(),
-            lists_lost: Mutex::new(None),
+            store_health,
             is_closed: AtomicBool::new(false),
             pools,
             grants,
@@ -126,16 +127,6 @@
         true
     }
 
-    /// Notes whether newer lists would be heard of.
-    pub(crate) fn set_lists_reached(&self, is_reached: bool) {
-        let mut lost = lock(&self.lists_lost);
-        if is_reached {
-            *lost = None;
-        } else {
-            lost.get_or_insert_with(Instant::now);
-        }
-    }
-
     /// Takes no further requests.
     pub(crate) fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
@@ -237,7 +228,7 @@
 
     /// A rejection that is only certain while newer lists would be heard of.
     fn unknown(&self, kind: RejectKind) -> Rejection {
-        if lock(&self.lists_lost).is_some() {
+        if self.store_health.is_failing() {
             return not_ready();
         }
         Rejection::new(kind)
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -16,6 +16,7 @@
 
 use super::transport::connect;
 use crate::exchange::metrics::ExchangeMetrics;
+use crate::store::health::StoreHealth;
 use crate::store::kinds::{
     Change, Changes, Freshness, KindError, KindObject, KindStore, Listing, Revision,
 };
@@ -96,6 +97,7 @@
 pub(crate) struct PlatformStore {
     address: SocketAddr,
     metrics: Arc<ExchangeMetrics>,
+    health: Arc<StoreHealth>,
     idle: Mutex<Vec<Sender>>,
 }
 
@@ -106,10 +108,15 @@
 
 impl PlatformStore {
     /// A client of the store at an address.
-    pub(crate) fn new(address: SocketAddr, metrics: Arc<ExchangeMetrics>) -> Self {
+    pub(crate) fn new(
+        address: SocketAddr,
+        metrics: Arc<ExchangeMetrics>,
+        health: Arc<StoreHealth>,
+    ) -> Self {
         Self {
             address,
             metrics,
+            health,
             idle: Mutex::default(),
         }
     }
@@ -128,6 +135,10 @@
             Err(_) => "no_answer".into(),
         };
         self.metrics.note_store_call(&label);
+        let is_answered = result
+            .as_ref()
+            .is_ok_and(|answer| !is_refusal(answer.status));
+        self.health.note_call(is_answered);
         result
     }
 
@@ -193,6 +204,11 @@
     }
 }
 
+/// True when the store did nothing.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+}
+
 /// Turns a status that is not a success into an error.
 fn check(answer: Answer) -> Result<Bytes, KindError> {
     match answer.status.as_u16() {
--- a/src/platform/sinks.rs
+++ b/src/platform/sinks.rs
@@ -59,10 +59,6 @@
             self.learn_object(&change.object);
         }
     }
-
-    fn set_reached(&self, is_reached: bool) {
-        self.exchange.set_lists_reached(is_reached);
-    }
 }
 
 /// Keeps the directory of replicas.
@@ -107,10 +103,4 @@
             }
         }
     }
-
-    fn set_reached(&self, is_reached: bool) {
-        if !is_reached {
-            self.directory.note_outage(Instant::now());
-        }
-    }
 }
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -22,9 +22,6 @@
 
     /// One change.
     fn learn(&self, change: Change);
-
-    /// Whether changes would be heard of.
-    fn set_reached(&self, is_reached: bool);
 }
 
 /// Follows a kind until the process ends.
@@ -47,7 +44,6 @@
             Ok(next) => {
                 revision = Some(next);
                 pause = FIRST_PAUSE;
-                sink.set_reached(true);
                 if std::mem::take(&mut is_lost) {
                     info!(log, "store regained"; "kind" => kind, "revision" => next);
                 }
@@ -60,7 +56,6 @@
                 // A watch from before a cut may wait for ever: the store tells that the history is
                 // gone only with the next change.
                 revision = None;
-                sink.set_reached(false);
                 if !std::mem::replace(&mut is_lost, true) {
                     warn!(log, "store lost"; "kind" => kind, "revision" => after,
                         "reason" => error.to_string());
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's object API: versions, conditional updates and watches.
 
 pub mod follow;
+pub(crate) mod health;
 pub mod http;
 pub mod kinds;
 pub mod memory;
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -246,6 +246,19 @@
     assert!(runs(&replicas) <= 40 + 8 + 58, "{}", runs(&replicas));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_is_over_is_answered_then_and_may_have_run() {
+    let slow = Behaviour::AnswerAfter(Duration::from_secs(3));
+    let (site, replicas) = site_with(&[slow]).await;
+    let router = site.ready_router("r-1").await;
+    let call = Call::new("book", "a-1").with("currantlever-deadline-ms", "300");
+    let asked = std::time::Instant::now();
+    let got = call.send(router.callers).await.unwrap();
+    assert_eq!(got.status, 504);
+    assert!(asked.elapsed() < Duration::from_secs(2));
+    assert_eq!(runs(&replicas), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_passed_on_whole_and_event_by_event() {
     let pause = Duration::from_millis(5);
@@ -411,6 +424,45 @@
     assert_eq!(replicas[0].seen().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_lapse_while_the_store_is_silent_do_not_empty_the_pool() {
+    let pause = Duration::from_millis(1);
+    let (site, replicas) = site_with(&[Behaviour::Stream { events: 2, pause }]).await;
+    let router = site.ready_router("r-1").await;
+    let call = |attempt: &str| Call::new("draft", attempt).with_tokens(1_000, 10);
+    assert_eq!(call("a-1").send(router.callers).await.unwrap().status, 200);
+    wait_until("a grant was stocked", || async { site.charged() > 20_000 }).await;
+    let faults = StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    };
+    site.store.set_faults(faults);
+    // The ledger is asked for more, and does not answer.
+    let huge = Call::new("draft", "huge").with_tokens(PLENTY / 2, 10);
+    assert_eq!(huge.send(router.callers).await.unwrap().status, 429);
+    wait_until("the loss is logged", || async {
+        !router.log_of("ledger lost").is_empty()
+    })
+    .await;
+    assert!(
+        router.log_of("store lost").is_empty(),
+        "the watches have not noticed"
+    );
+    let unknown_key = Call::new("look", "a-2").with("authorization", "Token nobody");
+    assert_eq!(unknown_key.send(router.callers).await.unwrap().status, 503);
+    site.store.remove("servers", &replicas[0].id);
+    site.store.set_faults(StoreFaults::default());
+    wait_until("the lapse is heard of", || async {
+        !router.log_of("entry lapsed; kept for now").is_empty()
+    })
+    .await;
+    assert_eq!(call("b-1").send(router.callers).await.unwrap().status, 200);
+    site.enter(&replicas[0]);
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    assert_eq!(call("b-2").send(router.callers).await.unwrap().status, 200);
+    assert!(router.log_of("replica gone").is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lists_are_read_anew_after_a_cut_of_a_watch_that_would_stay_deaf() {
     let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -316,13 +316,11 @@
         let mut bytes = Vec::new();
         let mut is_whole = true;
         while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Err(_) => {
-                    is_whole = false;
-                    break;
-                }
-            }
+            let Ok(frame) = frame else {
+                is_whole = false;
+                break;
+            };
+            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
         }
         connection.abort();
         Ok(Got {
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -21,6 +21,8 @@
 pub struct StoreFaults {
     /// Refuses each call with this status.
     pub refuse: Option<u16>,
+    /// Answers no call until that is over; watches wait on.
+    pub silent: bool,
     /// Writes take effect and their connections break before the answer.
     pub lose_writes: bool,
     /// Watches from before now wait without hearing of any change.
@@ -195,6 +197,10 @@
     if let Some(status) = faults.refuse {
         return answer(status, &json!({}));
     }
+    let is_watch = query(&request, "watch").is_some();
+    while !is_watch && objects.lock().unwrap().faults.silent {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
     let path = request.uri().path().to_owned();
     let mut parts = path.trim_start_matches("/objects/").splitn(2, '/');
     let kind = parts.next().unwrap_or_default().to_owned();
@@ -272,25 +278,22 @@
     after: u64,
     wait_ms: u64,
 ) -> Answer {
-    let mut changes = changed.subscribe();
+    let mut news = changed.subscribe();
     let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
         {
             let state = objects.lock().unwrap();
-            let is_deaf = state
-                .faults
-                .deaf_before
-                .is_some_and(|before| after < before);
+            let deaf_before = state.faults.deaf_before;
+            let is_deaf = state.faults.silent || deaf_before.is_some_and(|before| after < before);
             let events = state.events(kind, after);
             if !events.is_empty() && !is_deaf {
                 let found = json!({"events": events, "current_rev": state.revision});
                 return answer(200, &found);
             }
         }
-        if tokio::time::timeout_at(end, changes.changed())
-            .await
-            .is_err()
-        {
+        // A look now and then also notices that the silence is over.
+        let _ = tokio::time::timeout(Duration::from_millis(50), news.changed()).await;
+        if tokio::time::Instant::now() >= end {
             let revision = objects.lock().unwrap().revision;
             return answer(200, &json!({"events": [], "current_rev": revision}));
         }
--- a/tests/retry_share.rs
+++ b/tests/retry_share.rs
@@ -35,7 +35,7 @@
         for now_ms in (0..60_000).step_by(50) {
             for (index, share) in shares.iter_mut().enumerate() {
                 // Each router has a request every 200 ms, and wants to repeat without end.
-                if (now_ms / 50 + index as u64) % 4 == 0 {
+                if (now_ms / 50 + index as u64).is_multiple_of(4) {
                     share.note_request(now_ms);
                     requests_ms.push(now_ms);
                 }
