--- a/tests/cover.rs
+++ b/tests/cover.rs
@@ -64,7 +64,7 @@
             self.refused += 1;
             return;
         }
-        self.free[router] = self.free[router] - REQUEST;
+        self.free[router] -= REQUEST;
         self.spent += REQUEST;
         self.demand[router].note(0, REQUEST, REQUEST);
     }
