--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -105,7 +105,7 @@
 
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut objects = self.objects.lock().unwrap();
-        objects.write(kind, name, spec);
+        objects.write(kind, name, &spec);
         let revision = objects.revision;
         drop(objects);
         self.changed.send_replace(revision);
@@ -133,7 +133,7 @@
 }
 
 impl Objects {
-    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn write(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         self.revision += 1;
         let object = json!({
             "metadata": {
@@ -175,11 +175,12 @@
     }
 }
 
+/// An error breaks the connection off.
 type Answer = Result<Response<Full<Bytes>>, std::io::Error>;
 
-fn answer(status: u16, body: &Value) -> Answer {
+fn answer(status: u16, body: &Value) -> Response<Full<Bytes>> {
     let body = Full::new(Bytes::from(body.to_string()));
-    Ok(Response::builder().status(status).body(body).unwrap())
+    Response::builder().status(status).body(body).unwrap()
 }
 
 fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
@@ -195,7 +196,7 @@
 ) -> Answer {
     let faults = objects.lock().unwrap().faults;
     if let Some(status) = faults.refuse {
-        return answer(status, &json!({}));
+        return Ok(answer(status, &json!({})));
     }
     let is_watch = query(&request, "watch").is_some();
     while !is_watch && objects.lock().unwrap().faults.silent {
@@ -207,7 +208,7 @@
     let name = parts.next().map(str::to_owned);
     if let Some(after) = query(&request, "watch") {
         let wait_ms = query(&request, "wait_ms").unwrap_or(0);
-        return watch_kind(&objects, &changed, &kind, after, wait_ms).await;
+        return Ok(watch_kind(&objects, &changed, &kind, after, wait_ms).await);
     }
     let method = request.method().clone();
     let revision = query(&request, "revision");
@@ -215,7 +216,7 @@
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let mut state = objects.lock().unwrap();
     if method == Method::GET {
-        return read(&state, &kind, name.as_deref());
+        return Ok(read(&state, &kind, name.as_deref()));
     }
     let result = write(&mut state, &method, &kind, name, revision, &body);
     let now = state.revision;
@@ -224,10 +225,10 @@
     if faults.lose_writes {
         return Err(std::io::Error::other("the answer is lost"));
     }
-    result
+    Ok(result)
 }
 
-fn read(state: &Objects, kind: &str, name: Option<&str>) -> Answer {
+fn read(state: &Objects, kind: &str, name: Option<&str>) -> Response<Full<Bytes>> {
     let objects = state.by_kind.get(kind);
     let Some(name) = name else {
         let items: Vec<&Value> = objects.map_or_else(Vec::new, |kind| kind.values().collect());
@@ -247,7 +248,7 @@
     name: Option<String>,
     revision: Option<u64>,
     body: &Value,
-) -> Answer {
+) -> Response<Full<Bytes>> {
     let named = body["metadata"]["name"].as_str().map(str::to_owned);
     let name = name.or(named).unwrap_or_default();
     let present = state.revision_of(kind, &name);
@@ -267,7 +268,7 @@
         state.remove(kind, &name);
         return answer(200, &json!({}));
     }
-    let object = state.write(kind, &name, body["spec"].clone());
+    let object = state.write(kind, &name, &body["spec"]);
     answer(200, &object)
 }
 
@@ -277,7 +278,7 @@
     kind: &str,
     after: u64,
     wait_ms: u64,
-) -> Answer {
+) -> Response<Full<Bytes>> {
     let mut news = changed.subscribe();
     let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
