--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -472,7 +472,7 @@
         ..StoreFaults::default()
     };
     site.store.set_faults(faults);
-    site.store.put("config", "main", lists(7, PLENTY));
+    site.store.put("config", "main", &lists(7, PLENTY));
     site.store.cut_connections();
     wait_until("version 7 is in force", || async {
         let lines = router.log_of("configuration in force");
@@ -480,8 +480,8 @@
     })
     .await;
     site.store.set_faults(StoreFaults::default());
-    site.store.put("config", "main", lists(5, PLENTY));
-    site.store.put("config", "main", lists(9, PLENTY));
+    site.store.put("config", "main", &lists(5, PLENTY));
+    site.store.put("config", "main", &lists(9, PLENTY));
     wait_until("version 9 is in force", || async {
         let lines = router.log_of("configuration in force");
         lines.iter().any(|line| line["config_version"] == 9)
@@ -583,7 +583,7 @@
     let call = |attempt: &str| Call::new("draft", attempt).with_tokens(900, 50);
     assert_eq!(call("a-1").send(router.callers).await.unwrap().status, 200);
     assert_eq!(call("a-2").send(router.callers).await.unwrap().status, 402);
-    site.store.put("config", "main", lists(2, 5_000));
+    site.store.put("config", "main", &lists(2, 5_000));
     wait_until("the top-up is in force", || async {
         call("a-3").send(router.callers).await.unwrap().status == 200
     })
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -179,7 +179,7 @@
             directory: TempDir::new().unwrap(),
             store: StandInStore::start().await,
         };
-        site.store.put("config", "main", lists(1, prepaid));
+        site.store.put("config", "main", &lists(1, prepaid));
         site
     }
 
@@ -192,7 +192,7 @@
             "service": "pool", "address": replica.address(), "zone": "a", "version": "v1",
             "slots": 8, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": 1000,
         });
-        self.store.put("servers", &replica.id, entry);
+        self.store.put("servers", &replica.id, &entry);
     }
 
     pub fn router(&self, name: &str) -> Router {
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -103,9 +103,9 @@
         self.objects.lock().unwrap().revision
     }
 
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         let mut objects = self.objects.lock().unwrap();
-        objects.write(kind, name, &spec);
+        objects.write(kind, name, spec);
         let revision = objects.revision;
         drop(objects);
         self.changed.send_replace(revision);
