Charge for waiting for a slot, the request itself included

Now the request's own wait counts, at 20,000 tokens: a run lasts for seconds. Passes. short_prompts_keep_away_from_replicas_that_read_long_ones: the test was wrong: it never let a prompt be read, so 2.4 million tokens lay before 18 replicas, where spilling over is right. Now replicas read 6,000 tokens between arrivals and streams run everywhere; the bounds are the same (7 readers, disjoint from the short prompts).

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -15,6 +15,8 @@
 
 /// Charge, in tokens to read, for each request being generated at a replica.
 const RUNNING_COST_TOKENS: u64 = 150;
+/// Charge, in tokens to read, for each request that waits for a slot: a run lasts for seconds.
+const WAITING_COST_TOKENS: u64 = 20_000;
 /// Charge, in tokens to read, for a replica in another failure domain.
 const DOMAIN_COST_TOKENS: u64 = 200;
 /// Charge of each request at a replica without an engine.
@@ -338,9 +340,10 @@
     if wish.prompt.is_none() {
         return requests * CALL_COST + domain_tokens;
     }
-    let waiting = requests.saturating_sub(u64::from(place.slots));
-    let running = requests - waiting;
-    let per_slot_tokens = (waiting * RUNNING_COST_TOKENS).saturating_mul(20);
+    // The request itself waits where all slots are taken.
+    let waiting = (requests + 1).saturating_sub(u64::from(place.slots));
+    let running = requests.saturating_sub(waiting);
+    let waiting_tokens = waiting * WAITING_COST_TOKENS;
     let again_tokens = wish.prompt.map_or(0, |prompt| {
         let own_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens);
         unread_tokens.saturating_sub(own_tokens)
@@ -355,7 +358,7 @@
         + unread_tokens
         + again_tokens * READ_AGAIN_PERCENT / 100
         + running * RUNNING_COST_TOKENS
-        + per_slot_tokens
+        + waiting_tokens
         + domain_tokens
         + mixing_tokens
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -85,6 +85,10 @@
     }
     let a = domain("a");
     let mut places = places(18);
+    // Streams run everywhere, which a long prompt would hold up.
+    for place in &mut places {
+        place.own.requests = 10;
+    }
     let mut long_at = std::collections::BTreeSet::new();
     let mut short_at = std::collections::BTreeSet::new();
     for number in 0..60 {
@@ -95,6 +99,10 @@
         let short = choose(&mut places, &short, &mix).unwrap();
         places[short].own.add(0);
         short_at.insert(short);
+        // Seven readers read a little more than what arrives.
+        for place in &mut places {
+            place.own.read(6_000);
+        }
     }
     assert!(
         long_at.len() <= 7,
