--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an entry router: one that runs on a platform which gives it a store, callers'
 //! addresses and its bounds.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -9,7 +8,7 @@
 
 use crate::core::ids::{FailureDomain, VmId};
 use crate::core::retry_share::RetryRule;
-use crate::settings::SettingsError;
+use crate::settings::{read_json, SettingsError};
 
 /// Settings of an entry router, in JSON.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -73,19 +72,7 @@
     ///
     /// Fails with the place and reason of the first fault.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read(path).map_err(|source| SettingsError::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        let mut deserializer = serde_json::Deserializer::from_slice(&text);
-        let settings: Self =
-            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-                SettingsError::Parse {
-                    path: path.to_owned(),
-                    place: error.path().to_string(),
-                    reason: error.inner().to_string(),
-                }
-            })?;
+        let settings: Self = read_json(path)?;
         settings.check()?;
         Ok(settings)
     }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -1,49 +1,33 @@
-//! Takes a request from its arrival to a replica's answer.
+//! Takes a request in: authenticates, routes and reserves, then hands it to a run.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
 use rand::RngExt;
 use slog::Logger;
 use tokio::time::Instant;
 
-use super::catalog::{Catalog, Route, RouteKind, Team};
+use super::catalog::{Catalog, Route, Team};
 use super::grants::{Grants, Reservation};
 use super::metrics::ExchangeMetrics;
-use super::pools::{ChosenReplica, Pools, ReplicaWish, Search};
+use super::pools::Pools;
 use super::record::RequestRecord;
-use super::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
-    ReplicaAnswer, ReplicaTransport, Reply, ReplyBody, UnsentCause,
-};
-use crate::core::ids::{PoolId, ReplicaId};
+use super::request::{ExchangeRequest, RejectKind, Rejection, ReplicaTransport, Reply};
+use super::run::Run;
+use crate::core::ids::PoolId;
 use crate::core::placement::PromptWish;
 use crate::core::units::Tokens;
 use crate::store::health::StoreHealth;
 use crate::util::stable_hash;
 
-/// Replicas that may turn out to be out of reach before a request is rejected.
-const MAX_UNSENT_TRIES: u32 = 4;
-/// Largest answer that is held until it is whole; longer ones are passed on as they come.
-const MAX_WHOLE_BYTES: usize = 1 << 20;
-/// Longest time to read the rest of an answer that is not passed on.
-const DISCARD_TIME: Duration = Duration::from_millis(50);
-/// Shortest advice to callers when all replicas are full.
-const OVERLOAD_RETRY: Duration = Duration::from_millis(400);
-/// Width of the spread of such advice, so that callers do not return together.
-const OVERLOAD_SPREAD_MS: u64 = 800;
 /// Advice when the configuration is not known or no replica is in service.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// Advice of a router that is shutting down: another one can serve at once.
 const LEAVING_RETRY: Duration = Duration::from_millis(20);
 /// Time that a caller is served within if it names no deadline and the route is unknown.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
-/// Most time left when a request is handed to a replica; less is not worth a try.
-const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
 
 /// The parts of one router that serve requests.
 #[derive(Debug)]
@@ -53,38 +37,11 @@
     is_closed: AtomicBool,
     pub(super) pools: Arc<Pools>,
     grants: Arc<Grants>,
-    transport: Arc<dyn ReplicaTransport>,
+    pub(super) transport: Arc<dyn ReplicaTransport>,
     metrics: Arc<ExchangeMetrics>,
     log: Logger,
 }
 
-/// One request on its way.
-#[derive(Debug)]
-pub(super) struct Run {
-    pub(super) exchange: Arc<Exchange>,
-    pub(super) request: ExchangeRequest,
-    pub(super) route: Arc<Route>,
-    pub(super) pool: PoolId,
-    pub(super) deadline: Instant,
-    pub(super) record: RequestRecord,
-    pub(super) reservation: Option<Reservation>,
-    team: Option<Arc<Team>>,
-    prompt: Option<PromptWish>,
-    rank: u8,
-    tried: Vec<ReplicaId>,
-    sends: u32,
-    unsent: u32,
-    may_have_run: bool,
-    output_tokens: Tokens,
-}
-
-/// A replica's answer with the work that it stands for.
-#[derive(Debug)]
-pub(super) struct Answered {
-    pub(super) answer: ReplicaAnswer,
-    pub(super) chosen: ChosenReplica,
-}
-
 impl Exchange {
     /// An exchange without lists.
     pub(crate) fn new(
@@ -303,307 +260,3 @@
 fn not_ready() -> Rejection {
     Rejection::new(RejectKind::NotReady).with_retry_after(NOT_READY_RETRY)
 }
-
-fn overload_retry() -> Duration {
-    let spread_ms = rand::rng().random_range(0..OVERLOAD_SPREAD_MS);
-    OVERLOAD_RETRY + Duration::from_millis(spread_ms)
-}
-
-impl Run {
-    async fn serve(mut self) -> Reply {
-        self.exchange.pools.note_request(&self.pool);
-        let served = if self.route.kind.is_stream() {
-            self.serve_stream().await
-        } else {
-            self.serve_whole().await
-        };
-        match served {
-            Ok(Served::Whole {
-                status,
-                headers,
-                body,
-            }) => {
-                self.record.status = status;
-                self.record.note_outcome("answered");
-                Reply::Answer {
-                    status,
-                    headers,
-                    body: ReplyBody::Whole(body),
-                }
-            }
-            Ok(Served::Stream(opened)) => {
-                let (status, headers) = (opened.status, opened.headers.clone());
-                self.record.status = status;
-                Reply::Answer {
-                    status,
-                    headers,
-                    body: ReplyBody::Pieces(super::relay::relay_stream(self, *opened)),
-                }
-            }
-            Err(rejection) => {
-                self.record.note_rejected(rejection.kind);
-                Reply::Rejected(rejection)
-            }
-        }
-    }
-
-    /// Tries replicas until one gives a whole answer.
-    async fn serve_whole(&mut self) -> Result<Served, Rejection> {
-        loop {
-            let Answered { mut answer, chosen } = self.next_answer(None).await?;
-            let body = std::mem::replace(&mut answer.body, futures::stream::empty().boxed());
-            let limit = self.deadline;
-            match tokio::time::timeout_at(limit, read_whole(body)).await {
-                Ok(Ok(body)) => {
-                    if answer.status >= 500 && self.route.kind == RouteKind::Idempotent {
-                        chosen.learn_failure();
-                        self.record
-                            .note_try(chosen.replica.id.as_str(), answer.status);
-                        if self.may_send_again() {
-                            continue;
-                        }
-                    } else {
-                        chosen.learn_success();
-                        self.record
-                            .note_try(chosen.replica.id.as_str(), answer.status);
-                    }
-                    return Ok(Served::Whole {
-                        status: answer.status,
-                        headers: answer.headers,
-                        body,
-                    });
-                }
-                Ok(Err(error)) => {
-                    chosen.learn_failure();
-                    self.record.note_try(chosen.replica.id.as_str(), &error);
-                    if !self.route.kind.may_repeat() || !self.may_send_again() {
-                        return Err(Rejection::new(RejectKind::AnswerLost));
-                    }
-                }
-                Err(_) => return Err(Rejection::new(RejectKind::TimedOut)),
-            }
-        }
-    }
-
-    /// Tries replicas until one has made the first event.
-    async fn serve_stream(&mut self) -> Result<Served, Rejection> {
-        loop {
-            let Answered { answer, mut chosen } =
-                self.next_answer(self.request.resume_after).await?;
-            if !(200..300).contains(&answer.status) {
-                let body = read_whole(answer.body).await;
-                chosen.learn_failure();
-                self.record
-                    .note_try(chosen.replica.id.as_str(), answer.status);
-                let body = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
-                return Ok(Served::Whole {
-                    status: answer.status,
-                    headers: answer.headers,
-                    body,
-                });
-            }
-            let mut opened = super::relay::Opened::new(answer, self.request.resume_after);
-            match tokio::time::timeout_at(self.deadline, opened.read_first()).await {
-                Ok(Ok(())) => {
-                    chosen.note_first_token();
-                    opened.chosen = Some(chosen);
-                    return Ok(Served::Stream(Box::new(opened)));
-                }
-                Ok(Err(error)) => {
-                    chosen.learn_failure();
-                    self.record.note_try(chosen.replica.id.as_str(), &error);
-                    if !self.route.kind.may_repeat() || !self.may_send_again() {
-                        return Err(Rejection::new(RejectKind::AnswerLost));
-                    }
-                }
-                Err(_) => {
-                    self.record
-                        .note_try(chosen.replica.id.as_str(), "no event in time");
-                    return Err(Rejection::new(RejectKind::TimedOut));
-                }
-            }
-        }
-    }
-
-    /// Sends the request to one replica after the other until one answers for it.
-    pub(super) async fn next_answer(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<Answered, Rejection> {
-        loop {
-            let chosen = self.choose()?;
-            self.tried.push(chosen.replica.id.clone());
-            let time_left = self.deadline.saturating_duration_since(Instant::now());
-            if time_left < LEAST_TIME_LEFT {
-                return Err(self.timed_out());
-            }
-            let transport = Arc::clone(&self.exchange.transport);
-            self.spend_prompt();
-            let dispatch = Dispatch {
-                request: &self.request,
-                replica: &chosen.replica,
-                time_left,
-                team: self.team.as_ref().map(|team| team.budget.as_str()),
-                rank: self.rank,
-                resume_after,
-                runs_once: !self.route.kind.may_repeat(),
-            };
-            let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
-            let replica = chosen.replica.id.as_str();
-            match sent {
-                Ok(Ok(answer)) if answer.is_not_run || answer.is_other_replica => {
-                    self.sends += 1;
-                    self.unspend_prompt();
-                    self.record
-                        .note_try(replica, format_args!("{} not run", answer.status));
-                    if answer.is_other_replica {
-                        chosen.learn_unreachable();
-                    }
-                    discard(answer.body).await;
-                    if !self.may_send_again() {
-                        return Err(self.refused_by_replicas());
-                    }
-                }
-                Ok(Ok(answer)) => {
-                    self.sends += 1;
-                    self.may_have_run = true;
-                    return Ok(Answered { answer, chosen });
-                }
-                Ok(Err(error @ DispatchError::NotSent { cause, .. })) => {
-                    self.unspend_prompt();
-                    self.record.note_try(replica, &error);
-                    match cause {
-                        UnsentCause::Refused => chosen.learn_unreachable(),
-                        UnsentCause::Unreachable => chosen.learn_failure(),
-                        UnsentCause::ConnectionClosed
-                        | UnsentCause::NoConnectionLeft
-                        | UnsentCause::BadRequest => {}
-                    }
-                    self.unsent += 1;
-                    if self.unsent > MAX_UNSENT_TRIES {
-                        return Err(self.refused_by_replicas());
-                    }
-                }
-                Ok(Err(error @ DispatchError::Unknown { .. })) => {
-                    self.sends += 1;
-                    self.may_have_run = true;
-                    chosen.learn_failure();
-                    self.record.note_try(replica, &error);
-                    if !self.route.kind.may_repeat() || !self.may_send_again() {
-                        return Err(Rejection::new(RejectKind::AnswerLost));
-                    }
-                }
-                Err(_) => {
-                    self.may_have_run = true;
-                    self.record.note_try(replica, "no answer in time");
-                    return Err(Rejection::new(RejectKind::TimedOut));
-                }
-            }
-        }
-    }
-
-    fn choose(&mut self) -> Result<ChosenReplica, Rejection> {
-        let wish = ReplicaWish {
-            pool: &self.pool,
-            avoid: &self.tried,
-            rank: u32::from(self.rank),
-            prompt: self.prompt,
-        };
-        let kind = match self.exchange.pools.choose(&wish) {
-            Search::Found(chosen) => return Ok(chosen),
-            Search::Full => RejectKind::Overloaded,
-            Search::Nobody => RejectKind::NoReplica,
-        };
-        if self.may_have_run {
-            return Err(Rejection::new(RejectKind::AnswerLost));
-        }
-        Err(Rejection::new(kind).with_retry_after(overload_retry()))
-    }
-
-    /// True when a further replica may be sent the request; takes that out of the retry budget.
-    fn may_send_again(&mut self) -> bool {
-        self.sends < self.route.max_tries
-            && Instant::now() + LEAST_TIME_LEFT < self.deadline
-            && self.exchange.pools.try_repeat(&self.pool)
-    }
-
-    /// Takes one repeat for a stream that goes on elsewhere.
-    pub(super) fn may_resume(&mut self) -> bool {
-        self.may_send_again()
-    }
-
-    fn refused_by_replicas(&self) -> Rejection {
-        if self.may_have_run {
-            return Rejection::new(RejectKind::AnswerLost);
-        }
-        Rejection::new(RejectKind::ReplicasRefused).with_retry_after(overload_retry())
-    }
-
-    fn timed_out(&self) -> Rejection {
-        if self.may_have_run {
-            return Rejection::new(RejectKind::TimedOut);
-        }
-        Rejection::new(RejectKind::TimedOutUnsent).with_retry_after(OVERLOAD_RETRY)
-    }
-
-    /// Counts the prompt as spent: the request may run from now on.
-    fn spend_prompt(&mut self) {
-        let prompt_tokens = self.request.tokens.map(|bound| bound.prompt_tokens);
-        self.set_spent(prompt_tokens.unwrap_or_default() + self.output_tokens);
-    }
-
-    fn unspend_prompt(&mut self) {
-        if !self.may_have_run {
-            self.set_spent(Tokens::ZERO);
-        }
-    }
-
-    /// Counts events passed on as spent.
-    pub(super) fn spend_events(&mut self, events: u64) {
-        self.record.note_events(events);
-        let Some(bound) = self.request.tokens else {
-            return;
-        };
-        let event_tokens = self.exchange.pools.event_tokens(&self.pool);
-        self.output_tokens += Tokens::new(events.saturating_mul(event_tokens));
-        self.output_tokens = self.output_tokens.min(bound.max_output_tokens);
-        self.set_spent(bound.prompt_tokens + self.output_tokens);
-    }
-
-    fn set_spent(&mut self, tokens: Tokens) {
-        if let Some(reservation) = &mut self.reservation {
-            reservation.set_spent(tokens);
-            self.record.spent_tokens = tokens.get();
-        }
-    }
-}
-
-/// What a run has to give to the caller.
-enum Served {
-    Whole {
-        status: u16,
-        headers: http::HeaderMap,
-        body: Bytes,
-    },
-    Stream(Box<super::relay::Opened>),
-}
-
-/// Reads a body to its end.
-async fn read_whole(mut body: BodyStream) -> Result<Bytes, BrokenBody> {
-    let mut whole = BytesMut::new();
-    while let Some(piece) = body.next().await {
-        whole.extend_from_slice(&piece?);
-        if whole.len() > MAX_WHOLE_BYTES {
-            return Err(BrokenBody {
-                reason: "longer than what is held".into(),
-            });
-        }
-    }
-    Ok(whole.freeze())
-}
-
-/// Reads what nobody wants, so that the connection can be used again.
-async fn discard(body: BodyStream) {
-    // A body that is still not over costs its connection, nothing else.
-    let _ = tokio::time::timeout(DISCARD_TIME, read_whole(body)).await;
-}
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -17,3 +17,4 @@
 pub(crate) mod record;
 pub(crate) mod relay;
 pub(crate) mod request;
+pub(crate) mod run;
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 
 use super::catalog::RouteKind;
-use super::engine::{Answered, Run};
 use super::events::EventSplitter;
 use super::pools::ChosenReplica;
 use super::request::{BodyStream, BrokenBody, ReplicaAnswer};
+use super::run::{Answered, Run};
 
 /// Least silence after which a stream that may go on elsewhere does.
 const LEAST_SILENCE: Duration = Duration::from_secs(1);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -122,19 +122,7 @@
     ///
     /// Fails with the place and reason of the first fault.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read(path).map_err(|source| SettingsError::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        let mut deserializer = serde_json::Deserializer::from_slice(&text);
-        let settings: Self =
-            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-                SettingsError::Parse {
-                    path: path.to_owned(),
-                    place: error.path().to_string(),
-                    reason: error.inner().to_string(),
-                }
-            })?;
+        let settings: Self = read_json(path)?;
         settings.check()?;
         Ok(settings)
     }
@@ -174,3 +162,20 @@
     let reason = format!("{value} is outside {low} to {high}");
     Err(SettingsError::Range { place, reason })
 }
+
+/// Reads JSON settings of any shape; errors tell the place of the first fault.
+pub(crate) fn read_json<T>(path: &Path) -> Result<T, SettingsError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let text = fs::read(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let mut deserializer = serde_json::Deserializer::from_slice(&text);
+    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| SettingsError::Parse {
+        path: path.to_owned(),
+        place: error.path().to_string(),
+        reason: error.inner().to_string(),
+    })
+}
