Hand tokens from router to router in cuts, and gather the end of a budget that way

Routers now tell in hellos what they hold of each budget and the demand by rank, ask the one with most to spare when the ledger is slow, lost or short, and in a cut admit by what the fleet holds together. Amounts are running totals between two processes (Holder::send, as the model checks it). A folded row keeps what it gave back apart, since it may have been handed over. This replaces the list of short budgets in hellos and grants returned on its account.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -29,8 +29,6 @@
 const UNSEEN_DEMAND_PART: u64 = 12;
 /// A covered holder draws at most this part of what is available, unless a request needs more.
 const AVAILABLE_PART: u64 = 2;
-/// Seconds of recent demand that are kept of a budget of which another holder is short.
-const SHORT_COVER_S: u64 = 1;
 
 impl CoverPolicy {
     fn target_tokens(view: &GrantView) -> Tokens {
@@ -40,16 +38,6 @@
         let rest_share_tokens = rest_tokens.scaled(1, holders);
         view.cover_tokens.max(unseen_tokens.min(rest_share_tokens))
     }
-
-    /// What is given back of a budget of which another holder is short: all but a short cover.
-    #[must_use]
-    pub fn decide_for_short(view: &GrantView) -> GrantDecision {
-        let kept_tokens = Tokens::new(view.demand_tokens_per_s.saturating_mul(SHORT_COVER_S));
-        GrantDecision {
-            draw_tokens: Tokens::ZERO,
-            return_tokens: view.free_tokens - kept_tokens,
-        }
-    }
 }
 
 impl GrantPolicy for CoverPolicy {
@@ -175,6 +163,12 @@
         self.meters.iter().map(WarmMeter::tokens_per_s).sum()
     }
 
+    /// Tokens spent a second, by rank.
+    #[must_use]
+    pub fn rank_tokens_per_s(&self) -> [u64; RANKS] {
+        self.meters.each_ref().map(WarmMeter::tokens_per_s)
+    }
+
     /// Largest reservation seen lately.
     #[must_use]
     pub fn largest_tokens(&self) -> Tokens {
@@ -195,21 +189,4 @@
             .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
             .sum()
     }
-
-    /// What requests more urgent than a rank need for a time.
-    ///
-    /// ```
-    /// use currantlever::{RankedDemand, Tokens};
-    /// let mut demand = RankedDemand::default();
-    /// demand.note(0, Tokens::new(100), Tokens::new(100));
-    /// demand.pass(1.0);
-    /// assert_eq!(demand.more_urgent_tokens(0, 5.0), Tokens::ZERO);
-    /// assert!(demand.more_urgent_tokens(2, 5.0) > Tokens::ZERO);
-    /// ```
-    #[must_use]
-    pub fn more_urgent_tokens(&self, rank: u8, time_s: f64) -> Tokens {
-        let index = usize::from(rank).min(RANKS - 1);
-        let urgent = &self.meters[..index];
-        urgent.iter().map(|meter| meter.need_tokens(time_s)).sum()
-    }
 }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -62,6 +62,7 @@
     pending: Option<HolderUpdate>,
     row_sealed: bool,
     witness_sealed: bool,
+    sums_sends: bool,
 }
 
 impl Holder {
@@ -89,9 +90,18 @@
             pending: None,
             row_sealed: false,
             witness_sealed: false,
+            sums_sends: false,
         }
     }
 
+    /// Reports only the sum of what was handed to others, under the holder's own id, so that the
+    /// row stays small. The row of such a holder cannot be reclaimed, only folded.
+    #[must_use]
+    pub const fn with_summed_sends(mut self) -> Self {
+        self.sums_sends = true;
+        self
+    }
+
     /// The process start that this share belongs to.
     #[must_use]
     pub const fn id(&self) -> HolderId {
@@ -254,7 +264,7 @@
             },
             returned_tokens: self.returned_tokens,
             received_tokens: self.total_received(),
-            sent: self.sent.clone(),
+            sent: self.reported_sends(),
             spent_tokens: self.spent_tokens,
             witnesses: self.next_witnesses(wish),
             horizon_floor_tokens: self.horizon_tokens.min(self.limit_tokens()),
@@ -339,6 +349,14 @@
         self.reserved_tokens == Tokens::ZERO && self.free_tokens() == Tokens::ZERO
     }
 
+    fn reported_sends(&self) -> BTreeMap<HolderId, Tokens> {
+        if !self.sums_sends {
+            return self.sent.clone();
+        }
+        let sum = Some(self.total_sent()).filter(|sum| !sum.is_zero());
+        sum.map(|sum| (self.id, sum)).into_iter().collect()
+    }
+
     fn next_witnesses(&self, wish: &UpdateWish) -> WitnessSet {
         if self.row_sealed {
             return self.witnesses.clone();
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -86,9 +86,13 @@
     pub paid_tokens: Tokens,
     /// Generation of that list.
     pub generation: Generation,
-    /// Tokens charged by rows that were folded: their processes have ended.
+    /// Tokens granted to rows that were folded: their processes have ended.
     #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub folded_tokens: Tokens,
+    /// Tokens that folded rows gave back. A holder may give back what another one handed to it,
+    /// so this is kept apart until both are folded.
+    #[serde(default, skip_serializing_if = "Tokens::is_zero")]
+    pub folded_returned_tokens: Tokens,
     /// One row for each router process that holds a grant of this budget, or ever held one.
     pub rows: BTreeMap<HolderId, GrantRow>,
 }
@@ -225,7 +229,7 @@
     pub fn charged_tokens(&self) -> Tokens {
         let granted: Tokens = self.rows.values().map(|row| row.granted_tokens).sum();
         let returned: Tokens = self.rows.values().map(|row| row.returned_tokens).sum();
-        self.folded_tokens + granted - returned
+        (self.folded_tokens + granted) - (self.folded_returned_tokens + returned)
     }
 
     /// Replaces the row of an ended process by what it may have spent: all that it held.
@@ -234,7 +238,8 @@
     /// expects an older version of the object.
     pub fn fold(&mut self, holder: HolderId) {
         if let Some(row) = self.rows.remove(&holder) {
-            self.folded_tokens += row.granted_tokens - row.returned_tokens;
+            self.folded_tokens += row.granted_tokens;
+            self.folded_returned_tokens += row.returned_tokens;
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod placement;
 pub mod policy;
+pub mod pooling;
 pub mod quarantine;
 pub mod retry_budget;
 pub mod retry_share;
--- a/src/core/share.rs
+++ b/src/core/share.rs
@@ -47,7 +47,7 @@
             charged_tokens: entry.charged_tokens(),
             others_free_tokens: unspent.iter().copied().sum(),
             other_count: unspent.len() as u64,
-            others_spent_tokens: others_spent + entry.folded_tokens,
+            others_spent_tokens: others_spent + entry.folded_tokens - entry.folded_returned_tokens,
         }
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,11 +16,12 @@
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::Exchange;
 use crate::exchange::grants::{holder_on_vm, Grants};
-use crate::exchange::hellos::{keep_entries, leave, receive_hellos, send_hellos, IsReady};
+use crate::exchange::hellos::{keep_entries, leave, receive_datagrams, send_hellos, IsReady};
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::members::{Members, RouterEntry};
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
+use crate::exchange::transfers::send_transfers;
 use crate::platform::ingress::Ingress;
 use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
 use crate::platform::objects::PlatformStore;
@@ -238,7 +239,8 @@
             is_ready,
             log(),
         ));
-        tokio::spawn(receive_hellos(socket, members(), grants(), log()));
+        tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
+        tokio::spawn(receive_datagrams(socket, members(), grants(), log()));
         tokio::spawn(keep_entries(store(), members(), log()));
         let transport = Arc::clone(self.transport);
         tokio::spawn(keep_house(Arc::clone(self.directory), transport));
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -1,10 +1,11 @@
 //! What this router may spend of each team's prepaid budget.
 //!
 //! A reservation is made in memory from a grant. Grants come from the ledger in the store, where
-//! they count as spent from the moment they are made; what is not needed is given back.
+//! they count as spent from the moment they are made, or from another router's grant; what is not
+//! needed is given back.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,18 +13,23 @@
 use tokio::time::Instant;
 
 use super::catalog::Catalog;
+use super::pooling::{OpenAsk, OtherRouter, WaitingAsk};
 use super::request::{RejectKind, Rejection};
-use crate::core::cover::{CoverPolicy, RankedDemand, CUT_S};
-use crate::core::holder::{Holder, UpdateWish};
+use crate::core::cover::{RankedDemand, CUT_S};
+use crate::core::holder::Holder;
 use crate::core::ids::{BudgetId, HolderId};
-use crate::core::ledger::{BudgetEntry, Generation, LedgerShard, UpdateOutcome, WitnessSet};
-use crate::core::policy::{GrantDecision, GrantPolicy, GrantView};
+use crate::core::ledger::Generation;
+use crate::core::policy::{GrantPolicy, GrantView};
+use crate::core::pooling::{FleetStock, RouterStock};
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::util::{lock, short_digest};
 
-/// Longest wait of a request for the ledger: several of its answers, each some milliseconds.
-const LEDGER_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait of a request for tokens: several answers of the ledger, each some milliseconds.
+const TOKENS_WAIT: Duration = Duration::from_millis(250);
+/// Time after which a ledger that has not answered counts as slow, so that other routers are
+/// asked: ten times its usual answer.
+const SLOW_LEDGER: Duration = Duration::from_millis(40);
 /// Time after which a caller may come back when the ledger cannot be reached: time to reach
 /// another router, or for a short cut to end.
 const OUT_OF_REACH_RETRY: Duration = Duration::from_millis(1_500);
@@ -33,69 +39,92 @@
 const RESERVED_RETRY: Duration = Duration::from_millis(800);
 /// Age up to which a look at the ledger that found nothing is believed.
 const EMPTY_LEDGER_AGE: Duration = Duration::from_millis(400);
-
 /// Least time for which a cut from the ledger is expected to last on, in seconds.
 const LEAST_CUT_REST_S: f64 = 1.0;
-/// Time for which others are told that a budget is short.
-const SHORT_TIME: Duration = Duration::from_millis(600);
 
 /// One team's grant.
 #[derive(Debug)]
-struct TeamGrant {
-    holder: Holder,
-    demand: RankedDemand,
-    totals: LedgerTotals,
-    paid_tokens: Tokens,
+pub(super) struct TeamGrant {
+    pub(super) holder: Holder,
+    pub(super) demand: RankedDemand,
+    pub(super) totals: LedgerTotals,
+    /// Tokens that holders which are not heard may have left, by the ledger.
+    pub(super) unheard_tokens: Tokens,
+    pub(super) paid_tokens: Tokens,
     /// Largest request that found too little since the last look at the ledger.
-    unmet_tokens: Tokens,
+    pub(super) unmet_tokens: Tokens,
     /// When the ledger was last seen with this budget.
-    seen: Option<Instant>,
+    pub(super) seen: Option<Instant>,
     /// Short name of the budget in hellos.
-    digest: u32,
-    /// Until when this router tells others that it is short.
-    short_until: Option<Instant>,
-    /// True when another holder was short since the last look at the grants.
-    is_others_short: bool,
+    pub(super) digest: u32,
+    /// Largest request that waits for another router's tokens.
+    pub(super) asked_tokens: Tokens,
+    /// The router that is asked now.
+    pub(super) open_ask: Option<OpenAsk>,
 }
 
 impl TeamGrant {
     fn new(holder: HolderId, budget: &BudgetId, paid_tokens: Tokens) -> Self {
         Self {
             digest: short_digest(budget.as_str()),
-            short_until: None,
-            is_others_short: false,
-            holder: Holder::new(holder),
+            holder: Holder::new(holder).with_summed_sends(),
             demand: RankedDemand::default(),
             totals: LedgerTotals::default(),
+            unheard_tokens: Tokens::ZERO,
             paid_tokens,
             unmet_tokens: Tokens::ZERO,
             seen: None,
+            asked_tokens: Tokens::ZERO,
+            open_ask: None,
         }
     }
 
-    /// How long the rest of the budget lasts at the demand of all holders, in seconds. This
-    /// holder's part of that demand is taken to be its part of what was spent.
-    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
-    fn rest_s(&self, available_tokens: Tokens) -> f64 {
-        let own_spent = self.holder.spent_tokens().get() as f64;
-        let all_spent = own_spent + self.totals.others_spent_tokens.get() as f64;
-        let own_demand = self.demand.tokens_per_s() as f64;
-        if own_spent < 1.0 || own_demand < 1.0 {
-            return f64::INFINITY;
+    /// This router's stock, as it tells others.
+    pub(super) fn stock(&self) -> RouterStock {
+        RouterStock {
+            free_tokens: self.holder.free_tokens(),
+            reserved_tokens: self.holder.reserved_tokens(),
+            demand_tokens_per_s: self.demand.rank_tokens_per_s(),
         }
-        let rest_tokens =
-            available_tokens + self.totals.others_free_tokens + self.holder.free_tokens();
-        let all_demand = own_demand * all_spent / own_spent;
-        rest_tokens.get() as f64 / all_demand
     }
 
-    fn view(&self, holders: usize) -> GrantView {
-        let available_tokens = match self.seen {
+    /// Tokens in the ledger that nobody holds.
+    pub(super) fn available_tokens(&self) -> Tokens {
+        match self.seen {
             Some(_) => self.paid_tokens - self.totals.charged_tokens,
             None => self.paid_tokens,
-        };
+        }
+    }
+
+    /// True when the ledger was just seen to hold too little for a request. While an update is on
+    /// its way, what it draws or gives back is in neither count.
+    pub(super) fn is_ledger_short(&self, tokens: Tokens) -> bool {
+        let is_fresh = self
+            .seen
+            .is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
+        is_fresh
+            && self.holder.pending().is_none()
+            && self.available_tokens() + self.holder.free_tokens() < tokens
+    }
+
+    /// How long the rest of the budget lasts at the demand of all routers, in seconds.
+    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+    fn rest_s(&self, fleet: &FleetStock) -> f64 {
+        let demand = fleet.sum.all_demand_tokens_per_s() as f64;
+        if demand < 1.0 {
+            return f64::INFINITY;
+        }
+        let others_tokens = self
+            .totals
+            .others_free_tokens
+            .max(fleet.sum.free_tokens - self.holder.free_tokens());
+        let rest_tokens = self.available_tokens() + others_tokens + self.holder.free_tokens();
+        rest_tokens.get() as f64 / demand
+    }
+
+    pub(super) fn view(&self, fleet: &FleetStock, holders: usize) -> GrantView {
         GrantView {
-            available_tokens,
+            available_tokens: self.available_tokens(),
             others_free_tokens: self.totals.others_free_tokens,
             paid_tokens: self.paid_tokens,
             charged_tokens: self.totals.charged_tokens,
@@ -103,28 +132,54 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
-            cover_tokens: self.demand.cover_tokens(self.rest_s(available_tokens)),
+            cover_tokens: self.demand.cover_tokens(self.rest_s(fleet)),
             holder_count: (self.totals.other_count + 1).max(holders as u64),
         }
     }
+
+    /// The rejection of a request that finds too little in the ledger and at other routers.
+    fn short_rejection(&self, tokens: Tokens, fleet: &FleetStock) -> Rejection {
+        let held_tokens = fleet.sum.free_tokens + fleet.sum.reserved_tokens + self.unheard_tokens;
+        if self.available_tokens() + held_tokens < tokens {
+            return Rejection::new(RejectKind::BudgetUsed);
+        }
+        Rejection::new(RejectKind::BudgetOutOfReach).with_retry_after(RESERVED_RETRY)
+    }
 }
 
 #[derive(Debug)]
-struct GrantState {
-    teams: HashMap<BudgetId, TeamGrant>,
-    generation: Generation,
+pub(super) struct GrantState {
+    pub(super) teams: HashMap<BudgetId, TeamGrant>,
+    pub(super) generation: Generation,
     /// When the ledger could first not be reached, since it last could.
-    cut_off_since: Option<Instant>,
+    pub(super) cut_off_since: Option<Instant>,
+    /// Since when the ledger has not answered.
+    pub(super) ledger_call_since: Option<Instant>,
+    /// What other routers told of themselves.
+    pub(super) others: HashMap<SocketAddr, OtherRouter>,
+    /// Asks of other routers that wait for the ledger.
+    pub(super) waiting_asks: Vec<WaitingAsk>,
+}
+
+impl GrantState {
+    /// True when the ledger does not answer in time.
+    pub(super) fn is_ledger_slow(&self) -> bool {
+        self.cut_off_since.is_some()
+            || self
+                .ledger_call_since
+                .is_some_and(|since| since.elapsed() > SLOW_LEDGER)
+    }
 }
 
 /// All grants of this router.
 #[derive(Debug)]
 pub(crate) struct Grants {
-    holder: HolderId,
-    policy: Box<dyn GrantPolicy>,
-    state: Mutex<GrantState>,
-    wake: Notify,
-    looks: watch::Sender<u64>,
+    pub(super) holder: HolderId,
+    pub(super) policy: Box<dyn GrantPolicy>,
+    pub(super) state: Mutex<GrantState>,
+    pub(super) wake: Notify,
+    pub(super) transfers: Notify,
+    pub(super) looks: watch::Sender<u64>,
 }
 
 /// Tokens set aside for one request. What was not spent comes back when it is dropped.
@@ -155,14 +210,6 @@
     }
 }
 
-/// What was asked of the ledger for one budget.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct GrantAsk {
-    budget: BudgetId,
-    draw_tokens: Tokens,
-    return_tokens: Tokens,
-}
-
 /// How a reservation found its tokens, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct GrantNote {
@@ -172,6 +219,18 @@
     pub ledger_age: Option<Duration>,
 }
 
+/// Why a reservation cannot be made at once.
+enum Short {
+    /// The ledger may have more.
+    AskLedger,
+    /// The ledger is being asked.
+    AwaitLedger,
+    /// Another router may have more.
+    AskRouters,
+    /// Nobody is known to have more.
+    Rejected(Rejection),
+}
+
 impl Grants {
     /// No grants yet.
     pub(crate) fn new(holder: HolderId, policy: Box<dyn GrantPolicy>) -> Self {
@@ -182,8 +241,12 @@
                 teams: HashMap::new(),
                 generation: 0,
                 cut_off_since: None,
+                ledger_call_since: None,
+                others: HashMap::new(),
+                waiting_asks: Vec::new(),
             }),
             wake: Notify::new(),
+            transfers: Notify::new(),
             looks: watch::Sender::new(0),
         }
     }
@@ -210,7 +273,7 @@
         self.wake.notify_one();
     }
 
-    /// Reserves tokens, asking the ledger for more if the grant is too small.
+    /// Reserves tokens, asking the ledger or other routers for more if the grant is too small.
     ///
     /// # Errors
     ///
@@ -221,43 +284,45 @@
         rank: u8,
         tokens: Tokens,
     ) -> Result<Reservation, Rejection> {
-        let give_up = Instant::now() + LEDGER_WAIT;
+        let give_up = Instant::now() + TOKENS_WAIT;
         let mut looks = self.looks.subscribe();
         loop {
             match self.try_reserve(budget, rank, tokens) {
                 Ok(reservation) => return Ok(reservation),
-                Err(Some(rejection)) => return Err(rejection),
-                Err(None) => {}
-            }
-            self.wake.notify_one();
-            if tokio::time::timeout_at(give_up, looks.changed())
-                .await
-                .is_err()
-            {
-                return self
-                    .try_reserve(budget, rank, tokens)
-                    .map_err(|_| out_of_reach());
+                Err(Short::Rejected(rejection)) => return Err(rejection),
+                Err(_) if Instant::now() >= give_up => return Err(out_of_reach()),
+                Err(Short::AskLedger) => self.wake.notify_one(),
+                Err(Short::AskRouters) => self.transfers.notify_one(),
+                Err(Short::AwaitLedger) => {}
             }
+            let next_look = give_up.min(Instant::now() + SLOW_LEDGER);
+            // After the time the state is looked at anew, as after a change.
+            let _ = tokio::time::timeout_at(next_look, looks.changed()).await;
         }
     }
 
-    /// Reserves from the present grant. An error without a rejection means: ask the ledger.
+    /// Reserves from the present grant.
     fn try_reserve(
         self: &Arc<Self>,
         budget: &BudgetId,
         rank: u8,
         tokens: Tokens,
-    ) -> Result<Reservation, Option<Rejection>> {
+    ) -> Result<Reservation, Short> {
         let mut state = lock(&self.state);
-        let cut_off_since = state.cut_off_since;
+        let state = &mut *state;
+        let is_slow = state.is_ledger_slow();
         let Some(team) = state.teams.get_mut(budget) else {
-            return Err(Some(out_of_reach()));
+            return Err(Short::Rejected(out_of_reach()));
         };
-        if let Some(since) = cut_off_since {
-            let rest_s = (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S);
-            let kept_tokens = team.demand.more_urgent_tokens(rank, rest_s);
-            if team.holder.free_tokens() < tokens + kept_tokens {
-                return Err(Some(cut_off(rest_s)));
+        let is_fleet_cut_off = state.cut_off_since.is_some()
+            && !state.others.values().any(OtherRouter::reaches_ledger);
+        let cut_rest_s = state
+            .cut_off_since
+            .map(|since| (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S));
+        if let Some(rest_s) = cut_rest_s.filter(|_| is_fleet_cut_off) {
+            let fleet = fleet_stock(team, &state.others);
+            if !fleet.admits(rank, tokens, rest_s) {
+                return Err(Short::Rejected(cut_off(rest_s)));
             }
         }
         if team.holder.reserve(tokens).is_ok() {
@@ -269,22 +334,26 @@
                 spent_tokens: Tokens::ZERO,
             });
         }
-        let is_fresh = team
-            .seen
-            .is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
-        let available_tokens = team.paid_tokens - team.totals.charged_tokens;
-        let free_tokens = team.holder.free_tokens();
-        if is_fresh && available_tokens + free_tokens < tokens {
-            team.short_until = Some(Instant::now() + SHORT_TIME);
-            let hidden_tokens = team.totals.others_free_tokens + team.holder.reserved_tokens();
-            if available_tokens + free_tokens + hidden_tokens < tokens {
-                return Err(Some(Rejection::new(RejectKind::BudgetUsed)));
+        let is_ledger_short = team.is_ledger_short(tokens);
+        if is_slow || is_ledger_short {
+            let giver = OtherRouter::best(&state.others, team.digest, is_slow);
+            if team.open_ask.is_some() || giver.is_some() {
+                team.asked_tokens = team.asked_tokens.max(tokens);
+                return Err(Short::AskRouters);
             }
-            let rejection = Rejection::new(RejectKind::BudgetOutOfReach);
-            return Err(Some(rejection.with_retry_after(RESERVED_RETRY)));
+            if let Some(rest_s) = cut_rest_s {
+                return Err(Short::Rejected(cut_off(rest_s)));
+            }
+            if is_ledger_short {
+                let fleet = fleet_stock(team, &state.others);
+                return Err(Short::Rejected(team.short_rejection(tokens, &fleet)));
+            }
+        }
+        if team.holder.pending().is_some() {
+            return Err(Short::AwaitLedger);
         }
         team.unmet_tokens = team.unmet_tokens.max(tokens);
-        Err(None)
+        Err(Short::AskLedger)
     }
 
     /// What the log says of a team's grant.
@@ -309,182 +378,6 @@
         }
     }
 
-    /// Budgets of which requests found too little and the ledger has no more, as short digests.
-    pub(crate) fn short_budgets(&self) -> Vec<u32> {
-        let state = lock(&self.state);
-        let short = state
-            .teams
-            .values()
-            .filter(|team| team.short_until.is_some_and(|until| until > Instant::now()));
-        short.map(|team| team.digest).collect()
-    }
-
-    /// Notes budgets of which other holders are short.
-    pub(crate) fn learn_short(&self, budgets: &[u32]) {
-        if budgets.is_empty() {
-            return;
-        }
-        let mut state = lock(&self.state);
-        for team in state.teams.values_mut() {
-            team.is_others_short |= budgets.contains(&team.digest);
-        }
-    }
-
-    /// Decides what to ask of the ledger. Nothing is asked when the list is empty.
-    pub(crate) fn prepare(&self, holders: usize, is_leaving: bool) -> Vec<GrantAsk> {
-        let mut state = lock(&self.state);
-        let generation = state.generation;
-        let mut asked = Vec::new();
-        for (budget, team) in &mut state.teams {
-            if let Some(pending) = team.holder.pending() {
-                asked.push(GrantAsk {
-                    budget: budget.clone(),
-                    draw_tokens: pending.draw_tokens,
-                    return_tokens: Tokens::ZERO,
-                });
-                continue;
-            }
-            let view = team.view(holders);
-            let is_others_short = std::mem::take(&mut team.is_others_short);
-            let is_short = team.short_until.is_some_and(|until| until > Instant::now());
-            let mut decision = if is_leaving {
-                GrantDecision {
-                    draw_tokens: Tokens::ZERO,
-                    return_tokens: view.free_tokens,
-                }
-            } else if is_others_short && !is_short {
-                CoverPolicy::decide_for_short(&view).within_paid(&view)
-            } else {
-                let mut decision = self.policy.decide(&view);
-                let lacking_tokens = team.unmet_tokens - view.free_tokens;
-                if lacking_tokens > view.available_tokens {
-                    // Too little is left for the request. Small rests of several holders may add
-                    // up to one that can be served.
-                    decision.draw_tokens = Tokens::ZERO;
-                    if is_others_short {
-                        decision.return_tokens = view.free_tokens;
-                    }
-                } else if !lacking_tokens.is_zero() {
-                    decision.draw_tokens = decision.draw_tokens.max(lacking_tokens);
-                    decision.return_tokens = Tokens::ZERO;
-                }
-                decision.within_paid(&view)
-            };
-            let is_unread = team.seen.is_none();
-            let is_unmet = team.unmet_tokens > Tokens::ZERO;
-            let is_idle = decision.draw_tokens.is_zero() && decision.return_tokens.is_zero();
-            if is_idle && !is_unmet && (!is_unread || is_leaving) {
-                continue;
-            }
-            if is_unmet {
-                decision.draw_tokens = decision.draw_tokens.max(Tokens::new(1));
-            }
-            team.unmet_tokens = Tokens::ZERO;
-            team.holder.prepare_update(&UpdateWish {
-                generation,
-                paid_tokens: team.paid_tokens,
-                draw_tokens: decision.draw_tokens,
-                return_tokens: decision.return_tokens,
-                witnesses: WitnessSet::default(),
-            });
-            asked.push(GrantAsk {
-                budget: budget.clone(),
-                draw_tokens: decision.draw_tokens,
-                return_tokens: decision.return_tokens,
-            });
-        }
-        asked
-    }
-
-    /// Puts all pending updates into a copy of the ledger. Returns false when it holds them all.
-    pub(crate) fn apply_to(&self, shard: &mut LedgerShard) -> bool {
-        let mut state = lock(&self.state);
-        let mut is_changed = false;
-        for entry in shard.entries.values_mut() {
-            is_changed |= self.fold_ended(entry);
-        }
-        for (budget, team) in &mut state.teams {
-            let Some(update) = team.holder.pending().cloned() else {
-                continue;
-            };
-            let entry = shard.entries.entry(budget.clone()).or_default();
-            if let Ok(outcome) = entry.apply(&update) {
-                is_changed |= outcome == UpdateOutcome::Applied;
-                continue;
-            }
-            // Newer lists granted from the budget already: what is given back still holds.
-            team.holder.abandon_draw();
-            if let Some(update) = team.holder.pending() {
-                is_changed |= entry.apply(update).is_ok();
-            }
-        }
-        is_changed
-    }
-
-    /// Folds rows of processes that ran on this VM before: only one runs at a time.
-    fn fold_ended(&self, entry: &mut BudgetEntry) -> bool {
-        let is_ended = |holder: &&HolderId| {
-            vm_part(**holder) == vm_part(self.holder) && holder.process() != self.holder.process()
-        };
-        let ended: Vec<HolderId> = entry.rows.keys().filter(is_ended).copied().collect();
-        for holder in &ended {
-            entry.fold(*holder);
-        }
-        !ended.is_empty()
-    }
-
-    /// Takes in the ledger as it stands in the store.
-    pub(crate) fn learn_ledger(&self, shard: &LedgerShard) {
-        let mut state = lock(&self.state);
-        state.cut_off_since = None;
-        for (budget, team) in &mut state.teams {
-            team.seen = Some(Instant::now());
-            let Some(entry) = shard.entries.get(budget) else {
-                continue;
-            };
-            if let Some(row) = entry.rows.get(&self.holder) {
-                team.holder.confirm(row);
-            }
-            team.totals = LedgerTotals::of(entry, self.holder);
-        }
-        drop(state);
-        self.looks.send_modify(|count| *count += 1);
-    }
-
-    /// Notes that the ledger could not be reached.
-    pub(crate) fn learn_unreachable(&self) {
-        lock(&self.state)
-            .cut_off_since
-            .get_or_insert_with(Instant::now);
-        self.looks.send_modify(|count| *count += 1);
-    }
-
-    /// What the log says of the grants that a look at the ledger changed or asked for.
-    pub(crate) fn describe(&self, asked: &[GrantAsk]) -> String {
-        let state = lock(&self.state);
-        let mut text = String::new();
-        for ask in asked {
-            let Some(team) = state.teams.get(&ask.budget) else {
-                continue;
-            };
-            let available_tokens = team.paid_tokens - team.totals.charged_tokens;
-            // Writing to a string cannot fail.
-            let _ = write!(
-                text,
-                "{} draw={} return={} free={} reserved={} paid={} available={} others={}; ",
-                ask.budget,
-                ask.draw_tokens,
-                ask.return_tokens,
-                team.holder.free_tokens(),
-                team.holder.reserved_tokens(),
-                team.paid_tokens,
-                available_tokens,
-                team.totals.others_free_tokens,
-            );
-        }
-        text
-    }
-
     /// True when nothing is held or pending.
     pub(crate) fn is_given_back(&self) -> bool {
         let state = lock(&self.state);
@@ -502,6 +395,21 @@
     }
 }
 
+/// What all routers hold of a budget, as they last told.
+pub(super) fn fleet_stock(
+    team: &TeamGrant,
+    others: &HashMap<SocketAddr, OtherRouter>,
+) -> FleetStock {
+    let mut fleet = FleetStock::default();
+    fleet.add(&team.stock());
+    for other in others.values() {
+        if let Some(stock) = other.stock(team.digest) {
+            fleet.add(stock);
+        }
+    }
+    fleet
+}
+
 /// A rejection in a cut that is expected to last for a time.
 fn cut_off(rest_s: f64) -> Rejection {
     let back = Duration::try_from_secs_f64(rest_s).unwrap_or_default();
@@ -514,7 +422,7 @@
 }
 
 /// The part of a holder id that names the VM.
-const fn vm_part(holder: HolderId) -> u64 {
+pub(super) const fn vm_part(holder: HolderId) -> u64 {
     holder.get() >> 32
 }
 
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -1,14 +1,16 @@
-//! Sends hellos to other routers and takes in theirs.
+//! Sends hellos to other routers and takes in their datagrams.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use tokio::net::UdpSocket;
 
 use super::grants::Grants;
-use super::members::{entry_name, Hello, Members, RouterEntry};
+use super::members::{entry_name, Hello, Members, RouterEntry, SILENT_HELLOS};
 use super::pools::Pools;
+use super::transfers::{learn_transfer, PeerMessage};
 use crate::store::kinds::{Freshness, KindError, KindStore};
 
 /// Kind of the routers' entries.
@@ -23,8 +25,8 @@
 const ENTRIES_PAUSE: Duration = Duration::from_millis(500);
 /// Silence after which a router's entry is removed from the store.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(120);
-/// Largest hello.
-const MAX_HELLO_BYTES: usize = 16 * 1024;
+/// Largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Whether this router takes requests.
 pub(crate) type IsReady = Arc<dyn Fn() -> bool + Send + Sync>;
@@ -56,46 +58,54 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
-            short_budgets: grants.short_budgets(),
+            grants: grants.told(),
         };
-        if let Ok(bytes) = postcard::to_allocvec(&hello) {
-            for receiver in receivers {
-                // A lost datagram is made up for by the next round.
-                let _ = socket.try_send_to(&bytes, receiver);
-            }
+        let hello = PeerMessage::Hello(hello);
+        for receiver in receivers {
+            hello.send(&socket, receiver);
         }
         tokio::time::sleep(ROUND).await;
     }
 }
 
-/// Takes in hellos of other routers.
-pub(crate) async fn receive_hellos(
+/// Takes in datagrams of other routers.
+pub(crate) async fn receive_datagrams(
     socket: Arc<UdpSocket>,
     members: Arc<Members>,
     grants: Arc<Grants>,
     log: Logger,
 ) {
-    let mut buffer = vec![0; MAX_HELLO_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length_bytes, _)) => {
-                if let Ok(hello) = postcard::from_bytes::<Hello>(&buffer[..length_bytes]) {
-                    grants.learn_short(&hello.short_budgets);
-                    let router = hello.entry.peer_address;
-                    if members.learn_hello(hello) {
-                        info!(log, "router heard"; "router" => router.to_string(),
-                            "known" => members.known_count());
+            Ok((length_bytes, router)) => {
+                match postcard::from_bytes(&buffer[..length_bytes]) {
+                    Ok(PeerMessage::Hello(hello)) => {
+                        learn_hello(router, hello, &members, &grants, &log);
                     }
+                    Ok(message) => learn_transfer(&socket, router, message, &grants, &log),
+                    // Another version of this program, or somebody else.
+                    Err(error) => debug!(log, "datagram not understood";
+                        "router" => router.to_string(), "reason" => error.to_string()),
                 }
             }
             Err(error) => {
-                warn!(log, "hello cannot be received"; "reason" => error.to_string());
+                warn!(log, "datagram cannot be received"; "reason" => error.to_string());
                 tokio::time::sleep(ROUND).await;
             }
         }
     }
 }
 
+fn learn_hello(router: SocketAddr, hello: Hello, members: &Members, grants: &Grants, log: &Logger) {
+    let valid = Duration::from_millis(u64::from(hello.interval_ms)) * SILENT_HELLOS;
+    grants.learn_told(router, &hello.grants, valid);
+    if members.learn_hello(hello) {
+        info!(log, "router heard"; "router" => router.to_string(),
+            "known" => members.known_count());
+    }
+}
+
 /// Enters this router in the store and reads the other entries again and again.
 pub(crate) async fn keep_entries(store: Arc<dyn KindStore>, members: Arc<Members>, log: Logger) {
     let mut is_entered = false;
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -13,12 +13,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::pooling::ToldGrants;
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
 use crate::util::lock;
 
 /// Silence after which a router counts as gone, in multiples of the time between its hellos.
-const SILENT_HELLOS: u32 = 5;
+pub(super) const SILENT_HELLOS: u32 = 5;
 /// Least number of routers that callers are told while there are that many.
 const LEAST_ADDRESSES: usize = 2;
 /// Most routers that callers are told.
@@ -82,8 +83,8 @@
     pub interval_ms: u32,
     /// Its work at each replica that has some.
     pub loads: Vec<ToldLoad>,
-    /// Budgets of which it is short, as short digests.
-    pub short_budgets: Vec<u32>,
+    /// Its grants.
+    pub grants: ToldGrants,
 }
 
 #[derive(Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
     choose_place, Choice, Place, PlaceWish, PromptMix, PromptWish, ReplicaLoad,
 };
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
+pub use crate::core::pooling::{FleetStock, RouterStock};
 pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
