Read the ledger before the first draw, and stock less where no demand was seen

Logs of the grants: each router that starts knows of no other yet and draws a twelfth of the prepaid amount, and eight idle ones keep 0.07 of it to the end, whatever is left. Both are lost with all routers, and idle routers need no stock since others hand over theirs. Now the first look only reads, and the stock before any demand is a fortieth of the even share of what is left.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -25,18 +25,18 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CoverPolicy;
 
-/// Part of a holder's even share of the prepaid amount that it stocks before any demand.
-const UNSEEN_DEMAND_PART: u64 = 12;
+/// Part of a holder's even share of the rest of a budget that it stocks before any demand. Other
+/// routers hand over what its first requests need beyond that.
+const UNSEEN_DEMAND_PART: u64 = 40;
 /// A covered holder draws at most this part of what is available, unless a request needs more.
 const AVAILABLE_PART: u64 = 2;
 
 impl CoverPolicy {
     fn target_tokens(view: &GrantView) -> Tokens {
         let holders = view.holder_count.max(1);
-        let unseen_tokens = view.paid_tokens.scaled(1, UNSEEN_DEMAND_PART * holders);
         let rest_tokens = view.available_tokens + view.others_free_tokens + view.free_tokens;
-        let rest_share_tokens = rest_tokens.scaled(1, holders);
-        view.cover_tokens.max(unseen_tokens.min(rest_share_tokens))
+        let unseen_tokens = rest_tokens.scaled(1, UNSEEN_DEMAND_PART * holders);
+        view.cover_tokens.max(unseen_tokens)
     }
 }
 
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -43,6 +43,15 @@
                 });
                 continue;
             }
+            if team.seen.is_none() && !is_leaving {
+                // A look only: who holds what decides on the first draw.
+                asked.push(GrantAsk {
+                    budget: budget.clone(),
+                    draw_tokens: Tokens::ZERO,
+                    return_tokens: Tokens::ZERO,
+                });
+                continue;
+            }
             let is_unmet = !team.unmet_tokens.is_zero();
             let view = team.view(&fleet_stock(team, others), holders);
             let mut decision = if is_leaving {
@@ -65,9 +74,8 @@
                 }
                 decision.within_paid(&view)
             };
-            let is_unread = team.seen.is_none();
             let is_idle = decision.draw_tokens.is_zero() && decision.return_tokens.is_zero();
-            if is_idle && !is_unmet && (!is_unread || is_leaving) {
+            if is_idle && !is_unmet {
                 continue;
             }
             if is_unmet {
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -90,10 +90,7 @@
 
     /// Tokens in the ledger that nobody holds.
     pub(super) fn available_tokens(&self) -> Tokens {
-        match self.seen {
-            Some(_) => self.paid_tokens - self.totals.charged_tokens,
-            None => self.paid_tokens,
-        }
+        self.paid_tokens - self.totals.charged_tokens
     }
 
     /// True when the ledger was just seen to hold too little for a request. While an update is on
