Count demand on a budget from the start of requests

Demand was counted when a request had settled, and streams last for seconds, so covers were drawn for about half of the demand. A request now counts from its reservation, by the part of reservations that requests before it spent. The test's load is streams of four seconds and a cut after six. Ruled out: the size of covers, which holds in the second cut.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -67,14 +67,16 @@
     largest_tokens: Tokens,
 }
 
+/// Weight of the requests before when the end of a further one is counted.
+const REQUEST_MEMORY: f64 = 0.95;
 /// Time in which the weight of past demand falls to a third, in seconds.
 const WARM_MEMORY_S: f64 = 6.0;
 
 impl WarmMeter {
-    /// Counts a request by what it spent and what it had reserved.
+    /// Counts a request by what it is expected to spend and what it reserves.
     #[allow(clippy::cast_precision_loss, reason = "an average")]
-    pub fn note(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
-        let tokens = spent_tokens.get() as f64;
+    pub fn note(&mut self, expected_tokens: Tokens, reserved_tokens: Tokens) {
+        let tokens = expected_tokens.get() as f64;
         self.tokens += tokens;
         self.squares += tokens * tokens;
         self.largest_tokens = self.largest_tokens.max(reserved_tokens);
@@ -138,16 +140,45 @@
 }
 
 /// Recent demand on one budget by the rank of the requests.
+///
+/// A request counts from its start, by the part of reservations that requests before it spent:
+/// streams last for seconds, and demand that is only seen at their end is seen too late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RankedDemand {
     meters: [WarmMeter; RANKS],
+    ended_reserved_tokens: f64,
+    ended_spent_tokens: f64,
 }
 
 impl RankedDemand {
-    /// Counts a request.
-    pub fn note(&mut self, rank: u8, spent_tokens: Tokens, reserved_tokens: Tokens) {
+    /// Counts a request that has just reserved its tokens.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "an estimate of a positive number"
+    )]
+    pub fn note_start(&mut self, rank: u8, reserved_tokens: Tokens) {
         let index = usize::from(rank).min(RANKS - 1);
-        self.meters[index].note(spent_tokens, reserved_tokens);
+        let expected_tokens = reserved_tokens.get() as f64 * self.spent_part();
+        self.meters[index].note(Tokens::new(expected_tokens as u64), reserved_tokens);
+    }
+
+    /// Takes in what a request spent of its reservation.
+    #[allow(clippy::cast_precision_loss, reason = "an average")]
+    pub fn note_end(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
+        self.ended_reserved_tokens =
+            self.ended_reserved_tokens * REQUEST_MEMORY + reserved_tokens.get() as f64;
+        self.ended_spent_tokens =
+            self.ended_spent_tokens * REQUEST_MEMORY + spent_tokens.get() as f64;
+    }
+
+    /// The part of reservations that is spent; all before any request has ended.
+    fn spent_part(&self) -> f64 {
+        if self.ended_reserved_tokens < 1.0 {
+            return 1.0;
+        }
+        self.ended_spent_tokens / self.ended_reserved_tokens
     }
 
     /// Lets time pass.
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -184,7 +184,6 @@
 pub(crate) struct Reservation {
     grants: Arc<Grants>,
     budget: BudgetId,
-    rank: u8,
     reserved_tokens: Tokens,
     spent_tokens: Tokens,
 }
@@ -202,7 +201,7 @@
         if let Some(team) = state.teams.get_mut(&self.budget) {
             team.holder.settle(self.reserved_tokens, self.spent_tokens);
             team.demand
-                .note(self.rank, self.spent_tokens, self.reserved_tokens);
+                .note_end(self.spent_tokens, self.reserved_tokens);
         }
     }
 }
@@ -323,10 +322,10 @@
             }
         }
         if team.holder.reserve(tokens).is_ok() {
+            team.demand.note_start(rank, tokens);
             return Ok(Reservation {
                 grants: Arc::clone(self),
                 budget: budget.clone(),
-                rank,
                 reserved_tokens: tokens,
                 spent_tokens: Tokens::ZERO,
             });
--- a/tests/cover.rs
+++ b/tests/cover.rs
@@ -66,7 +66,8 @@
         }
         self.free[router] -= REQUEST;
         self.spent += REQUEST;
-        self.demand[router].note(0, REQUEST, REQUEST);
+        self.demand[router].note_start(0, REQUEST);
+        self.demand[router].note_end(REQUEST, REQUEST);
     }
 
     fn second(&mut self, is_cut: bool) {
@@ -118,3 +119,32 @@
     );
     assert_eq!(run.refused, 0);
 }
+
+/// Streams of four seconds that spend half of what they reserve, and a cut six seconds after the
+/// first of them.
+#[test]
+fn demand_is_seen_while_its_first_streams_still_run() {
+    const STREAM_S: usize = 4;
+    let mut demand = RankedDemand::default();
+    let mut running = [0_u64; STREAM_S];
+    for second in 0..6 {
+        let ended = std::mem::take(&mut running[second % STREAM_S]);
+        for _ in 0..ended {
+            demand.note_end(Tokens::new(500), REQUEST);
+        }
+        for _ in 0..PER_SECOND {
+            demand.note_start(0, REQUEST);
+        }
+        running[second % STREAM_S] = PER_SECOND;
+        demand.pass(1.0);
+    }
+    let spent_per_s = PER_SECOND * 500;
+    assert!(
+        demand.tokens_per_s() >= spent_per_s,
+        "{}",
+        demand.tokens_per_s()
+    );
+    let cover = demand.cover_tokens(f64::INFINITY).get();
+    assert!(cover >= spent_per_s * 9, "{cover}");
+    assert!(cover <= spent_per_s * 12 * 2, "{cover}");
+}
