Let a dozen routers draw on the ledger for a large fleet

Now the twelve routers that a hash of all that are heard names draw, covering their own demand and their part of the others', and the others ask them. A give carries what the ledger has left, so that the others can tell a used budget from one in reserve.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -20,6 +20,36 @@
 /// die at once, so the less urgent ranks are covered for a part of the longest cut.
 const RANK_COVER_S: [f64; RANKS] = [12.0, 10.0, 9.0];
 
+/// The part of the full cover that is kept while the rest of a budget lasts for a time.
+fn cover_part(rest_s: f64) -> f64 {
+    let part = (rest_s / FULL_COVER_REST_S).min(1.0).powi(2);
+    part.max(LEAST_COVER_PART)
+}
+
+/// What a cut from the ledger would need at a steady demand by rank, or a part of that as the
+/// budget runs out.
+///
+/// ```
+/// use currantlever::{cover_of, Tokens};
+/// let full = cover_of([100, 0, 0], f64::INFINITY);
+/// assert!(full >= Tokens::new(900));
+/// assert!(cover_of([100, 0, 0], 10.0) < full);
+/// ```
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "an estimate of a positive number"
+)]
+pub fn cover_of(demand_tokens_per_s: [u64; RANKS], rest_s: f64) -> Tokens {
+    let demands = demand_tokens_per_s.iter().zip(RANK_COVER_S);
+    let full: f64 = demands
+        .map(|(demand, cover_s)| *demand as f64 * cover_s)
+        .sum();
+    Tokens::new((full * cover_part(rest_s)) as u64)
+}
+
 /// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
 /// that long refuses nobody, and holds no more, since what it holds is lost when it dies.
 #[derive(Clone, Copy, Debug)]
@@ -211,10 +241,7 @@
     /// lasts for `rest_s` at the present demand of all holders.
     #[must_use]
     pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
-        let part = (rest_s / FULL_COVER_REST_S)
-            .min(1.0)
-            .powi(2)
-            .max(LEAST_COVER_PART);
+        let part = cover_part(rest_s);
         let covers = self.meters.iter().zip(RANK_COVER_S);
         covers
             .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -1,15 +1,19 @@
 //! What this router asks of the ledger, and what it takes in from it.
 
+use std::collections::{HashMap, HashSet};
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 use tokio::time::Instant;
 
-use super::grants::{fleet_stock, vm_part, GrantState, Grants};
+use super::grants::{fleet_stock, vm_part, GrantState, Grants, TeamGrant};
 use super::pooling::OtherRouter;
+use crate::core::cover::RANKS;
 use crate::core::holder::UpdateWish;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{BudgetEntry, LedgerShard, UpdateOutcome, WitnessSet};
 use crate::core::policy::GrantDecision;
+use crate::core::pooling::FleetStock;
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::util::lock;
@@ -22,15 +26,44 @@
     return_tokens: Tokens,
 }
 
+/// Demand at routers that do not draw on the ledger, for each router that does.
+fn unkept_demand(
+    team: &TeamGrant,
+    others: &HashMap<SocketAddr, OtherRouter>,
+    keepers: &HashSet<SocketAddr>,
+) -> [u64; RANKS] {
+    let mut unkept = FleetStock::default();
+    for (router, other) in others {
+        if let Some(stock) = other
+            .stock(team.digest)
+            .filter(|_| !keepers.contains(router))
+        {
+            unkept.add(stock);
+        }
+    }
+    let count = keepers.len().max(1) as u64;
+    unkept.sum.demand_tokens_per_s.map(|demand| demand / count)
+}
+
 impl Grants {
+    /// Takes in which routers draw on the ledger, and whether this one does. Returns true when
+    /// that changed for this one.
+    pub(crate) fn learn_keepers(&self, keepers: HashSet<SocketAddr>, keeps: bool) -> bool {
+        let mut state = lock(&self.state);
+        state.keepers = keepers;
+        std::mem::replace(&mut state.keeps, keeps) != keeps
+    }
+
     /// Decides what to ask of the ledger. Nothing is asked when the list is empty.
-    pub(crate) fn prepare(&self, holders: usize, is_leaving: bool) -> Vec<GrantAsk> {
+    pub(crate) fn prepare(&self, is_leaving: bool) -> Vec<GrantAsk> {
         let mut state = lock(&self.state);
         let GrantState {
             teams,
             others,
             generation,
             ledger_call_since,
+            keepers,
+            keeps,
             ..
         } = &mut *state;
         let mut asked = Vec::new();
@@ -43,6 +76,9 @@
                 });
                 continue;
             }
+            if !*keeps && !is_leaving {
+                continue;
+            }
             if team.seen.is_none() && !is_leaving {
                 // A look only: who holds what decides on the first draw.
                 asked.push(GrantAsk {
@@ -53,7 +89,8 @@
                 continue;
             }
             let is_unmet = !team.unmet_tokens.is_zero();
-            let view = team.view(&fleet_stock(team, others), holders);
+            let fleet = fleet_stock(team, others);
+            let view = team.view(&fleet, unkept_demand(team, others, keepers), keepers.len());
             let mut decision = if is_leaving {
                 GrantDecision {
                     draw_tokens: Tokens::ZERO,
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -4,7 +4,7 @@
 //! they count as spent from the moment they are made, or from another router's grant; what is not
 //! needed is given back.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,9 +13,9 @@
 use tokio::time::Instant;
 
 use super::catalog::Catalog;
-use super::pooling::{OpenAsk, OtherRouter, WaitingAsk};
+use super::pooling::{OpenAsk, OtherRouter, StockWish, WaitingAsk};
 use super::request::{RejectKind, Rejection};
-use crate::core::cover::{RankedDemand, CUT_S};
+use crate::core::cover::{cover_of, RankedDemand, CUT_S, RANKS};
 use crate::core::holder::Holder;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::Generation;
@@ -88,20 +88,40 @@
         }
     }
 
+    /// What to look for at other routers when a request needs some tokens.
+    pub(super) fn wish(&self, tokens: Tokens, may_draw: bool) -> StockWish {
+        StockWish {
+            budget: self.digest,
+            asker: self.holder.id(),
+            wanted_tokens: self.stock().wanted_tokens(tokens),
+            may_draw,
+        }
+    }
+
     /// Tokens in the ledger that nobody holds.
     pub(super) fn available_tokens(&self) -> Tokens {
         self.paid_tokens - self.totals.charged_tokens
     }
 
-    /// True when the ledger was just seen to hold too little for a request. While an update is on
-    /// its way, what it draws or gives back is in neither count.
-    pub(super) fn is_ledger_short(&self, tokens: Tokens) -> bool {
+    /// Tokens in the ledger that nobody holds, if that was seen a moment ago.
+    pub(super) fn just_seen_available_tokens(&self) -> Option<Tokens> {
         let is_fresh = self
             .seen
             .is_some_and(|seen| seen.elapsed() < EMPTY_LEDGER_AGE);
-        is_fresh
-            && self.holder.pending().is_none()
-            && self.available_tokens() + self.holder.free_tokens() < tokens
+        (is_fresh && self.holder.pending().is_none()).then(|| self.available_tokens())
+    }
+
+    /// Takes in what another router has just seen in the ledger.
+    pub(super) fn learn_available(&mut self, available_tokens: Tokens) {
+        self.seen = Some(Instant::now());
+        self.totals.charged_tokens = self.paid_tokens - available_tokens;
+    }
+
+    /// True when the ledger was just seen to hold too little for a request. While an update is on
+    /// its way, what it draws or gives back is in neither count.
+    pub(super) fn is_ledger_short(&self, tokens: Tokens) -> bool {
+        self.just_seen_available_tokens()
+            .is_some_and(|available| available + self.holder.free_tokens() < tokens)
     }
 
     /// How long the rest of the budget lasts at the demand of all routers, in seconds.
@@ -119,7 +139,15 @@
         rest_tokens.get() as f64 / demand
     }
 
-    pub(super) fn view(&self, fleet: &FleetStock, holders: usize) -> GrantView {
+    /// What the policy sees. `unkept_demand` is this router's part of the demand at routers that
+    /// do not draw on the ledger.
+    pub(super) fn view(
+        &self,
+        fleet: &FleetStock,
+        unkept_demand: [u64; RANKS],
+        holders: usize,
+    ) -> GrantView {
+        let rest_s = self.rest_s(fleet);
         GrantView {
             available_tokens: self.available_tokens(),
             others_free_tokens: self.totals.others_free_tokens,
@@ -129,7 +157,7 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
-            cover_tokens: self.demand.cover_tokens(self.rest_s(fleet)),
+            cover_tokens: self.demand.cover_tokens(rest_s) + cover_of(unkept_demand, rest_s),
             holder_count: (self.totals.other_count + 1).max(holders as u64),
         }
     }
@@ -137,7 +165,7 @@
     /// The rejection of a request that finds too little in the ledger and at other routers.
     fn short_rejection(&self, tokens: Tokens, fleet: &FleetStock) -> Rejection {
         let held_tokens = fleet.sum.free_tokens + fleet.sum.reserved_tokens + self.unheard_tokens;
-        if self.available_tokens() + held_tokens < tokens {
+        if self.is_ledger_short(tokens) && self.available_tokens() + held_tokens < tokens {
             return Rejection::new(RejectKind::BudgetUsed);
         }
         Rejection::new(RejectKind::BudgetOutOfReach).with_retry_after(RESERVED_RETRY)
@@ -148,6 +176,12 @@
 pub(super) struct GrantState {
     pub(super) teams: HashMap<BudgetId, TeamGrant>,
     pub(super) generation: Generation,
+    /// The routers that draw on the ledger, by their addresses for hellos.
+    pub(super) keepers: HashSet<SocketAddr>,
+    /// True when this router is one of them.
+    pub(super) keeps: bool,
+    /// When no other router reached the ledger any more.
+    pub(super) others_cut_off_since: Option<Instant>,
     /// When the ledger could first not be reached, since it last could.
     pub(super) cut_off_since: Option<Instant>,
     /// Since when the ledger has not answered.
@@ -159,6 +193,15 @@
 }
 
 impl GrantState {
+    /// Since when the ledger, or the routers that draw on it for this one, are out of reach.
+    fn cut_off_since(&self) -> Option<Instant> {
+        if self.keeps {
+            self.cut_off_since
+        } else {
+            self.others_cut_off_since
+        }
+    }
+
     /// True when the ledger does not answer in time.
     pub(super) fn is_ledger_slow(&self) -> bool {
         self.cut_off_since.is_some()
@@ -236,6 +279,9 @@
             state: Mutex::new(GrantState {
                 teams: HashMap::new(),
                 generation: 0,
+                keepers: HashSet::new(),
+                keeps: true,
+                others_cut_off_since: None,
                 cut_off_since: None,
                 ledger_call_since: None,
                 others: HashMap::new(),
@@ -306,15 +352,15 @@
     ) -> Result<Reservation, Short> {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        let is_slow = state.is_ledger_slow();
-        let Some(team) = state.teams.get_mut(budget) else {
-            return Err(Short::Rejected(out_of_reach()));
-        };
-        let is_fleet_cut_off = state.cut_off_since.is_some()
+        let needs_others = state.is_ledger_slow() || !state.keeps;
+        let is_fleet_cut_off = state.cut_off_since().is_some()
             && !state.others.values().any(OtherRouter::reaches_ledger);
         let cut_rest_s = state
-            .cut_off_since
+            .cut_off_since()
             .map(|since| (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S));
+        let Some(team) = state.teams.get_mut(budget) else {
+            return Err(Short::Rejected(out_of_reach()));
+        };
         if let Some(rest_s) = cut_rest_s.filter(|_| is_fleet_cut_off) {
             let fleet = fleet_stock(team, &state.others);
             if !fleet.admits(rank, tokens, rest_s) {
@@ -331,16 +377,16 @@
             });
         }
         let is_ledger_short = team.is_ledger_short(tokens);
-        if is_slow || is_ledger_short {
-            let giver = OtherRouter::best(&state.others, team.digest, is_slow);
-            if team.open_ask.is_some() || giver.is_some() {
+        if needs_others || is_ledger_short {
+            let wish = team.wish(tokens, needs_others && !is_ledger_short);
+            if team.open_ask.is_some() || OtherRouter::best(&state.others, &wish).is_some() {
                 team.asked_tokens = team.asked_tokens.max(tokens);
                 return Err(Short::AskRouters);
             }
             if let Some(rest_s) = cut_rest_s {
                 return Err(Short::Rejected(cut_off(rest_s)));
             }
-            if is_ledger_short {
+            if is_ledger_short || !state.keeps {
                 let fleet = fleet_stock(team, &state.others);
                 return Err(Short::Rejected(team.short_rejection(tokens, &fleet)));
             }
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -90,11 +90,17 @@
             if !is_asked && !is_due && !self.is_lost {
                 continue;
             }
+            let keepers = self.members.keepers();
+            let keeps = keepers.contains(&self.members.own().peer_address);
+            if self.grants.learn_keepers(keepers, keeps) {
+                info!(self.log, "ledger duty changed"; "draws_for_others" => keeps,
+                    "routers_known" => self.members.known_count());
+            }
             // The even share of a fleet that is still being found would be too large.
             if !is_asked && started.elapsed() < FLEET_FOUND {
                 continue;
             }
-            let asked = self.grants.prepare(self.members.known_count(), false);
+            let asked = self.grants.prepare(false);
             if asked.is_empty() {
                 continue;
             }
@@ -118,11 +124,7 @@
     /// Gives back all that is free. Returns true when the ledger has taken it.
     pub(crate) async fn give_back(&mut self) -> bool {
         for _ in 0..MAX_CONFLICTS {
-            if self
-                .grants
-                .prepare(self.members.known_count(), true)
-                .is_empty()
-            {
+            if self.grants.prepare(true).is_empty() {
                 return true;
             }
             if self.sync().await.is_err() {
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -4,7 +4,7 @@
 //! Routers enter themselves in the store once. From then on they tell one another, by datagrams,
 //! that they are there and what work they have at each replica.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use super::pooling::ToldGrants;
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
-use crate::util::lock;
+use crate::util::{lock, stable_hash};
 
 /// Silence after which a router counts as gone, in multiples of the time between its hellos.
 pub(super) const SILENT_HELLOS: u32 = 5;
@@ -24,6 +24,11 @@
 const LEAST_ADDRESSES: usize = 2;
 /// Most routers that callers are told.
 const MOST_ADDRESSES: usize = 16;
+/// Most routers that draw on the ledger. All write the same object, each about once a second, and
+/// a write takes some milliseconds, so a dozen seldom meet.
+const MOST_KEEPERS: usize = 12;
+/// Time after the start within which routers that have an entry are heard, if they are there.
+const FIRST_HEARD: Duration = Duration::from_secs(3);
 /// Tokens in one unit of a hello's unread work.
 const UNREAD_UNIT_TOKENS: u64 = 64;
 
@@ -219,6 +224,25 @@
         others.loads.get(&replica).copied().unwrap_or_default()
     }
 
+    /// The routers that draw on the ledger for all, by the addresses for hellos. All routers work
+    /// out the same ones as far as they hear the same routers; where they differ nothing breaks.
+    pub(crate) fn keepers(&self) -> HashSet<SocketAddr> {
+        let is_starting = self.started.elapsed() < FIRST_HEARD;
+        let others = lock(&self.others);
+        let present = others.members.iter().filter(|(_, member)| {
+            let heard = member.heard.as_ref();
+            heard.map_or(is_starting, Heard::is_alive)
+        });
+        let present = present.map(|(address, _)| *address);
+        let mut ranked: Vec<(u64, SocketAddr)> = present
+            .chain([self.own.peer_address])
+            .map(|address| (stable_hash(&["keeper", &address.to_string()]), address))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(MOST_KEEPERS);
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Routers known, this one included.
     pub(crate) fn known_count(&self) -> usize {
         lock(&self.others).members.len() + 1
@@ -266,7 +290,7 @@
             heard.is_some_and(|heard| heard.is_alive() && heard.is_ready)
         };
         let alive: Vec<&Member> = known.iter().filter(is_alive).copied().collect();
-        let hears_nobody = alive.is_empty() && self.started.elapsed() > Duration::from_secs(3);
+        let hears_nobody = alive.is_empty() && self.started.elapsed() > FIRST_HEARD;
         let usable = if hears_nobody { known } else { alive };
         let mut near = Vec::new();
         let mut far = Vec::new();
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -15,7 +15,7 @@
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::pooling::RouterStock;
 use crate::core::units::Tokens;
-use crate::util::lock;
+use crate::util::{lock, stable_hash};
 
 /// Tokens in one unit of a told stock.
 const UNIT_TOKENS: u64 = 64;
@@ -103,6 +103,21 @@
     pub total_tokens: Tokens,
     /// What the giver has left.
     pub left_tokens: Tokens,
+    /// What the ledger has left, where the giver has just seen it.
+    pub available_tokens: Option<Tokens>,
+}
+
+/// What a router looks for at others.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StockWish {
+    /// The budget, as hellos name it.
+    pub budget: u32,
+    /// Who asks.
+    pub asker: HolderId,
+    /// What it would like to have.
+    pub wanted_tokens: Tokens,
+    /// True when a router that reaches the ledger may get what it does not have yet.
+    pub may_draw: bool,
 }
 
 /// An ask that is not answered yet.
@@ -168,17 +183,15 @@
         (may_draw || !free_tokens.is_zero()).then_some(free_tokens)
     }
 
-    /// The router to ask for a budget: the one with the most to spare. `may_draw` says that
-    /// routers which reach the ledger can get what this one cannot.
-    pub(super) fn best(
-        others: &HashMap<SocketAddr, Self>,
-        budget: u32,
-        may_draw: bool,
-    ) -> Option<SocketAddr> {
-        let offers = others
-            .iter()
-            .filter_map(|(router, other)| Some((other.offer_tokens(budget, may_draw)?, *router)));
-        offers.max().map(|(_, router)| router)
+    /// The router to ask: one that has all that is wanted, another one for each asker; if none
+    /// has, the one with the most.
+    pub(super) fn best(others: &HashMap<SocketAddr, Self>, wish: &StockWish) -> Option<SocketAddr> {
+        let offers = others.iter().filter_map(|(router, other)| {
+            let free_tokens = other.offer_tokens(wish.budget, wish.may_draw)?;
+            let spread = stable_hash(&[&wish.asker.to_string(), &other.holder.to_string()]);
+            Some((free_tokens.min(wish.wanted_tokens), spread, *router))
+        });
+        offers.max().map(|(_, _, router)| router)
     }
 
     fn note_dry(&mut self, budget: u32) {
@@ -196,7 +209,7 @@
             .map(|team| ToldStock::new(team.digest, &team.stock()));
         ToldGrants {
             holder: self.holder,
-            reaches_ledger: !state.is_ledger_slow(),
+            reaches_ledger: state.keeps && !state.is_ledger_slow(),
             stocks: stocks.filter(|told| !told.is_empty()).collect(),
         }
     }
@@ -221,6 +234,11 @@
             valid_until: now + valid,
         };
         state.others.insert(router, other);
+        if state.others.values().any(OtherRouter::reaches_ledger) {
+            state.others_cut_off_since = None;
+        } else {
+            state.others_cut_off_since.get_or_insert(now);
+        }
     }
 
     /// Waits until a request needs other routers' tokens.
@@ -231,7 +249,7 @@
     /// The asks that are due, each with the router that gets it.
     pub(crate) fn due_asks(&self) -> Vec<(SocketAddr, TokenAsk)> {
         let mut state = lock(&self.state);
-        let is_slow = state.is_ledger_slow();
+        let needs_others = state.is_ledger_slow() || !state.keeps;
         let GrantState { teams, others, .. } = &mut *state;
         let now = Instant::now();
         let mut due = Vec::new();
@@ -251,7 +269,9 @@
                 team.asked_tokens = Tokens::ZERO;
                 continue;
             }
-            let Some(router) = OtherRouter::best(others, team.digest, is_slow) else {
+            let may_draw = needs_others && !team.is_ledger_short(team.asked_tokens);
+            let wish = team.wish(team.asked_tokens, may_draw);
+            let Some(router) = OtherRouter::best(others, &wish) else {
                 team.asked_tokens = Tokens::ZERO;
                 self.looks.send_modify(|count| *count += 1);
                 continue;
@@ -266,7 +286,7 @@
                 giver: other.holder,
                 received_tokens: team.holder.received_from(other.holder),
                 needed_tokens: team.asked_tokens - stock.free_tokens,
-                wanted_tokens: stock.wanted_tokens(team.asked_tokens),
+                wanted_tokens: wish.wanted_tokens,
             };
             due.push((router, ask));
         }
@@ -286,12 +306,12 @@
             return None;
         }
         let mut state = lock(&self.state);
-        let is_slow = state.is_ledger_slow();
+        let may_draw = state.keeps && !state.is_ledger_slow();
         let team = state.teams.get_mut(&ask.budget)?;
         let free_tokens = team.holder.free_tokens();
         let lacks = free_tokens < ask.needed_tokens;
         let needed_tokens = free_tokens + ask.needed_tokens;
-        if lacks && !is_slow && !team.is_ledger_short(needed_tokens) {
+        if lacks && may_draw && !team.is_ledger_short(needed_tokens) {
             if team.holder.pending().is_none() {
                 team.unmet_tokens = team.unmet_tokens.max(free_tokens + ask.wanted_tokens);
             }
@@ -337,6 +357,7 @@
             giver: self.holder,
             total_tokens,
             left_tokens: team.holder.free_tokens(),
+            available_tokens: team.just_seen_available_tokens(),
         })
     }
 
@@ -346,7 +367,12 @@
             return Tokens::ZERO;
         }
         let mut state = lock(&self.state);
-        let GrantState { teams, others, .. } = &mut *state;
+        let GrantState {
+            teams,
+            others,
+            keeps,
+            ..
+        } = &mut *state;
         let Some(team) = teams.get_mut(&give.budget) else {
             return Tokens::ZERO;
         };
@@ -356,6 +382,9 @@
         if team.open_ask.is_some_and(|open| open.router == router) {
             team.open_ask = None;
         }
+        if let Some(available_tokens) = give.available_tokens.filter(|_| !*keeps) {
+            team.learn_available(available_tokens);
+        }
         if let Some(other) = others.get_mut(&router) {
             if new_tokens.is_zero() {
                 other.note_dry(team.digest);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,7 +8,7 @@
 
 use replica::{event_text, Behaviour, StandInReplica};
 use serde_json::Value;
-use site::{get, lists, wait_ready, wait_until, Call, Site, KEY};
+use site::{get, lists, wait_ready, wait_until, Call, Router, Site, KEY};
 use store::StoreFaults;
 
 const PLENTY: u64 = 10_000_000;
@@ -600,6 +600,42 @@
     assert!(site.charged() <= PLENTY);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn in_a_large_fleet_a_dozen_routers_draw_on_the_ledger_for_all() {
+    const ROUTERS: usize = 15;
+    const KEEPERS: usize = 12;
+    let pause = Duration::from_millis(1);
+    let (site, _replicas) = site_with(&[Behaviour::Stream { events: 2, pause }]).await;
+    let routers: Vec<_> = (0..ROUTERS)
+        .map(|number| site.router(&format!("r-{number}")))
+        .collect();
+    for router in &routers {
+        wait_ready(router).await;
+    }
+    let draws_for_itself = |router: &Router| {
+        let changes = router.log_of("ledger duty changed");
+        changes
+            .last()
+            .is_none_or(|line| line["draws_for_others"] == true)
+    };
+    wait_until("a dozen routers draw", || async {
+        let draws = routers.iter().filter(|router| draws_for_itself(router));
+        draws.count() == KEEPERS
+    })
+    .await;
+    for (index, router) in routers.iter().enumerate() {
+        let call = Call::new("draft", &format!("a-{index}")).with_tokens(10_000, 10);
+        let got = call.send(router.callers).await.unwrap();
+        assert_eq!(got.status, 200, "router {index}");
+    }
+    let others = routers.iter().filter(|router| !draws_for_itself(router));
+    for router in others {
+        assert!(!router.log_of("tokens received").is_empty());
+    }
+    let holders = site.held().iter().filter(|held| **held > 0).count();
+    assert!(holders <= KEEPERS, "{holders} hold grants");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_budget_is_drawn_on_in_an_outage_from_what_was_granted_before() {
     let pause = Duration::from_millis(1);
