Cover 10, 8.5 and 7.5 s of demand by rank

Cause: what grants hold is lost when all routers die at once, and since routers share in a cut, and demand is seen from the start of requests, the margin for uneven demand is held once by the fleet.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -18,7 +18,7 @@
 const LEAST_COVER_PART: f64 = 0.15;
 /// Seconds of demand that grants cover for each rank. What is granted is lost when all routers
 /// die at once, so the less urgent ranks are covered for a part of the longest cut.
-const RANK_COVER_S: [f64; RANKS] = [12.0, 10.0, 9.0];
+const RANK_COVER_S: [f64; RANKS] = [10.0, 8.5, 7.5];
 
 /// The part of the full cover that is kept while the rest of a budget lasts for a time.
 fn cover_part(rest_s: f64) -> f64 {
