--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -74,7 +74,7 @@
     fn decide(&self, view: &GrantView) -> GrantDecision {
         let target_tokens = Self::target_tokens(view);
         let mut decision = GrantDecision::default();
-        if view.free_tokens < target_tokens.scaled(3, 4) {
+        if view.free_tokens < target_tokens.scaled(9, 10) {
             let lacking_tokens = target_tokens - view.free_tokens;
             let most_tokens = view.available_tokens.scaled(1, AVAILABLE_PART);
             decision.draw_tokens = lacking_tokens.min(most_tokens);
