Spread covers over the routers but for two seconds of a router's own demand

Routers hand over what another one lacks in a cut, so the cover can lie anywhere. Each router now keeps two seconds of its own demand and an even part of the rest of the fleet's cover; the death of the busiest one strands at most three seconds of the fleet's demand (test with that load).

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -16,9 +16,12 @@
 const FULL_COVER_REST_S: f64 = 60.0;
 /// Least part of the full cover.
 const LEAST_COVER_PART: f64 = 0.15;
-/// Seconds of demand that grants cover for each rank. What is granted is lost when all routers
-/// die at once, so the less urgent ranks are covered for a part of the longest cut.
-const RANK_COVER_S: [f64; RANKS] = [10.0, 8.5, 7.5];
+/// Seconds of its own demand that a router covers by itself: time to draw again or to ask others.
+const OWN_COVER_S: f64 = 2.0;
+/// Seconds of the fleet's demand that all grants together cover beyond that, for each rank. What is
+/// granted is lost when all routers die at once, so the less urgent ranks are covered for a part of
+/// the longest cut.
+const FLEET_COVER_S: [f64; RANKS] = [8.5, 7.0, 6.0];
 
 /// The part of the full cover that is kept while the rest of a budget lasts for a time.
 fn cover_part(rest_s: f64) -> f64 {
@@ -26,14 +29,15 @@
     part.max(LEAST_COVER_PART)
 }
 
-/// What a cut from the ledger would need at a steady demand by rank, or a part of that as the
-/// budget runs out.
+/// What one of some holders keeps for the demand of the whole fleet in a cut from the ledger, or a
+/// part of that as the budget runs out. It is spread evenly, so that the death of the busiest router
+/// strands no more than that of another.
 ///
 /// ```
-/// use currantlever::{cover_of, Tokens};
-/// let full = cover_of([100, 0, 0], f64::INFINITY);
-/// assert!(full >= Tokens::new(900));
-/// assert!(cover_of([100, 0, 0], 10.0) < full);
+/// use currantlever::{fleet_cover_tokens, Tokens};
+/// let full = fleet_cover_tokens([900, 0, 0], 9, f64::INFINITY);
+/// assert_eq!(full, Tokens::new(850));
+/// assert!(fleet_cover_tokens([900, 0, 0], 9, 10.0) < full);
 /// ```
 #[must_use]
 #[allow(
@@ -42,12 +46,12 @@
     clippy::cast_sign_loss,
     reason = "an estimate of a positive number"
 )]
-pub fn cover_of(demand_tokens_per_s: [u64; RANKS], rest_s: f64) -> Tokens {
-    let demands = demand_tokens_per_s.iter().zip(RANK_COVER_S);
+pub fn fleet_cover_tokens(demand_tokens_per_s: [u64; RANKS], holders: u64, rest_s: f64) -> Tokens {
+    let demands = demand_tokens_per_s.iter().zip(FLEET_COVER_S);
     let full: f64 = demands
         .map(|(demand, cover_s)| *demand as f64 * cover_s)
         .sum();
-    Tokens::new((full * cover_part(rest_s)) as u64)
+    Tokens::new((full * cover_part(rest_s)) as u64).scaled(1, holders.max(1))
 }
 
 /// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
@@ -237,14 +241,12 @@
         largest.max().unwrap_or_default()
     }
 
-    /// What a cut from the ledger would need, or a part of that as the budget runs out: the rest
-    /// lasts for `rest_s` at the present demand of all holders.
+    /// What this router's own demand needs until it can draw again or ask others, or a part of that
+    /// as the budget runs out: the rest lasts for `rest_s` at the present demand of all holders.
     #[must_use]
-    pub fn cover_tokens(&self, rest_s: f64) -> Tokens {
-        let part = cover_part(rest_s);
-        let covers = self.meters.iter().zip(RANK_COVER_S);
-        covers
-            .map(|(meter, cover_s)| meter.need_tokens(cover_s * part))
-            .sum()
+    pub fn own_cover_tokens(&self, rest_s: f64) -> Tokens {
+        let cover_s = OWN_COVER_S * cover_part(rest_s);
+        let meters = self.meters.iter();
+        meters.map(|meter| meter.need_tokens(cover_s)).sum()
     }
 }
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -1,19 +1,17 @@
 //! What this router asks of the ledger, and what it takes in from it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::net::SocketAddr;
 
 use tokio::time::Instant;
 
-use super::grants::{fleet_stock, vm_part, GrantState, Grants, TeamGrant};
+use super::grants::{fleet_stock, vm_part, GrantState, Grants};
 use super::pooling::OtherRouter;
-use crate::core::cover::RANKS;
 use crate::core::holder::UpdateWish;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{BudgetEntry, LedgerShard, UpdateOutcome, WitnessSet};
 use crate::core::policy::GrantDecision;
-use crate::core::pooling::FleetStock;
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::util::lock;
@@ -26,25 +24,6 @@
     return_tokens: Tokens,
 }
 
-/// Demand at routers that do not draw on the ledger, for each router that does.
-fn unkept_demand(
-    team: &TeamGrant,
-    others: &HashMap<SocketAddr, OtherRouter>,
-    keepers: &HashSet<SocketAddr>,
-) -> [u64; RANKS] {
-    let mut unkept = FleetStock::default();
-    for (router, other) in others {
-        if let Some(stock) = other
-            .stock(team.digest)
-            .filter(|_| !keepers.contains(router))
-        {
-            unkept.add(stock);
-        }
-    }
-    let count = keepers.len().max(1) as u64;
-    unkept.sum.demand_tokens_per_s.map(|demand| demand / count)
-}
-
 impl Grants {
     /// Takes in which routers draw on the ledger, and whether this one does. Returns true when
     /// that changed for this one.
@@ -90,7 +69,7 @@
             }
             let is_unmet = !team.unmet_tokens.is_zero();
             let fleet = fleet_stock(team, others);
-            let view = team.view(&fleet, unkept_demand(team, others, keepers), keepers.len());
+            let view = team.view(&fleet, keepers.len());
             let mut decision = if is_leaving {
                 GrantDecision {
                     draw_tokens: Tokens::ZERO,
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -15,7 +15,7 @@
 use super::catalog::Catalog;
 use super::pooling::{OpenAsk, OtherRouter, StockWish, WaitingAsk};
 use super::request::{RejectKind, Rejection};
-use crate::core::cover::{cover_of, RankedDemand, CUT_S, RANKS};
+use crate::core::cover::{fleet_cover_tokens, RankedDemand, CUT_S};
 use crate::core::holder::Holder;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::Generation;
@@ -139,15 +139,11 @@
         rest_tokens.get() as f64 / demand
     }
 
-    /// What the policy sees. `unkept_demand` is this router's part of the demand at routers that
-    /// do not draw on the ledger.
-    pub(super) fn view(
-        &self,
-        fleet: &FleetStock,
-        unkept_demand: [u64; RANKS],
-        holders: usize,
-    ) -> GrantView {
+    /// What the policy sees. `holders` is the number of routers that draw on the ledger.
+    pub(super) fn view(&self, fleet: &FleetStock, holders: usize) -> GrantView {
         let rest_s = self.rest_s(fleet);
+        let fleet_demand = fleet.sum.demand_tokens_per_s;
+        let fleet_cover_tokens = fleet_cover_tokens(fleet_demand, holders as u64, rest_s);
         GrantView {
             available_tokens: self.available_tokens(),
             others_free_tokens: self.totals.others_free_tokens,
@@ -157,7 +153,7 @@
             reserved_tokens: self.holder.reserved_tokens(),
             demand_tokens_per_s: self.demand.tokens_per_s(),
             largest_request_tokens: self.demand.largest_tokens(),
-            cover_tokens: self.demand.cover_tokens(rest_s) + cover_of(unkept_demand, rest_s),
+            cover_tokens: self.demand.own_cover_tokens(rest_s) + fleet_cover_tokens,
             holder_count: (self.totals.other_count + 1).max(holders as u64),
         }
     }
--- a/tests/cover.rs
+++ b/tests/cover.rs
@@ -1,7 +1,7 @@
 //! Grants over cuts from the ledger and the death of all routers: who is refused though paid, and
 //! what is stranded.
 
-use currantlever::{CoverPolicy, GrantPolicy, GrantView, RankedDemand, Tokens};
+use currantlever::{fleet_cover_tokens, CoverPolicy, GrantPolicy, GrantView, RankedDemand, Tokens};
 
 const SECONDS: u64 = 40;
 const ROUTERS: u64 = 9;
@@ -37,6 +37,18 @@
         u32::try_from(rest.get() / demand).unwrap().into()
     }
 
+    fn cover_tokens(&self, router: usize) -> Tokens {
+        let mut fleet = [0; 3];
+        for demand in &self.demand {
+            for (sum, rank) in fleet.iter_mut().zip(demand.rank_tokens_per_s()) {
+                *sum += rank;
+            }
+        }
+        let rest_s = self.rest_s();
+        let fleet_tokens = fleet_cover_tokens(fleet, ROUTERS, rest_s);
+        self.demand[router].own_cover_tokens(rest_s) + fleet_tokens
+    }
+
     fn refill(&mut self, router: usize) {
         let view = GrantView {
             available_tokens: self.paid - self.charged,
@@ -44,7 +56,7 @@
             charged_tokens: self.charged,
             free_tokens: self.free[router],
             demand_tokens_per_s: self.demand[router].tokens_per_s(),
-            cover_tokens: self.demand[router].cover_tokens(self.rest_s()),
+            cover_tokens: self.cover_tokens(router),
             holder_count: ROUTERS,
             ..GrantView::default()
         };
@@ -144,7 +156,25 @@
         "{}",
         demand.tokens_per_s()
     );
-    let cover = demand.cover_tokens(f64::INFINITY).get();
+    let fleet_tokens = fleet_cover_tokens(demand.rank_tokens_per_s(), 1, f64::INFINITY);
+    let cover = (demand.own_cover_tokens(f64::INFINITY) + fleet_tokens).get();
     assert!(cover >= spent_per_s * 9, "{cover}");
     assert!(cover <= spent_per_s * 12 * 2, "{cover}");
 }
+
+/// Seven tenths of the demand come to one router of nine, which dies.
+#[test]
+fn the_death_of_the_busiest_router_strands_a_small_part_of_the_cover() {
+    let fleet = [10_000, 0, 0];
+    let mut busiest = RankedDemand::default();
+    for _ in 0..100 {
+        busiest.note_start(0, Tokens::new(700));
+        busiest.note_end(Tokens::new(700), Tokens::new(700));
+        busiest.pass(0.1);
+    }
+    let evenly = fleet_cover_tokens(fleet, ROUTERS, f64::INFINITY);
+    let held = busiest.own_cover_tokens(f64::INFINITY) + evenly;
+    // Of the ten seconds that the fleet covers, at most three.
+    assert!(held <= Tokens::new(3 * 10_000), "{held}");
+    assert!(held >= Tokens::new(2 * 7_000), "{held}");
+}
