Let followers wait for other calls to notice the end of an outage

A follower now waits up to 2 s, or until any call is answered, and changes share an answer for 0.5 s.

--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -13,11 +13,12 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause after changes before the next watch, so that changes which come in quick succession share
 /// one priced answer. What it delays has to be in force within two seconds.
-const SETTLE_PAUSE: Duration = Duration::from_millis(300);
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
-/// Longest pause after the store gave no answer.
-const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after the store gave no answer. Each try is priced, and the end of an outage is
+/// mostly noticed by cheaper calls.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 
 /// Takes in what a follower sees.
 pub(crate) trait KindSink: Send + Sync {
@@ -48,7 +49,9 @@
         let step = match after {
             None => {
                 let step = list(&*store, kind, &*sink).await;
-                recoveries.mark_unchanged();
+                if step.is_ok() {
+                    recoveries.mark_unchanged();
+                }
                 step
             }
             Some(after) => tokio::select! {
@@ -80,7 +83,8 @@
                     warn!(log, "store lost"; "kind" => kind, "revision" => after,
                         "reason" => error.to_string());
                 }
-                tokio::time::sleep(pause).await;
+                // Either end leads to the next try.
+                let _ = tokio::time::timeout(pause, recoveries.changed()).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
         }
