Read the settings path of two commands, and wake waiting requests, in one place each

Cause: serve and entry parsed the same single option with the same lines, five places woke requests that wait for tokens by the same closure, and the choice of a router to ask formatted the asker's id once for each router. No behaviour changes; no test was touched.

--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,10 +1,9 @@
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
-use lexopt::prelude::*;
 use slog::{info, warn};
 use tokio::signal::unix::{signal, SignalKind};
 
-use super::{is_about_command, CommandError};
+use super::{parse_settings_path, CommandError};
 use crate::entry::EntryRouter;
 use crate::entry_settings::EntrySettings;
 use crate::telemetry::json_logger_to_stdout;
@@ -28,38 +27,20 @@
 
 const SETTINGS_VARIABLE: &str = "CURRANTLEVER_CONFIG";
 
-struct Args {
-    settings: PathBuf,
-}
-
-fn parse(mut parser: lexopt::Parser) -> Result<Option<Args>, CommandError> {
-    let mut settings = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
-    while let Some(arg) = parser.next()? {
-        if is_about_command(&arg, USAGE) {
-            return Ok(None);
-        }
-        match arg {
-            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let settings = settings.ok_or_else(|| lexopt::Error::from("--settings is needed"))?;
-    Ok(Some(Args { settings }))
-}
-
 pub(super) fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
-    let Some(args) = parse(parser)? else {
+    let default = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = parse_settings_path(parser, USAGE, default)? else {
         return Ok(());
     };
-    let settings = EntrySettings::read(&args.settings).map_err(CommandError::failed)?;
+    let settings = EntrySettings::read(&path).map_err(CommandError::failed)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(CommandError::failed)?;
-    runtime.block_on(serve(args, settings))
+    runtime.block_on(serve(&path, settings))
 }
 
-async fn serve(args: Args, settings: EntrySettings) -> Result<(), CommandError> {
+async fn serve(path: &Path, settings: EntrySettings) -> Result<(), CommandError> {
     let log = json_logger_to_stdout();
     let mut terminate = signal(SignalKind::terminate()).map_err(CommandError::failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(CommandError::failed)?;
@@ -71,7 +52,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hang_up.recv() => match EntrySettings::read(&args.settings) {
+            _ = hang_up.recv() => match EntrySettings::read(path) {
                 Ok(_) => info!(log, "settings read again"),
                 Err(error) => warn!(log, "settings not readable"; "reason" => error.to_string()),
             },
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod status;
 
 use std::ffi::OsString;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
@@ -150,6 +151,27 @@
     })
 }
 
+/// Reads the arguments of a command whose only option names its settings file. Returns none when
+/// the command was only asked about itself.
+fn parse_settings_path(
+    mut parser: lexopt::Parser,
+    usage: &str,
+    default: Option<PathBuf>,
+) -> Result<Option<PathBuf>, CommandError> {
+    let mut settings = default;
+    while let Some(arg) = parser.next()? {
+        if is_about_command(&arg, usage) {
+            return Ok(None);
+        }
+        match arg {
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let settings = settings.ok_or_else(|| lexopt::Error::from("--settings is needed"))?;
+    Ok(Some(settings))
+}
+
 /// Prints a command's usage text, or the version, if that is asked for.
 pub(crate) fn is_about_command(arg: &lexopt::Arg<'_>, usage: &str) -> bool {
     match arg {
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,11 +1,9 @@
 use std::fs;
-use std::path::PathBuf;
 
-use lexopt::prelude::*;
 use rand::RngExt;
 use tokio::signal::unix::{signal, SignalKind};
 
-use super::{block_on, is_about_command, CommandError};
+use super::{block_on, parse_settings_path, CommandError};
 use crate::daemon::Daemon;
 use crate::peer::rpc::FleetSecret;
 use crate::router::RouterOptions;
@@ -28,30 +26,11 @@
     -V, --version       Show the version
 ";
 
-struct Args {
-    settings: PathBuf,
-}
-
-fn parse(mut parser: lexopt::Parser) -> Result<Option<Args>, CommandError> {
-    let mut settings = None;
-    while let Some(arg) = parser.next()? {
-        if is_about_command(&arg, USAGE) {
-            return Ok(None);
-        }
-        match arg {
-            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let settings = settings.ok_or_else(|| lexopt::Error::from("--settings is needed"))?;
-    Ok(Some(Args { settings }))
-}
-
 pub(super) fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
-    let Some(args) = parse(parser)? else {
+    let Some(path) = parse_settings_path(parser, USAGE, None)? else {
         return Ok(());
     };
-    let settings = Settings::read(&args.settings).map_err(CommandError::failed)?;
+    let settings = Settings::read(&path).map_err(CommandError::failed)?;
     let secret = read_secret(&settings)?;
     block_on(serve(settings, secret))
 }
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -179,7 +179,7 @@
             team.unheard_tokens = unheard.map(|(_, row)| row.unspent_tokens()).sum();
         }
         drop(state);
-        self.looks.send_modify(|count| *count += 1);
+        self.wake_waiting();
         self.transfers.notify_one();
     }
 
@@ -189,7 +189,7 @@
             .cut_off_since
             .get_or_insert_with(Instant::now);
         self.transfers.notify_one();
-        self.looks.send_modify(|count| *count += 1);
+        self.wake_waiting();
     }
 
     /// What the log says of the grants that a look at the ledger changed or asked for.
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -404,6 +404,11 @@
         })
     }
 
+    /// Lets requests that wait for tokens look anew.
+    pub(super) fn wake_waiting(&self) {
+        self.looks.send_modify(|count| *count += 1);
+    }
+
     /// Waits until a request needs the ledger.
     pub(crate) async fn wanted(&self) {
         self.wake.notified().await;
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -186,9 +186,10 @@
     /// The router to ask: one that has all that is wanted, another one for each asker; if none
     /// has, the one with the most.
     pub(super) fn best(others: &HashMap<SocketAddr, Self>, wish: &StockWish) -> Option<SocketAddr> {
+        let asker = wish.asker.to_string();
         let offers = others.iter().filter_map(|(router, other)| {
             let free_tokens = other.offer_tokens(wish.budget, wish.may_draw)?;
-            let spread = stable_hash(&[&wish.asker.to_string(), &other.holder.to_string()]);
+            let spread = stable_hash(&[&asker, &other.holder.to_string()]);
             Some((free_tokens.min(wish.wanted_tokens), spread, *router))
         });
         offers.max().map(|(_, _, router)| router)
@@ -262,7 +263,7 @@
                     other.note_dry(team.digest);
                 }
                 team.open_ask = None;
-                self.looks.send_modify(|count| *count += 1);
+                self.wake_waiting();
             }
             let stock = team.stock();
             if team.asked_tokens <= stock.free_tokens {
@@ -273,7 +274,7 @@
             let wish = team.wish(team.asked_tokens, may_draw);
             let Some(router) = OtherRouter::best(others, &wish) else {
                 team.asked_tokens = Tokens::ZERO;
-                self.looks.send_modify(|count| *count += 1);
+                self.wake_waiting();
                 continue;
             };
             let Some(other) = others.get(&router) else {
@@ -393,7 +394,7 @@
             stock.free_tokens = give.left_tokens;
         }
         drop(state);
-        self.looks.send_modify(|count| *count += 1);
+        self.wake_waiting();
         new_tokens
     }
 }
