Draw no stock of tokens before the entries of the fleet are read

Cause: a router reads the others' entries once at its start, when there are none yet, and again 3 s later. Its first draw came after 1.5 s.

Change: entries are read each half second until a reading shows this router's own entry 1.5 s after its start, or the entry is from before the start; only then are stocks drawn. What a waiting request needs is drawn at once as before. The decision in prepare() is one flat chain now.

Test: a_router_stocks_nothing_before_it_can_know_the_fleet (failed before).

--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -1,17 +1,16 @@
 //! What this router asks of the ledger, and what it takes in from it.
 
-use std::collections::HashSet;
 use std::fmt::Write;
-use std::net::SocketAddr;
 
 use tokio::time::Instant;
 
 use super::grants::{fleet_stock, vm_part, GrantState, Grants};
+use super::members::LedgerDuty;
 use super::pooling::OtherRouter;
 use crate::core::holder::UpdateWish;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::ledger::{BudgetEntry, LedgerShard, UpdateOutcome, WitnessSet};
-use crate::core::policy::GrantDecision;
+use crate::core::policy::{GrantDecision, GrantView};
 use crate::core::share::LedgerTotals;
 use crate::core::units::Tokens;
 use crate::util::lock;
@@ -24,17 +23,34 @@
     return_tokens: Tokens,
 }
 
+/// A decision of the policy, with what a waiting request needs beyond it.
+fn with_unmet(wish: GrantDecision, unmet_tokens: Tokens, view: &GrantView) -> GrantDecision {
+    if unmet_tokens.is_zero() {
+        return wish.within_paid(view);
+    }
+    let lacking_tokens = unmet_tokens - view.free_tokens;
+    let draw_tokens = if lacking_tokens > view.available_tokens {
+        // Too little is left for the request; other routers are asked for theirs.
+        Tokens::ZERO
+    } else {
+        wish.draw_tokens.max(lacking_tokens)
+    };
+    let decision = GrantDecision {
+        draw_tokens,
+        // The request is about to take what is free.
+        return_tokens: Tokens::ZERO,
+    };
+    let mut decision = decision.within_paid(view);
+    // The ledger is looked at anew in any case.
+    decision.draw_tokens = decision.draw_tokens.max(Tokens::new(1));
+    decision
+}
+
 impl Grants {
-    /// Takes in which routers draw on the ledger, and whether this one does. Returns true when
-    /// that changed for this one.
-    pub(crate) fn learn_distributors(
-        &self,
-        distributors: HashSet<SocketAddr>,
-        distributes: bool,
-    ) -> bool {
+    /// Takes in which routers draw on the ledger. Returns true when that changed for this one.
+    pub(crate) fn learn_duty(&self, duty: LedgerDuty) -> bool {
         let mut state = lock(&self.state);
-        state.distributors = distributors;
-        std::mem::replace(&mut state.distributes, distributes) != distributes
+        std::mem::replace(&mut state.duty, duty).distributes != duty.distributes
     }
 
     /// Decides what to ask of the ledger. Nothing is asked when the list is empty.
@@ -45,70 +61,52 @@
             others,
             generation,
             ledger_call_since,
-            distributors,
-            distributes,
+            duty,
             ..
         } = &mut *state;
         let mut asked = Vec::new();
         for (budget, team) in teams {
-            if let Some(pending) = team.holder.pending() {
-                asked.push(GrantAsk {
-                    budget: budget.clone(),
+            let decision = if let Some(pending) = team.holder.pending() {
+                GrantDecision {
                     draw_tokens: pending.draw_tokens,
                     return_tokens: Tokens::ZERO,
-                });
-                continue;
-            }
-            if !*distributes && !is_leaving {
-                continue;
-            }
-            if team.seen.is_none() && !is_leaving {
-                // A look only: who holds what decides on the first draw.
-                asked.push(GrantAsk {
-                    budget: budget.clone(),
-                    draw_tokens: Tokens::ZERO,
-                    return_tokens: Tokens::ZERO,
-                });
-                continue;
-            }
-            let is_unmet = !team.unmet_tokens.is_zero();
-            let fleet = fleet_stock(team, others);
-            let view = team.view(&fleet, distributors.len());
-            let mut decision = if is_leaving {
+                }
+            } else if is_leaving {
                 GrantDecision {
                     draw_tokens: Tokens::ZERO,
-                    return_tokens: view.free_tokens,
+                    return_tokens: team.holder.free_tokens(),
                 }
+            } else if !duty.distributes {
+                continue;
+            } else if team.seen.is_none() {
+                // A look only: who holds what decides on the first draw.
+                GrantDecision::default()
             } else {
-                let mut decision = self.policy.decide(&view);
-                if is_unmet {
-                    // A request that waits is about to take what is free.
-                    decision.return_tokens = Tokens::ZERO;
-                }
-                let lacking_tokens = team.unmet_tokens - view.free_tokens;
-                if lacking_tokens > view.available_tokens {
-                    // Too little is left for the request; other routers are asked for theirs.
-                    decision.draw_tokens = Tokens::ZERO;
-                } else if !lacking_tokens.is_zero() {
-                    decision.draw_tokens = decision.draw_tokens.max(lacking_tokens);
-                }
-                decision.within_paid(&view)
+                let view = team.view(&fleet_stock(team, others), duty.distributor_count);
+                // The even share of a fleet that is still being found would be too large.
+                let wish = if duty.is_fleet_found {
+                    self.policy.decide(&view)
+                } else {
+                    GrantDecision::default()
+                };
+                with_unmet(wish, team.unmet_tokens, &view)
             };
+            let is_first_look = team.seen.is_none() && !is_leaving;
             let is_idle = decision.draw_tokens.is_zero() && decision.return_tokens.is_zero();
-            if is_idle && !is_unmet {
-                continue;
-            }
-            if is_unmet {
-                decision.draw_tokens = decision.draw_tokens.max(Tokens::new(1));
+            let is_unmet = !team.unmet_tokens.is_zero();
+            if team.holder.pending().is_none() && !is_first_look {
+                if is_idle && (!is_unmet || is_leaving) {
+                    continue;
+                }
+                team.unmet_tokens = Tokens::ZERO;
+                team.holder.prepare_update(&UpdateWish {
+                    generation: *generation,
+                    paid_tokens: team.paid_tokens,
+                    draw_tokens: decision.draw_tokens,
+                    return_tokens: decision.return_tokens,
+                    witnesses: WitnessSet::default(),
+                });
             }
-            team.unmet_tokens = Tokens::ZERO;
-            team.holder.prepare_update(&UpdateWish {
-                generation: *generation,
-                paid_tokens: team.paid_tokens,
-                draw_tokens: decision.draw_tokens,
-                return_tokens: decision.return_tokens,
-                witnesses: WitnessSet::default(),
-            });
             asked.push(GrantAsk {
                 budget: budget.clone(),
                 draw_tokens: decision.draw_tokens,
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -4,7 +4,7 @@
 //! they count as spent from the moment they are made, or from another router's grant; what is not
 //! needed is given back.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::catalog::Catalog;
+use super::members::LedgerDuty;
 use super::pooling::{OpenAsk, OtherRouter, StockWish, WaitingAsk};
 use super::request::{RejectKind, Rejection};
 use crate::core::cover::{fleet_cover_tokens, RankedDemand, CUT_S};
@@ -172,10 +173,8 @@
 pub(super) struct GrantState {
     pub(super) teams: HashMap<BudgetId, TeamGrant>,
     pub(super) generation: Generation,
-    /// The routers that draw on the ledger, by their addresses for hellos.
-    pub(super) distributors: HashSet<SocketAddr>,
-    /// True when this router is one of them.
-    pub(super) distributes: bool,
+    /// Which routers draw on the ledger.
+    pub(super) duty: LedgerDuty,
     /// When no other router reached the ledger any more.
     pub(super) others_cut_off_since: Option<Instant>,
     /// When the ledger could first not be reached, since it last could.
@@ -191,7 +190,7 @@
 impl GrantState {
     /// Since when the ledger, or the routers that draw on it for this one, are out of reach.
     fn cut_off_since(&self) -> Option<Instant> {
-        if self.distributes {
+        if self.duty.distributes {
             self.cut_off_since
         } else {
             self.others_cut_off_since
@@ -275,8 +274,11 @@
             state: Mutex::new(GrantState {
                 teams: HashMap::new(),
                 generation: 0,
-                distributors: HashSet::new(),
-                distributes: true,
+                duty: LedgerDuty {
+                    distributor_count: 1,
+                    distributes: true,
+                    is_fleet_found: false,
+                },
                 others_cut_off_since: None,
                 cut_off_since: None,
                 ledger_call_since: None,
@@ -348,7 +350,7 @@
     ) -> Result<Reservation, Short> {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        let needs_others = state.is_ledger_slow() || !state.distributes;
+        let needs_others = state.is_ledger_slow() || !state.duty.distributes;
         let is_fleet_cut_off = state.cut_off_since().is_some()
             && !state.others.values().any(OtherRouter::reaches_ledger);
         let cut_rest_s = state
@@ -382,7 +384,7 @@
             if let Some(rest_s) = cut_rest_s {
                 return Err(Short::Rejected(cut_off(rest_s)));
             }
-            if is_ledger_short || !state.distributes {
+            if is_ledger_short || !state.duty.distributes {
                 let fleet = fleet_stock(team, &state.others);
                 return Err(Short::Rejected(team.short_rejection(tokens, &fleet)));
             }
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -109,10 +109,10 @@
 
 /// Enters this router in the store and reads the other entries again and again.
 pub(crate) async fn keep_entries(store: Arc<dyn KindStore>, members: Arc<Members>, log: Logger) {
-    let mut is_entered = false;
+    let mut entered = None;
     loop {
-        if !is_entered {
-            is_entered = enter(&*store, &members, &log).await;
+        if entered.is_none() {
+            entered = enter(&*store, &members, &log).await;
         }
         match store.list(ROUTER_KIND, Freshness::Stale).await {
             Ok(listing) => {
@@ -121,9 +121,9 @@
                     .iter()
                     .filter_map(|object| serde_json::from_str(object.value.get()).ok())
                     .collect();
-                members.learn_entries(entries);
+                members.learn_entries(entries, entered == Some(Entered::Before));
                 remove_silent(&*store, &members, &listing.objects, &log).await;
-                let pause = if is_entered {
+                let pause = if entered.is_some() && members.is_fleet_found() {
                     ENTRIES_INTERVAL
                 } else {
                     ENTRIES_PAUSE
@@ -135,21 +135,29 @@
     }
 }
 
-async fn enter(store: &dyn KindStore, members: &Members, log: &Logger) -> bool {
+/// How this router's entry came into the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entered {
+    /// By this process.
+    Now,
+    /// By an earlier process on this VM.
+    Before,
+}
+
+async fn enter(store: &dyn KindStore, members: &Members, log: &Logger) -> Option<Entered> {
     let name = entry_name(members.own().peer_address);
-    let Ok(value) = serde_json::value::to_raw_value(members.own()) else {
-        return false;
-    };
-    match store.create(ROUTER_KIND, &name, &value).await {
-        Ok(_) | Err(KindError::Conflict(_)) => {
-            info!(log, "router entered"; "entry" => name.as_str());
-            true
-        }
+    let value = serde_json::value::to_raw_value(members.own()).ok()?;
+    let entered = match store.create(ROUTER_KIND, &name, &value).await {
+        Ok(_) => Entered::Now,
+        Err(KindError::Conflict(_)) => Entered::Before,
         Err(error) => {
             info!(log, "router not entered yet"; "reason" => error.to_string());
-            false
+            return None;
         }
-    }
+    };
+    info!(log, "router entered"; "entry" => name.as_str(),
+        "was_listed" => entered == Entered::Before);
+    Some(entered)
 }
 
 async fn remove_silent(
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -20,8 +20,6 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two writes of the ledger that no request waits for.
 const REFILL_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after the start within which a router has found the others.
-const FLEET_FOUND: Duration = Duration::from_millis(1_500);
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after the store gave no answer.
@@ -73,8 +71,7 @@
     /// Looks after the grants until the process ends.
     pub(crate) async fn run(mut self) {
         let mut pause = FIRST_PAUSE;
-        let started = Instant::now();
-        let mut last_interval = started;
+        let mut last_interval = Instant::now();
         loop {
             let is_asked = tokio::time::timeout(LOOK_INTERVAL, self.grants.wanted())
                 .await
@@ -90,14 +87,12 @@
             if !is_asked && !is_due && !self.is_lost {
                 continue;
             }
-            let distributors = self.members.distributors();
-            let distributes = distributors.contains(&self.members.own().peer_address);
-            if self.grants.learn_distributors(distributors, distributes) {
-                info!(self.log, "ledger duty changed"; "draws_for_others" => distributes,
+            let duty = self.members.ledger_duty();
+            if self.grants.learn_duty(duty) {
+                info!(self.log, "ledger duty changed"; "draws_for_others" => duty.distributes,
                     "routers_known" => self.members.known_count());
             }
-            // The even share of a fleet that is still being found would be too large.
-            if !is_asked && started.elapsed() < FLEET_FOUND {
+            if !is_asked && !duty.is_fleet_found {
                 continue;
             }
             let asked = self.grants.prepare(false);
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -4,7 +4,7 @@
 //! Routers enter themselves in the store once. From then on they tell one another, by datagrams,
 //! that they are there and what work they have at each replica.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -27,6 +27,9 @@
 /// Most routers that draw on the ledger. All write the same object, each about once a second, and
 /// a write takes some milliseconds, so a dozen seldom meet.
 const MOST_DISTRIBUTORS: usize = 12;
+/// Time after the start within which routers that start with this one have an entry that stale
+/// readings show: half a second for the starts, a second for the age of a reading.
+const ALL_ENTERED: Duration = Duration::from_millis(1_500);
 /// Time after the start within which routers that have an entry are heard, if they are there.
 const FIRST_HEARD: Duration = Duration::from_secs(3);
 /// Tokens in one unit of a hello's unread work.
@@ -116,9 +119,21 @@
     }
 }
 
+/// Which routers draw on the ledger for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LedgerDuty {
+    /// Number of the routers that draw.
+    pub distributor_count: usize,
+    /// True when this router is one of them.
+    pub distributes: bool,
+    /// True once the entries of the whole fleet were read, so that even shares are not too large.
+    pub is_fleet_found: bool,
+}
+
 #[derive(Debug, Default)]
 struct Others {
     members: HashMap<SocketAddr, Member>,
+    is_fleet_found: bool,
     loads: HashMap<u32, ReplicaLoad>,
     turn: usize,
 }
@@ -146,10 +161,13 @@
         &self.own
     }
 
-    /// Takes in the entries in the store.
-    pub(crate) fn learn_entries(&self, entries: Vec<RouterEntry>) {
+    /// Takes in the entries in the store. `had_entry` tells that this router's entry is from before
+    /// its start, so those of the others are too.
+    pub(crate) fn learn_entries(&self, entries: Vec<RouterEntry>, had_entry: bool) {
         let mut others = lock(&self.others);
         let known: Vec<SocketAddr> = entries.iter().map(|entry| entry.peer_address).collect();
+        let is_late = had_entry || self.started.elapsed() >= ALL_ENTERED;
+        others.is_fleet_found |= is_late && known.contains(&self.own.peer_address);
         others.members.retain(|address, member| {
             known.contains(address) || member.heard.as_ref().is_some_and(Heard::is_alive)
         });
@@ -224,9 +242,14 @@
         others.loads.get(&replica).copied().unwrap_or_default()
     }
 
-    /// The routers that draw on the ledger for all, by the addresses for hellos. All routers work
-    /// out the same ones as far as they hear the same routers; where they differ nothing breaks.
-    pub(crate) fn distributors(&self) -> HashSet<SocketAddr> {
+    /// True once the entries of the whole fleet were read.
+    pub(crate) fn is_fleet_found(&self) -> bool {
+        lock(&self.others).is_fleet_found
+    }
+
+    /// The routers that draw on the ledger for all. All routers work out the same ones as far as
+    /// they hear the same routers; where they differ nothing breaks.
+    pub(crate) fn ledger_duty(&self) -> LedgerDuty {
         let is_starting = self.started.elapsed() < FIRST_HEARD;
         let others = lock(&self.others);
         let present = others.members.iter().filter(|(_, member)| {
@@ -240,7 +263,12 @@
             .collect();
         ranked.sort_unstable();
         ranked.truncate(MOST_DISTRIBUTORS);
-        ranked.into_iter().map(|(_, address)| address).collect()
+        let own_address = self.own.peer_address;
+        LedgerDuty {
+            distributor_count: ranked.len(),
+            distributes: ranked.iter().any(|(_, address)| *address == own_address),
+            is_fleet_found: others.is_fleet_found,
+        }
     }
 
     /// Routers known, this one included.
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -210,7 +210,7 @@
             .map(|team| ToldStock::new(team.digest, &team.stock()));
         ToldGrants {
             holder: self.holder,
-            reaches_ledger: state.distributes && !state.is_ledger_slow(),
+            reaches_ledger: state.duty.distributes && !state.is_ledger_slow(),
             stocks: stocks.filter(|told| !told.is_empty()).collect(),
         }
     }
@@ -250,7 +250,7 @@
     /// The asks that are due, each with the router that gets it.
     pub(crate) fn due_asks(&self) -> Vec<(SocketAddr, TokenAsk)> {
         let mut state = lock(&self.state);
-        let needs_others = state.is_ledger_slow() || !state.distributes;
+        let needs_others = state.is_ledger_slow() || !state.duty.distributes;
         let GrantState { teams, others, .. } = &mut *state;
         let now = Instant::now();
         let mut due = Vec::new();
@@ -307,7 +307,7 @@
             return None;
         }
         let mut state = lock(&self.state);
-        let may_draw = state.distributes && !state.is_ledger_slow();
+        let may_draw = state.duty.distributes && !state.is_ledger_slow();
         let team = state.teams.get_mut(&ask.budget)?;
         let free_tokens = team.holder.free_tokens();
         let lacks = free_tokens < ask.needed_tokens;
@@ -371,7 +371,7 @@
         let GrantState {
             teams,
             others,
-            distributes,
+            duty,
             ..
         } = &mut *state;
         let Some(team) = teams.get_mut(&give.budget) else {
@@ -383,7 +383,7 @@
         if team.open_ask.is_some_and(|open| open.router == router) {
             team.open_ask = None;
         }
-        if let Some(available_tokens) = give.available_tokens.filter(|_| !*distributes) {
+        if let Some(available_tokens) = give.available_tokens.filter(|_| !duty.distributes) {
             team.learn_available(available_tokens);
         }
         if let Some(other) = others.get_mut(&router) {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -666,6 +666,23 @@
     assert!(holders <= DISTRIBUTORS, "{holders} hold grants");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_stocks_nothing_before_it_can_know_the_fleet() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    site.store.set_faults(StoreFaults {
+        stale_kind: Some("routers"),
+        ..StoreFaults::default()
+    });
+    let _router = site.ready_router("r-1").await;
+    wait_until("the entries were read several times", || async {
+        site.store.listings("routers") >= 7
+    })
+    .await;
+    assert_eq!(site.charged(), 0, "others may be there, not listed yet");
+    site.store.set_faults(StoreFaults::default());
+    wait_until("a stock is drawn", || async { site.charged() > 0 }).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_budget_is_drawn_on_in_an_outage_from_what_was_granted_before() {
     let pause = Duration::from_millis(1);
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -27,6 +27,8 @@
     pub lose_writes: bool,
     /// Watches from before now wait without hearing of any change.
     pub deaf_before: Option<u64>,
+    /// Stale listings of this kind are from before its first object.
+    pub stale_kind: Option<&'static str>,
 }
 
 #[derive(Default)]
@@ -35,6 +37,7 @@
     by_kind: BTreeMap<String, BTreeMap<String, Value>>,
     history: Vec<(u64, String, bool, Value)>,
     faults: StoreFaults,
+    listings: BTreeMap<String, u64>,
 }
 
 /// A store listening on a loopback address.
@@ -125,6 +128,12 @@
         Some(object["spec"].clone())
     }
 
+    /// Listings of a kind that were answered.
+    pub fn listings(&self, kind: &str) -> u64 {
+        let objects = self.objects.lock().unwrap();
+        objects.listings.get(kind).copied().unwrap_or_default()
+    }
+
     pub fn names(&self, kind: &str) -> Vec<String> {
         let objects = self.objects.lock().unwrap();
         let kind = objects.by_kind.get(kind);
@@ -212,10 +221,20 @@
     }
     let method = request.method().clone();
     let revision = query(&request, "revision");
+    let is_stale = query(&request, "serializable").is_some();
     let body = request.into_body().collect().await.unwrap().to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let mut state = objects.lock().unwrap();
     if method == Method::GET {
+        if name.is_none() {
+            *state.listings.entry(kind.clone()).or_default() += 1;
+        }
+        if is_stale && faults.stale_kind == Some(&kind) {
+            return Ok(answer(
+                200,
+                &json!({"items": [], "has_more": false, "current_rev": 1}),
+            ));
+        }
         return Ok(read(&state, &kind, name.as_deref()));
     }
     let result = write(&mut state, &method, &kind, name, revision, &body);
