Let five routers draw on the ledger of a large fleet, and write in turns

Cause: twelve routers wrote the one ledger object whenever a request asked, each with a revision that others had changed meanwhile. Asks of routers ended after 30 ms, at any wake-up, also when the ledger had not been reached yet, and the asker then took the giver for dry.

Change: in fleets of more than twelve, five routers draw, the most capable of each failure domain first (core/duty.rs; settings get cpu_cores). Writes of one router are 75 to 125 ms apart. A router that must draw for an ask says so at once, and answers when it has the tokens; what it hands over counts in its own cover.

Ruled out: sharing the ledger over several objects (more calls for each round of all budgets); pauses after conflicts (the object is older then).

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -180,6 +180,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RankedDemand {
     meters: [WarmMeter; RANKS],
+    handed: WarmMeter,
     ended_reserved_tokens: f64,
     ended_spent_tokens: f64,
 }
@@ -198,6 +199,11 @@
         self.meters[index].note(Tokens::new(expected_tokens as u64), reserved_tokens);
     }
 
+    /// Counts tokens handed to another router, which are its demand and not told as this one's.
+    pub fn note_handed(&mut self, tokens: Tokens) {
+        self.handed.note(tokens, tokens);
+    }
+
     /// Takes in what a request spent of its reservation.
     #[allow(clippy::cast_precision_loss, reason = "an average")]
     pub fn note_end(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
@@ -217,7 +223,7 @@
 
     /// Lets time pass.
     pub fn pass(&mut self, interval_s: f64) {
-        for meter in &mut self.meters {
+        for meter in self.meters.iter_mut().chain([&mut self.handed]) {
             meter.pass(interval_s);
         }
     }
@@ -241,12 +247,12 @@
         largest.max().unwrap_or_default()
     }
 
-    /// What this router's own demand needs until it can draw again or ask others, or a part of that
-    /// as the budget runs out: the rest lasts for `rest_s` at the present demand of all holders.
+    /// What this router's requests and those that ask it need until it can draw again or ask others,
+    /// or a part of that as the budget runs out: the rest lasts for `rest_s` at the present demand of all holders.
     #[must_use]
     pub fn own_cover_tokens(&self, rest_s: f64) -> Tokens {
         let cover_s = OWN_COVER_S * cover_part(rest_s);
-        let meters = self.meters.iter();
+        let meters = self.meters.iter().chain([&self.handed]);
         meters.map(|meter| meter.need_tokens(cover_s)).sum()
     }
 }
--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -314,7 +314,7 @@
         already_received_tokens: Tokens,
         wanted_tokens: Tokens,
     ) -> Tokens {
-        let sent_tokens = self.sent.get(&receiver).copied().unwrap_or_default();
+        let sent_tokens = self.sent_to(receiver);
         if sent_tokens > already_received_tokens {
             return sent_tokens;
         }
@@ -326,6 +326,12 @@
         total_tokens
     }
 
+    /// Cumulative tokens handed to one holder.
+    #[must_use]
+    pub fn sent_to(&self, receiver: HolderId) -> Tokens {
+        self.sent.get(&receiver).copied().unwrap_or_default()
+    }
+
     /// Credits the cumulative amount that another holder says it sent. Repeats change nothing.
     pub fn receive(&mut self, sender: HolderId, total_tokens: Tokens) {
         let received = self.received.entry(sender).or_default();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod bill;
 pub mod claim;
 pub mod cover;
+pub mod duty;
 pub mod fair_queue;
 pub mod holder;
 pub mod ids;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -91,6 +91,7 @@
             callers_address: settings.callers_listen,
             peer_address: settings.peer_listen,
             failure_domain: settings.failure_domain.clone(),
+            cpu_millis: settings.cpu_millis(),
         }));
         let pools = Arc::new(Pools::new(
             settings.failure_domain.clone(),
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -30,6 +30,8 @@
     pub peer_listen: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Processor time that the VM has, in cores.
+    pub cpu_cores: f64,
     /// Time from SIGTERM until the process is killed.
     pub grace_s: f64,
     /// What the fleet may repeat.
@@ -66,6 +68,17 @@
 }
 
 impl EntrySettings {
+    /// Processor time that the VM has, in thousandths of a core.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked ranges"
+    )]
+    pub fn cpu_millis(&self) -> u32 {
+        (self.cpu_cores * 1_000.0) as u32
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -83,6 +96,7 @@
     ///
     /// Fails with the place and reason of the first fault.
     pub fn check(&self) -> Result<(), SettingsError> {
+        check_range("cpu_cores", self.cpu_cores, 0.001, 1_000.0)?;
         check_range("grace_s", self.grace_s, 0.5, 3_600.0)?;
         check_range("retries.ratio", self.retries.ratio, 0.0, 10.0)?;
         check_range("retries.slack", self.retries.slack, 0.0, 1_000_000.0)?;
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use serde_json::value::RawValue;
 use slog::{info, warn, Logger};
 use tokio::time::Instant;
@@ -20,6 +21,9 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two writes of the ledger that no request waits for.
 const REFILL_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two writes, in milliseconds: what is asked for meanwhile shares the next
+/// one. It varies, so that writers which met once do not meet again and again.
+const WRITE_INTERVAL_MS: std::ops::Range<u64> = 75..125;
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after the store gave no answer.
@@ -87,6 +91,10 @@
             if !is_asked && !is_due && !self.is_lost {
                 continue;
             }
+            if let Some(last) = self.last_write.filter(|_| is_asked) {
+                let interval_ms = rand::rng().random_range(WRITE_INTERVAL_MS);
+                tokio::time::sleep_until(last + Duration::from_millis(interval_ms)).await;
+            }
             let duty = self.members.ledger_duty();
             if self.grants.learn_duty(duty) {
                 info!(self.log, "ledger duty changed"; "draws_for_others" => duty.distributes,
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::pooling::ToldGrants;
+use crate::core::duty::{ledger_distributors, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
 use crate::util::{lock, stable_hash};
@@ -24,9 +25,6 @@
 const LEAST_ADDRESSES: usize = 2;
 /// Most routers that callers are told.
 const MOST_ADDRESSES: usize = 16;
-/// Most routers that draw on the ledger. All write the same object, each about once a second, and
-/// a write takes some milliseconds, so a dozen seldom meet.
-const MOST_DISTRIBUTORS: usize = 12;
 /// Time after the start within which routers that start with this one have an entry that stale
 /// readings show: half a second for the starts, a second for the age of a reading.
 const ALL_ENTERED: Duration = Duration::from_millis(1_500);
@@ -44,6 +42,18 @@
     pub peer_address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// Processor time that its VM has, in thousandths of a core.
+    pub cpu_millis: u32,
+}
+
+impl RouterEntry {
+    fn candidate(&self) -> DutyCandidate {
+        DutyCandidate {
+            failure_domain: self.failure_domain.clone(),
+            cpu_millis: self.cpu_millis,
+            order: stable_hash(&["distributor", &self.peer_address.to_string()]),
+        }
+    }
 }
 
 /// Work at one replica, as told in a hello.
@@ -256,17 +266,14 @@
             let heard = member.heard.as_ref();
             heard.map_or(is_starting, Heard::is_alive)
         });
-        let present = present.map(|(address, _)| *address);
-        let mut ranked: Vec<(u64, SocketAddr)> = present
-            .chain([self.own.peer_address])
-            .map(|address| (stable_hash(&["distributor", &address.to_string()]), address))
-            .collect();
-        ranked.sort_unstable();
-        ranked.truncate(MOST_DISTRIBUTORS);
-        let own_address = self.own.peer_address;
+        let present = present.map(|(_, member)| member.entry.candidate());
+        // This router stands first.
+        let candidates: Vec<DutyCandidate> =
+            [self.own.candidate()].into_iter().chain(present).collect();
+        let distributors = ledger_distributors(&candidates);
         LedgerDuty {
-            distributor_count: ranked.len(),
-            distributes: ranked.iter().any(|(_, address)| *address == own_address),
+            distributor_count: distributors.len(),
+            distributes: distributors.contains(&0),
             is_fleet_found: others.is_fleet_found,
         }
     }
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::grants::{GrantState, Grants};
+use super::grants::{GrantState, Grants, TeamGrant};
 use crate::core::cover::RANKS;
 use crate::core::ids::{BudgetId, HolderId};
 use crate::core::pooling::RouterStock;
@@ -21,8 +21,8 @@
 const UNIT_TOKENS: u64 = 64;
 /// Longest wait for a router that was asked: some round trips within a region.
 const ASK_WAIT: Duration = Duration::from_millis(40);
-/// Longest time that an ask waits for the ledger.
-const LEDGER_WAIT: Duration = Duration::from_millis(30);
+/// Longest time that an ask waits for the ledger: a turn of writing and some conflicts.
+const LEDGER_WAIT: Duration = Duration::from_millis(170);
 /// Time for which a router that had nothing is not asked again for that budget.
 const DRY_TIME: Duration = Duration::from_millis(400);
 
@@ -105,6 +105,8 @@
     pub left_tokens: Tokens,
     /// What the ledger has left, where the giver has just seen it.
     pub available_tokens: Option<Tokens>,
+    /// True when the ledger is being asked for what is lacking, so a further answer comes.
+    pub is_drawing: bool,
 }
 
 /// What a router looks for at others.
@@ -124,7 +126,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OpenAsk {
     router: SocketAddr,
-    since: Instant,
+    until: Instant,
 }
 
 /// An ask of another router that waits for the ledger.
@@ -132,7 +134,6 @@
 pub(crate) struct WaitingAsk {
     router: SocketAddr,
     ask: TokenAsk,
-    looks: u64,
     until: Instant,
 }
 
@@ -256,7 +257,7 @@
         let mut due = Vec::new();
         for (budget, team) in teams {
             if let Some(open) = team.open_ask {
-                if open.since + ASK_WAIT > now {
+                if open.until > now {
                     continue;
                 }
                 if let Some(other) = others.get_mut(&open.router) {
@@ -280,7 +281,8 @@
             let Some(other) = others.get(&router) else {
                 continue;
             };
-            team.open_ask = Some(OpenAsk { router, since: now });
+            let until = now + ASK_WAIT;
+            team.open_ask = Some(OpenAsk { router, until });
             let ask = TokenAsk {
                 budget: budget.clone(),
                 asker: self.holder,
@@ -313,31 +315,37 @@
         let lacks = free_tokens < ask.needed_tokens;
         let needed_tokens = free_tokens + ask.needed_tokens;
         if lacks && may_draw && !team.is_ledger_short(needed_tokens) {
-            if team.holder.pending().is_none() {
-                team.unmet_tokens = team.unmet_tokens.max(free_tokens + ask.wanted_tokens);
-            }
+            team.unmet_tokens = team.unmet_tokens.max(free_tokens) + ask.wanted_tokens;
+            let answer = self.answer(team, &ask, true);
             state.waiting_asks.push(WaitingAsk {
                 router,
                 ask,
-                looks: *self.looks.borrow(),
                 until: Instant::now() + LEDGER_WAIT,
             });
             drop(state);
             self.wake.notify_one();
-            return None;
+            return Some(answer);
         }
         self.give(&mut state, &ask)
     }
 
     /// The answers to asks that have waited for the ledger.
     pub(crate) fn due_gives(&self) -> Vec<(SocketAddr, TokenGive)> {
-        let looks = *self.looks.borrow();
         let mut state = lock(&self.state);
         let now = Instant::now();
+        let is_ledger_slow = state.is_ledger_slow();
         let waiting = std::mem::take(&mut state.waiting_asks);
-        let (due, waiting) = waiting
-            .into_iter()
-            .partition::<Vec<_>, _>(|waiting| waiting.looks != looks || waiting.until <= now);
+        let is_due = |waiting: &WaitingAsk| {
+            let team = state.teams.get(&waiting.ask.budget);
+            waiting.until <= now
+                || is_ledger_slow
+                || team.is_none_or(|team| {
+                    let free_tokens = team.holder.free_tokens();
+                    free_tokens >= waiting.ask.needed_tokens
+                        || team.is_ledger_short(free_tokens + waiting.ask.needed_tokens)
+                })
+        };
+        let (due, waiting) = waiting.into_iter().partition::<Vec<_>, _>(is_due);
         state.waiting_asks = waiting;
         let gives = due
             .into_iter()
@@ -349,17 +357,23 @@
         let team = state.teams.get_mut(&ask.budget)?;
         let stock = team.stock();
         let given_tokens = stock.given_tokens(ask.needed_tokens, ask.wanted_tokens);
-        let total_tokens = team
-            .holder
+        team.holder
             .send(ask.asker, ask.received_tokens, given_tokens);
-        Some(TokenGive {
+        team.demand.note_handed(given_tokens);
+        Some(self.answer(team, ask, false))
+    }
+
+    /// The answer to an ask after what was handed over so far.
+    fn answer(&self, team: &TeamGrant, ask: &TokenAsk, is_drawing: bool) -> TokenGive {
+        TokenGive {
             budget: ask.budget.clone(),
             asker: ask.asker,
             giver: self.holder,
-            total_tokens,
+            total_tokens: team.holder.sent_to(ask.asker),
             left_tokens: team.holder.free_tokens(),
             available_tokens: team.just_seen_available_tokens(),
-        })
+            is_drawing,
+        }
     }
 
     /// Takes in tokens that another router has handed over. Returns how many are new.
@@ -380,7 +394,11 @@
         let known_tokens = team.holder.received_from(give.giver);
         team.holder.receive(give.giver, give.total_tokens);
         let new_tokens = give.total_tokens - known_tokens;
-        if team.open_ask.is_some_and(|open| open.router == router) {
+        if let Some(open) = team.open_ask.as_mut().filter(|open| open.router == router) {
+            if give.is_drawing && new_tokens.is_zero() {
+                open.until = Instant::now() + LEDGER_WAIT + ASK_WAIT;
+                return new_tokens;
+            }
             team.open_ask = None;
         }
         if let Some(available_tokens) = give.available_tokens.filter(|_| !duty.distributes) {
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -69,6 +69,9 @@
         }
         PeerMessage::Give(give) => {
             let new_tokens = grants.learn_give(router, &give);
+            if give.is_drawing && new_tokens.is_zero() {
+                return;
+            }
             info!(log, "tokens received"; "team" => give.budget.as_str(),
                 "router" => router.to_string(), "tokens" => new_tokens.get(),
                 "giver_left_tokens" => give.left_tokens.get());
--- a/tests/cover.rs
+++ b/tests/cover.rs
@@ -196,3 +196,16 @@
         "{held} of {own_per_s} a second"
     );
 }
+
+#[test]
+fn a_router_that_draws_for_others_covers_what_it_hands_over() {
+    let mut demand = RankedDemand::default();
+    for _ in 0..50 {
+        demand.note_handed(REQUEST);
+        demand.pass(0.1);
+    }
+    assert_eq!(demand.tokens_per_s(), 0, "it is told by those that asked");
+    let cover = demand.own_cover_tokens(f64::INFINITY);
+    let two_seconds = Tokens::new(20 * REQUEST.get());
+    assert!(cover >= two_seconds, "{cover} of {two_seconds}");
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -27,6 +27,8 @@
     pub lose_writes: bool,
     /// Watches from before now wait without hearing of any change.
     pub deaf_before: Option<u64>,
+    /// Time that a write takes before it is looked at.
+    pub write_ms: u64,
     /// Stale listings of this kind are from before its first object.
     pub stale_kind: Option<&'static str>,
 }
@@ -38,6 +40,8 @@
     history: Vec<(u64, String, bool, Value)>,
     faults: StoreFaults,
     listings: BTreeMap<String, u64>,
+    writes: u64,
+    conflicts: u64,
 }
 
 /// A store listening on a loopback address.
@@ -128,6 +132,12 @@
         Some(object["spec"].clone())
     }
 
+    /// Writes that took effect, and those that found another revision than they expected.
+    pub fn writes_and_conflicts(&self) -> (u64, u64) {
+        let objects = self.objects.lock().unwrap();
+        (objects.writes, objects.conflicts)
+    }
+
     /// Listings of a kind that were answered.
     pub fn listings(&self, kind: &str) -> u64 {
         let objects = self.objects.lock().unwrap();
@@ -224,6 +234,9 @@
     let is_stale = query(&request, "serializable").is_some();
     let body = request.into_body().collect().await.unwrap().to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    if method != Method::GET {
+        tokio::time::sleep(Duration::from_millis(faults.write_ms)).await;
+    }
     let mut state = objects.lock().unwrap();
     if method == Method::GET {
         if name.is_none() {
@@ -276,6 +289,8 @@
         Method::POST => present.is_some(),
         _ => expected.is_some_and(|expected| present.is_some_and(|now| now != expected)),
     };
+    state.conflicts += u64::from(is_conflict);
+    state.writes += u64::from(!is_conflict);
     if is_conflict {
         let object = state.by_kind[kind][&name].clone();
         return answer(409, &object);
