Let another router draw when those on duty are cut off from the ledger

Cause: in a large fleet the routers that draw on the ledger are fixed by an order. A cut that takes all of them from the store leaves the others, some of which reach it, without new tokens for its whole length.

Change: a router that hears none on duty reach the ledger, nor another that stands in, reads the ledger itself, later by its place in the order, and draws while those on duty do not. A change of reach is told to all routers at once, when it has lasted for two rounds. A router that draws no longer gives back what its own requests do not need.

Test: when_the_routers_that_draw_are_cut_off_one_that_is_not_stands_in.

--- a/src/core/duty.rs
+++ b/src/core/duty.rs
@@ -24,32 +24,42 @@
     pub order: u64,
 }
 
-/// The candidates that draw on the ledger, by their places in the list, the first one first: all of
-/// a small fleet; of a larger one the most capable of each failure domain, then the next ones.
+/// Number of the routers that draw on the ledger in a fleet of some size.
 ///
 /// ```
-/// use currantlever::{ledger_distributors, DutyCandidate, FailureDomain};
+/// use currantlever::distributor_count;
+/// assert_eq!(distributor_count(9), 9);
+/// assert_eq!(distributor_count(90), 5);
+/// ```
+#[must_use]
+pub const fn distributor_count(routers: usize) -> usize {
+    if routers <= MOST_DIRECT_ROUTERS {
+        return routers;
+    }
+    MOST_DISTRIBUTORS
+}
+
+/// The order in which routers draw on the ledger, by their places in the list: the most capable one
+/// of each failure domain, then the next one of each. The first ones have the duty; the others stand
+/// in, in this order, when none of those reaches the ledger.
+///
+/// ```
+/// use currantlever::{ledger_order, DutyCandidate, FailureDomain};
 /// let candidate = |domain: &str, cpu_millis| DutyCandidate {
 ///     failure_domain: FailureDomain::new(domain).unwrap(),
 ///     cpu_millis,
 ///     order: u64::from(cpu_millis),
 /// };
-/// let mut fleet = vec![candidate("a", 120); 40];
-/// fleet.push(candidate("a", 500));
-/// fleet.push(candidate("b", 250));
-/// assert_eq!(ledger_distributors(&fleet)[..2], [40, 41]);
-/// assert_eq!(ledger_distributors(&fleet[38..]).len(), 4);
+/// let fleet = [candidate("a", 500), candidate("a", 120), candidate("b", 250)];
+/// assert_eq!(ledger_order(&fleet), [0, 2, 1]);
 /// ```
 #[must_use]
-pub fn ledger_distributors(candidates: &[DutyCandidate]) -> Vec<usize> {
+pub fn ledger_order(candidates: &[DutyCandidate]) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
     ranked.sort_by_key(|index| {
         let candidate = &candidates[*index];
         (std::cmp::Reverse(candidate.cpu_millis), candidate.order)
     });
-    if ranked.len() <= MOST_DIRECT_ROUTERS {
-        return ranked;
-    }
     let mut in_domain: HashMap<&FailureDomain, usize> = HashMap::new();
     let mut placed: Vec<(usize, usize)> = Vec::with_capacity(ranked.len());
     for index in ranked {
@@ -61,6 +71,5 @@
     }
     // The sort is stable: within a round over the domains the more capable stay first.
     placed.sort_by_key(|(round, _)| *round);
-    placed.truncate(MOST_DISTRIBUTORS);
     placed.into_iter().map(|(_, index)| index).collect()
 }
--- a/src/core/pooling.rs
+++ b/src/core/pooling.rs
@@ -53,8 +53,13 @@
     /// What to ask for when a request needs more than is free.
     #[must_use]
     pub fn wanted_tokens(&self, needed_tokens: Tokens) -> Tokens {
-        let demand = Tokens::new(self.all_demand_tokens_per_s());
-        needed_tokens - self.free_tokens + demand.scaled(AHEAD_MS, 1_000)
+        needed_tokens - self.free_tokens + self.ahead_tokens()
+    }
+
+    /// What a router that does not draw on the ledger keeps for its own requests.
+    #[must_use]
+    pub fn ahead_tokens(&self) -> Tokens {
+        Tokens::new(self.all_demand_tokens_per_s()).scaled(AHEAD_MS, 1_000)
     }
 }
 
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -1,6 +1,7 @@
 //! What this router asks of the ledger, and what it takes in from it.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 use tokio::time::Instant;
 
@@ -23,6 +24,17 @@
     return_tokens: Tokens,
 }
 
+/// On what occasion the ledger is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LedgerTurn {
+    /// This router draws on the ledger.
+    Duty,
+    /// This router draws no longer; it keeps what its own requests need.
+    OffDuty,
+    /// The process ends.
+    Leaving,
+}
+
 /// A decision of the policy, with what a waiting request needs beyond it.
 fn with_unmet(wish: GrantDecision, unmet_tokens: Tokens, view: &GrantView) -> GrantDecision {
     if unmet_tokens.is_zero() {
@@ -50,11 +62,25 @@
     /// Takes in which routers draw on the ledger. Returns true when that changed for this one.
     pub(crate) fn learn_duty(&self, duty: LedgerDuty) -> bool {
         let mut state = lock(&self.state);
-        std::mem::replace(&mut state.duty, duty).distributes != duty.distributes
+        let is_changed = state.duty.distributes != duty.distributes;
+        state.duty = duty;
+        is_changed
+    }
+
+    /// True when one of some routers tells that it reaches the ledger.
+    pub(crate) fn is_reached_by(&self, routers: &[SocketAddr]) -> bool {
+        let state = lock(&self.state);
+        let mut others = routers.iter().filter_map(|router| state.others.get(router));
+        others.any(OtherRouter::reaches_ledger)
+    }
+
+    /// Since when no other router has reached the ledger.
+    pub(crate) fn others_cut_off_since(&self) -> Option<Instant> {
+        lock(&self.state).others_cut_off_since
     }
 
     /// Decides what to ask of the ledger. Nothing is asked when the list is empty.
-    pub(crate) fn prepare(&self, is_leaving: bool) -> Vec<GrantAsk> {
+    pub(crate) fn prepare(&self, turn: LedgerTurn) -> Vec<GrantAsk> {
         let mut state = lock(&self.state);
         let GrantState {
             teams,
@@ -71,10 +97,15 @@
                     draw_tokens: pending.draw_tokens,
                     return_tokens: Tokens::ZERO,
                 }
-            } else if is_leaving {
+            } else if turn != LedgerTurn::Duty {
+                let stock = team.stock();
+                let kept_tokens = match turn {
+                    LedgerTurn::Leaving => Tokens::ZERO,
+                    _ => stock.ahead_tokens(),
+                };
                 GrantDecision {
                     draw_tokens: Tokens::ZERO,
-                    return_tokens: team.holder.free_tokens(),
+                    return_tokens: stock.free_tokens - kept_tokens,
                 }
             } else if !duty.distributes {
                 continue;
@@ -82,7 +113,7 @@
                 // A look only: who holds what decides on the first draw.
                 GrantDecision::default()
             } else {
-                let view = team.view(&fleet_stock(team, others), duty.distributor_count);
+                let view = team.view(&fleet_stock(team, others), duty.distributors.len());
                 // The even share of a fleet that is still being found would be too large.
                 let wish = if duty.is_fleet_found {
                     self.policy.decide(&view)
@@ -91,11 +122,11 @@
                 };
                 with_unmet(wish, team.unmet_tokens, &view)
             };
-            let is_first_look = team.seen.is_none() && !is_leaving;
+            let is_first_look = team.seen.is_none() && turn == LedgerTurn::Duty;
             let is_idle = decision.draw_tokens.is_zero() && decision.return_tokens.is_zero();
             let is_unmet = !team.unmet_tokens.is_zero();
             if team.holder.pending().is_none() && !is_first_look {
-                if is_idle && (!is_unmet || is_leaving) {
+                if is_idle && (!is_unmet || turn != LedgerTurn::Duty) {
                     continue;
                 }
                 team.unmet_tokens = Tokens::ZERO;
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -26,8 +26,9 @@
 use crate::core::units::Tokens;
 use crate::util::{lock, short_digest};
 
-/// Longest wait of a request for tokens: several answers of the ledger, each some milliseconds.
-const TOKENS_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait of a request for tokens: an ask of a router that died, and one of a router that
+/// draws on the ledger for it. Coming back after a refusal takes longer.
+const TOKENS_WAIT: Duration = Duration::from_millis(400);
 /// Time after which a ledger that has not answered counts as slow, so that other routers are
 /// asked: ten times its usual answer.
 const SLOW_LEDGER: Duration = Duration::from_millis(40);
@@ -275,7 +276,8 @@
                 teams: HashMap::new(),
                 generation: 0,
                 duty: LedgerDuty {
-                    distributor_count: 1,
+                    distributors: Vec::new(),
+                    place: 0,
                     distributes: true,
                     is_fleet_found: false,
                 },
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -43,13 +43,28 @@
     log: Logger,
 ) {
     let mut sequence = 0;
+    let mut told_reach = true;
+    let mut reach_before = true;
     loop {
         for router in members.drop_silent_loads() {
             info!(log, "router silent"; "router" => router.to_string(),
                 "known" => members.known_count());
         }
         sequence += 1;
-        let (receivers, count) = members.next_receivers(HELLOS_PER_ROUND);
+        let told_grants = grants.told();
+        // All are told at once where to ask for tokens now, but not of a single slow answer.
+        let reach = told_grants.reaches_ledger;
+        let is_news = reach != told_reach && reach == reach_before;
+        if is_news {
+            told_reach = reach;
+        }
+        reach_before = reach;
+        let most = if is_news {
+            usize::MAX
+        } else {
+            HELLOS_PER_ROUND
+        };
+        let (receivers, count) = members.next_receivers(most);
         let rounds = count.div_ceil(HELLOS_PER_ROUND).max(1);
         let interval = ROUND * u32::try_from(rounds).unwrap_or(u32::MAX);
         let hello = Hello {
@@ -59,12 +74,9 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
-            grants: grants.told(),
+            grants: told_grants,
         };
-        let hello = PeerMessage::Hello(hello);
-        for receiver in receivers {
-            hello.send(&socket, receiver);
-        }
+        PeerMessage::Hello(hello).send_all(&socket, &receivers);
         tokio::time::sleep(ROUND).await;
     }
 }
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -8,8 +8,9 @@
 use slog::{info, warn, Logger};
 use tokio::time::Instant;
 
+use super::grant_updates::LedgerTurn;
 use super::grants::Grants;
-use super::members::Members;
+use super::members::{LedgerDuty, Members};
 use crate::core::ledger::LedgerShard;
 use crate::store::kinds::{KindError, KindObject, KindStore, Revision};
 
@@ -24,6 +25,13 @@
 /// Shortest time between two writes, in milliseconds: what is asked for meanwhile shares the next
 /// one. It varies, so that writers which met once do not meet again and again.
 const WRITE_INTERVAL_MS: std::ops::Range<u64> = 75..125;
+/// Time for which each place in the order of routers waits longer before it stands in for the
+/// routers that draw on the ledger: time for the one before it to find the ledger and to say so.
+const STAND_IN_STEP: Duration = Duration::from_millis(15);
+/// Longest wait for the ledger before standing in: several of its usual answers.
+const STAND_IN_WAIT: Duration = Duration::from_millis(300);
+/// Time between two tries to stand in.
+const STAND_IN_PAUSE: Duration = Duration::from_secs(1);
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after the store gave no answer.
@@ -51,6 +59,9 @@
     seen: Seen,
     last_write: Option<Instant>,
     is_lost: bool,
+    /// True while this router draws because those whose turn it is do not reach the ledger.
+    stands_in: bool,
+    last_stand_in_try: Option<Instant>,
 }
 
 impl LedgerSync {
@@ -69,6 +80,8 @@
             seen: Seen::default(),
             last_write: None,
             is_lost: false,
+            stands_in: false,
+            last_stand_in_try: None,
         }
     }
 
@@ -85,25 +98,31 @@
                 self.grants.end_interval(interval);
                 last_interval = Instant::now();
             }
-            let is_due = self
-                .last_write
-                .is_none_or(|last| last.elapsed() >= REFILL_INTERVAL);
-            if !is_asked && !is_due && !self.is_lost {
+            let mut duty = self.members.ledger_duty();
+            if !duty.distributes {
+                duty.distributes = self.stand_in(&duty).await;
+            }
+            let (distributes, is_fleet_found) = (duty.distributes, duty.is_fleet_found);
+            let mut turn = LedgerTurn::Duty;
+            if self.grants.learn_duty(duty) {
+                info!(self.log, "ledger duty changed"; "draws_for_others" => distributes,
+                    "stands_in" => self.stands_in, "routers_known" => self.members.known_count());
+                if !distributes {
+                    turn = LedgerTurn::OffDuty;
+                }
+            }
+            let is_due = turn == LedgerTurn::OffDuty
+                || self
+                    .last_write
+                    .is_none_or(|last| last.elapsed() >= REFILL_INTERVAL);
+            if !(is_asked || self.is_lost || is_due && is_fleet_found) {
                 continue;
             }
             if let Some(last) = self.last_write.filter(|_| is_asked) {
                 let interval_ms = rand::rng().random_range(WRITE_INTERVAL_MS);
                 tokio::time::sleep_until(last + Duration::from_millis(interval_ms)).await;
             }
-            let duty = self.members.ledger_duty();
-            if self.grants.learn_duty(duty) {
-                info!(self.log, "ledger duty changed"; "draws_for_others" => duty.distributes,
-                    "routers_known" => self.members.known_count());
-            }
-            if !is_asked && !duty.is_fleet_found {
-                continue;
-            }
-            let asked = self.grants.prepare(false);
+            let asked = self.grants.prepare(turn);
             if asked.is_empty() {
                 continue;
             }
@@ -124,10 +143,35 @@
         }
     }
 
+    /// Whether this router draws on the ledger although it is the turn of others, because none of
+    /// those reaches it.
+    async fn stand_in(&mut self, duty: &LedgerDuty) -> bool {
+        if self.grants.is_reached_by(&duty.distributors) {
+            self.stands_in = false;
+        }
+        if self.stands_in || !duty.is_fleet_found {
+            return self.stands_in;
+        }
+        let wait = STAND_IN_STEP * u32::try_from(duty.place).unwrap_or(u32::MAX);
+        let is_turn = self
+            .grants
+            .others_cut_off_since()
+            .is_some_and(|since| since.elapsed() >= wait);
+        let is_tried = self
+            .last_stand_in_try
+            .is_some_and(|last| last.elapsed() < STAND_IN_PAUSE);
+        if is_turn && !is_tried {
+            self.last_stand_in_try = Some(Instant::now());
+            let found = tokio::time::timeout(STAND_IN_WAIT, self.read()).await;
+            self.stands_in = found.is_ok_and(|found| found.is_ok());
+        }
+        self.stands_in
+    }
+
     /// Gives back all that is free. Returns true when the ledger has taken it.
     pub(crate) async fn give_back(&mut self) -> bool {
         for _ in 0..MAX_CONFLICTS {
-            if self.grants.prepare(true).is_empty() {
+            if self.grants.prepare(LedgerTurn::Leaving).is_empty() {
                 return true;
             }
             if self.sync().await.is_err() {
@@ -216,6 +260,7 @@
 
     fn note_lost(&mut self, error: &KindError) {
         self.grants.learn_unreachable();
+        self.stands_in = false;
         if !self.is_lost {
             self.is_lost = true;
             warn!(self.log, "ledger lost"; "reason" => error.to_string(),
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::pooling::ToldGrants;
-use crate::core::duty::{ledger_distributors, DutyCandidate};
+use crate::core::duty::{distributor_count, ledger_order, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
 use crate::util::{lock, stable_hash};
@@ -130,11 +130,13 @@
 }
 
 /// Which routers draw on the ledger for all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LedgerDuty {
-    /// Number of the routers that draw.
-    pub distributor_count: usize,
-    /// True when this router is one of them.
+    /// Routers whose turn it is to draw, by their addresses for hellos.
+    pub distributors: Vec<SocketAddr>,
+    /// This router's place in the order of all routers.
+    pub place: usize,
+    /// True when this router draws.
     pub distributes: bool,
     /// True once the entries of the whole fleet were read, so that even shares are not too large.
     pub is_fleet_found: bool,
@@ -266,14 +268,19 @@
             let heard = member.heard.as_ref();
             heard.map_or(is_starting, Heard::is_alive)
         });
-        let present = present.map(|(_, member)| member.entry.candidate());
+        let present = present.map(|(_, member)| &member.entry);
         // This router stands first.
+        let entries: Vec<&RouterEntry> = [&self.own].into_iter().chain(present).collect();
         let candidates: Vec<DutyCandidate> =
-            [self.own.candidate()].into_iter().chain(present).collect();
-        let distributors = ledger_distributors(&candidates);
+            entries.iter().map(|entry| entry.candidate()).collect();
+        let order = ledger_order(&candidates);
+        let distributors = order.iter().take(distributor_count(order.len()));
         LedgerDuty {
-            distributor_count: distributors.len(),
-            distributes: distributors.contains(&0),
+            distributes: distributors.clone().any(|index| *index == 0),
+            distributors: distributors
+                .map(|index| entries[*index].peer_address)
+                .collect(),
+            place: order.iter().position(|index| *index == 0).unwrap_or(0),
             is_fleet_found: others.is_fleet_found,
         }
     }
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -22,7 +22,7 @@
 /// Longest wait for a router that was asked: some round trips within a region.
 const ASK_WAIT: Duration = Duration::from_millis(40);
 /// Longest time that an ask waits for the ledger: a turn of writing and some conflicts.
-const LEDGER_WAIT: Duration = Duration::from_millis(170);
+const LEDGER_WAIT: Duration = Duration::from_millis(250);
 /// Time for which a router that had nothing is not asked again for that budget.
 const DRY_TIME: Duration = Duration::from_millis(400);
 
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -29,8 +29,16 @@
 impl PeerMessage {
     /// Sends the message. A lost datagram is made up for: hellos are repeated, asks too.
     pub(crate) fn send(&self, socket: &UdpSocket, receiver: SocketAddr) {
-        if let Ok(bytes) = postcard::to_allocvec(self) {
-            let _ = socket.try_send_to(&bytes, receiver);
+        self.send_all(socket, &[receiver]);
+    }
+
+    /// Sends the message to several routers.
+    pub(crate) fn send_all(&self, socket: &UdpSocket, receivers: &[SocketAddr]) {
+        let Ok(bytes) = postcard::to_allocvec(self) else {
+            return;
+        };
+        for receiver in receivers {
+            let _ = socket.try_send_to(&bytes, *receiver);
         }
     }
 }
--- a/tests/duty.rs
+++ b/tests/duty.rs
@@ -2,7 +2,13 @@
 
 use std::collections::HashSet;
 
-use currantlever::{ledger_distributors, DutyCandidate, FailureDomain};
+use currantlever::{distributor_count, ledger_order, DutyCandidate, FailureDomain};
+
+fn ledger_distributors(candidates: &[DutyCandidate]) -> Vec<usize> {
+    let mut order = ledger_order(candidates);
+    order.truncate(distributor_count(candidates.len()));
+    order
+}
 
 fn fleet(sizes: &[(&str, u32, usize)]) -> Vec<DutyCandidate> {
     let mut candidates = Vec::new();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod site;
 mod store;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use replica::{event_text, Behaviour, StandInReplica};
@@ -690,6 +691,56 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn when_the_routers_that_draw_are_cut_off_one_that_is_not_stands_in() {
+    let pause = Duration::from_millis(1);
+    let (site, _replicas) = site_with(&vec![Behaviour::Stream { events: 2, pause }; 2]).await;
+    let (door, is_open) = site.store.open_door().await;
+    let large: Vec<_> = (0..5)
+        .map(|number| site.large_router(&format!("large-{number}"), door))
+        .collect();
+    let small: Vec<_> = (0..9)
+        .map(|number| site.router(&format!("small-{number}")))
+        .collect();
+    for router in large.iter().chain(&small) {
+        wait_ready(router).await;
+    }
+    let draws = |router: &Router| {
+        let changes = router.log_of("ledger duty changed");
+        changes.last().map(|line| line["draws_for_others"] == true)
+    };
+    wait_until("only the large ones draw", || async {
+        small.iter().all(|router| draws(router) == Some(false))
+    })
+    .await;
+    is_open.store(false, Ordering::Relaxed);
+    site.store.cut_connections();
+    // The large ones notice by a call that a request makes necessary.
+    let call = |attempt: &str| Call::new("draft", attempt).with_tokens(PLENTY / 50, 10);
+    wait_until("another one draws", || async {
+        let got = call("a").send(small[0].callers).await;
+        let status = got.unwrap().status;
+        assert!(matches!(status, 200 | 429), "{status}");
+        small.iter().any(|router| draws(router) == Some(true))
+    })
+    .await;
+    wait_until(
+        "a request that nobody has the tokens for is served",
+        || async { call("b").send(small[1].callers).await.unwrap().status == 200 },
+    )
+    .await;
+    is_open.store(true, Ordering::Relaxed);
+    wait_until("only the large ones draw again", || async {
+        small.iter().all(|router| draws(router) == Some(false))
+    })
+    .await;
+    for (index, router) in small.iter().enumerate() {
+        let got = call(&format!("c-{index}")).send(router.callers).await;
+        assert_eq!(got.unwrap().status, 200, "router {index}");
+    }
+    assert!(site.charged() <= PLENTY);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_stocks_nothing_before_it_can_know_the_fleet() {
     let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
