--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,7 +16,9 @@
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::Exchange;
 use crate::exchange::grants::{holder_on_vm, Grants};
-use crate::exchange::hellos::{keep_entries, leave, receive_datagrams, send_hellos, IsReady};
+use crate::exchange::hellos::{
+    keep_entries, leave, receive_datagrams, send_hellos, HelloParts, IsReady,
+};
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::members::{Members, RouterEntry};
 use crate::exchange::metrics::ExchangeMetrics;
@@ -28,9 +30,10 @@
 use crate::platform::registry::Registry;
 use crate::platform::sinks::{ConfigSink, ReplicaSink};
 use crate::platform::transport::HttpTransport;
-use crate::store::follow::follow;
+use crate::store::follow::{Follower, KindSink};
 use crate::store::health::StoreHealth;
 use crate::store::kinds::KindStore;
+use crate::store::progress::KindProgress;
 use crate::util::stable_hash;
 
 /// Time between two rounds of housekeeping.
@@ -226,25 +229,40 @@
         let members = || Arc::clone(self.members);
         let grants = || Arc::clone(self.grants);
         let log = || self.log.clone();
-        let config_sink = Arc::new(ConfigSink::new(Arc::clone(self.exchange), log()));
-        tokio::spawn(follow(store(), health(), CONFIG_KIND, config_sink, log()));
-        let replica_sink = Arc::new(ReplicaSink::new(Arc::clone(self.directory)));
-        tokio::spawn(follow(store(), health(), SERVER_KIND, replica_sink, log()));
+        let followed = [CONFIG_KIND, SERVER_KIND].map(|kind| Arc::new(KindProgress::new(kind)));
+        let sinks: [Arc<dyn KindSink>; 2] = [
+            Arc::new(ConfigSink::new(Arc::clone(self.exchange), log())),
+            Arc::new(ReplicaSink::new(Arc::clone(self.directory))),
+        ];
+        for (progress, sink) in followed.iter().zip(sinks) {
+            let task = Follower {
+                store: store(),
+                health: health(),
+                progress: Arc::clone(progress),
+                sink,
+                log: log(),
+            };
+            tokio::spawn(task.run());
+        }
+        let parts = HelloParts {
+            members: members(),
+            grants: grants(),
+            followed,
+            log: log(),
+        };
         let registry = Arc::clone(self.registry);
         let is_ready: IsReady = Arc::new(move || registry.is_ready());
         let pools = Arc::clone(self.pools);
         let sending = Arc::clone(&socket);
         tokio::spawn(send_hellos(
             sending,
-            members(),
+            parts.clone(),
             pools,
-            grants(),
             process,
             is_ready,
-            log(),
         ));
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
-        tokio::spawn(receive_datagrams(socket, members(), grants(), log()));
+        tokio::spawn(receive_datagrams(socket, parts));
         tokio::spawn(keep_entries(store(), members(), log()));
         let transport = Arc::clone(self.transport);
         tokio::spawn(keep_house(Arc::clone(self.directory), transport));
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -413,6 +413,11 @@
         self.looks.send_modify(|count| *count += 1);
     }
 
+    /// True when this router draws on the ledger, so that others rely on it.
+    pub(crate) fn distributes(&self) -> bool {
+        lock(&self.state).duty.distributes
+    }
+
     /// Waits until a request needs the ledger.
     pub(crate) async fn wanted(&self) {
         self.wake.notified().await;
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -6,17 +6,22 @@
 
 use slog::{debug, info, warn, Logger};
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 
 use super::grants::Grants;
 use super::members::{entry_name, Hello, Members, RouterEntry, SILENT_HELLOS};
 use super::pools::Pools;
 use super::transfers::{learn_transfer, PeerMessage};
 use crate::store::kinds::{Freshness, KindError, KindStore};
+use crate::store::progress::KindProgress;
 
 /// Kind of the routers' entries.
 const ROUTER_KIND: &str = "routers";
 /// Time between two rounds of hellos.
 const ROUND: Duration = Duration::from_millis(150);
+/// Hellos after which a router is no longer taken to watch the newest state for others. One may
+/// be lost.
+const GUARD_HELLOS: u32 = 2;
 /// Most hellos sent in one round.
 const HELLOS_PER_ROUND: usize = 12;
 /// Time between two readings of the entries in the store. Routers that do not draw on the ledger
@@ -32,16 +37,33 @@
 /// Whether this router takes requests.
 pub(crate) type IsReady = Arc<dyn Fn() -> bool + Send + Sync>;
 
+/// What this router tells others, and where it keeps what they tell.
+#[derive(Clone)]
+pub(crate) struct HelloParts {
+    /// The fleet.
+    pub members: Arc<Members>,
+    /// This router's grants.
+    pub grants: Arc<Grants>,
+    /// How far the operator's lists and the replicas' entries were followed.
+    pub followed: [Arc<KindProgress>; 2],
+    /// For what this router comes to believe.
+    pub log: Logger,
+}
+
 /// Sends this router's hellos round by round.
 pub(crate) async fn send_hellos(
     socket: Arc<UdpSocket>,
-    members: Arc<Members>,
+    parts: HelloParts,
     pools: Arc<Pools>,
-    grants: Arc<Grants>,
     process: u64,
     is_ready: IsReady,
-    log: Logger,
 ) {
+    let HelloParts {
+        members,
+        grants,
+        followed,
+        log,
+    } = parts;
     let mut sequence = 0;
     let mut told_reach = true;
     let mut reach_before = true;
@@ -74,6 +96,8 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
+            // Routers that draw on the ledger notice at once when they do not reach the store.
+            seen_changes: reach.then(|| followed.each_ref().map(|kind| kind.changed())),
             grants: told_grants,
         };
         PeerMessage::Hello(hello).send_all(&socket, &receivers);
@@ -82,21 +106,17 @@
 }
 
 /// Takes in datagrams of other routers.
-pub(crate) async fn receive_datagrams(
-    socket: Arc<UdpSocket>,
-    members: Arc<Members>,
-    grants: Arc<Grants>,
-    log: Logger,
-) {
+pub(crate) async fn receive_datagrams(socket: Arc<UdpSocket>, parts: HelloParts) {
+    let log = &parts.log;
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length_bytes, router)) => {
                 match postcard::from_bytes(&buffer[..length_bytes]) {
                     Ok(PeerMessage::Hello(hello)) => {
-                        learn_hello(router, hello, &members, &grants, &log);
+                        learn_hello(router, hello, &parts);
                     }
-                    Ok(message) => learn_transfer(&socket, router, message, &grants, &log),
+                    Ok(message) => learn_transfer(&socket, router, message, &parts.grants, log),
                     // Another version of this program, or somebody else.
                     Err(error) => debug!(log, "datagram not understood";
                         "router" => router.to_string(), "reason" => error.to_string()),
@@ -110,12 +130,24 @@
     }
 }
 
-fn learn_hello(router: SocketAddr, hello: Hello, members: &Members, grants: &Grants, log: &Logger) {
-    let valid = Duration::from_millis(u64::from(hello.interval_ms)) * SILENT_HELLOS;
-    grants.learn_told(router, &hello.grants, valid);
-    if members.learn_hello(hello) {
-        info!(log, "router heard"; "router" => router.to_string(),
-            "known" => members.known_count());
+fn learn_hello(router: SocketAddr, hello: Hello, parts: &HelloParts) {
+    let interval = Duration::from_millis(u64::from(hello.interval_ms));
+    parts
+        .grants
+        .learn_told(router, &hello.grants, interval * SILENT_HELLOS);
+    // A router that draws on the ledger watches the newest state itself.
+    let seen_changes = hello.seen_changes.filter(|_| !parts.grants.distributes());
+    let guarded_until = Instant::now() + interval * GUARD_HELLOS;
+    for (kind, revision) in parts
+        .followed
+        .iter()
+        .zip(seen_changes.into_iter().flatten())
+    {
+        kind.learn_told(revision, guarded_until);
+    }
+    if parts.members.learn_hello(hello) {
+        info!(parts.log, "router heard"; "router" => router.to_string(),
+            "known" => parts.members.known_count());
     }
 }
 
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -103,6 +103,9 @@
     pub loads: Vec<ToldLoad>,
     /// Its grants.
     pub grants: ToldGrants,
+    /// Revisions of the newest changes that it saw of the operator's lists and of the replicas'
+    /// entries; none if its watches may be old.
+    pub seen_changes: Option<[u64; 2]>,
 }
 
 #[derive(Debug)]
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -294,8 +294,12 @@
         kind: &str,
         after: Revision,
         wait: Duration,
+        freshness: Freshness,
     ) -> Result<Changes, KindError> {
-        let path = format!("/objects/{kind}?watch={after}&wait_ms={}", wait.as_millis());
+        let mut path = format!("/objects/{kind}?watch={after}&wait_ms={}", wait.as_millis());
+        if freshness == Freshness::Stale {
+            path.push_str("&serializable=1");
+        }
         let answer = self
             .call(Method::GET, &path, None, wait + WATCH_MARGIN)
             .await?;
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -6,7 +6,8 @@
 use slog::{info, warn, Logger};
 
 use super::health::StoreHealth;
-use super::kinds::{Change, Freshness, KindError, KindObject, KindStore};
+use super::kinds::{Change, Changes, Freshness, KindError, KindObject, KindStore, Revision};
+use super::progress::KindProgress;
 
 /// Longest wait of one watch. Each answer is priced, so it is long; silent connections are found
 /// by the transport's probes.
@@ -29,87 +30,122 @@
     fn learn(&self, change: Change);
 }
 
-/// Follows a kind until the process ends.
-///
-/// When other calls show that an outage has ended, the kind is listed anew: a watch from before may
-/// hang, and what it missed is not told later.
-pub(crate) async fn follow(
-    store: Arc<dyn KindStore>,
-    health: Arc<StoreHealth>,
-    kind: &'static str,
-    sink: Arc<dyn KindSink>,
-    log: Logger,
-) {
-    let mut recoveries = health.recoveries();
-    let mut pause = FIRST_PAUSE;
-    let mut is_lost = false;
-    let mut revision = None;
-    loop {
-        let after = revision;
-        let step = match after {
-            None => {
-                let step = list(&*store, kind, &*sink).await;
-                if step.is_ok() {
-                    recoveries.mark_unchanged();
+/// Follows one kind.
+pub(crate) struct Follower {
+    /// The store.
+    pub store: Arc<dyn KindStore>,
+    /// Whether it answers.
+    pub health: Arc<StoreHealth>,
+    /// The kind, and how far others have seen it.
+    pub progress: Arc<KindProgress>,
+    /// Takes in what is seen.
+    pub sink: Arc<dyn KindSink>,
+    /// For what the follower comes to believe.
+    pub log: Logger,
+}
+
+impl Follower {
+    /// Follows the kind until the process ends.
+    ///
+    /// When other calls show that an outage has ended, the kind is listed anew: a watch from before
+    /// may hang, and what it missed is not told later.
+    pub(crate) async fn run(self) {
+        let kind = self.progress.kind;
+        let log = &self.log;
+        let mut recoveries = self.health.recoveries();
+        let mut pause = FIRST_PAUSE;
+        let mut is_lost = false;
+        let mut revision = None;
+        loop {
+            let after = revision;
+            let found = match after {
+                None => {
+                    let found = self.list().await;
+                    if found.is_ok() {
+                        recoveries.mark_unchanged();
+                    }
+                    found
                 }
-                step
-            }
-            Some(after) => tokio::select! {
-                step = watch(&*store, kind, after, &*sink) => step,
-                Ok(()) = recoveries.changed() => {
-                    info!(log, "outage ended; listing anew"; "kind" => kind, "revision" => after);
-                    revision = None;
-                    continue;
+                Some(after) => tokio::select! {
+                    found = self.next_changes(after) => found,
+                    Ok(()) = recoveries.changed() => {
+                        info!(log, "outage ended; listing anew"; "kind" => kind, "revision" => after);
+                        revision = None;
+                        continue;
+                    }
+                },
+            };
+            match found {
+                Ok(changes) => {
+                    revision = Some(changes.revision);
+                    pause = FIRST_PAUSE;
+                    if std::mem::take(&mut is_lost) {
+                        info!(log, "store regained"; "kind" => kind, "revision" => revision);
+                    }
+                    self.take_in(changes).await;
                 }
-            },
-        };
-        match step {
-            Ok(next) => {
-                revision = Some(next);
-                pause = FIRST_PAUSE;
-                if std::mem::take(&mut is_lost) {
-                    info!(log, "store regained"; "kind" => kind, "revision" => next);
+                Err(KindError::HistoryGone) => {
+                    info!(log, "history gone; listing anew"; "kind" => kind, "revision" => revision);
+                    revision = None;
                 }
-            }
-            Err(KindError::HistoryGone) => {
-                info!(log, "history gone; listing anew"; "kind" => kind, "revision" => revision);
-                revision = None;
-            }
-            Err(error) => {
-                // A watch from before a cut may wait for ever: the store tells that the history is
-                // gone only with the next change.
-                revision = None;
-                if !std::mem::replace(&mut is_lost, true) {
-                    warn!(log, "store lost"; "kind" => kind, "revision" => after,
-                        "reason" => error.to_string());
+                Err(error) => {
+                    // A watch from before a cut may wait for ever: the store tells that the history
+                    // is gone only with the next change.
+                    revision = None;
+                    if !std::mem::replace(&mut is_lost, true) {
+                        warn!(log, "store lost"; "kind" => kind, "revision" => after,
+                            "reason" => error.to_string());
+                    }
+                    // Either end leads to the next try.
+                    let _ = tokio::time::timeout(pause, recoveries.changed()).await;
+                    pause = (pause * 2).min(MAX_PAUSE);
                 }
-                // Either end leads to the next try.
-                let _ = tokio::time::timeout(pause, recoveries.changed()).await;
-                pause = (pause * 2).min(MAX_PAUSE);
             }
         }
     }
-}
 
-async fn list(store: &dyn KindStore, kind: &str, sink: &dyn KindSink) -> Result<u64, KindError> {
-    let listing = store.list(kind, Freshness::Linearizable).await?;
-    sink.learn_all(listing.objects);
-    Ok(listing.revision)
-}
+    /// Lists all objects. There are no changes to take in afterwards.
+    async fn list(&self) -> Result<Changes, KindError> {
+        let kind = self.progress.kind;
+        let listing = self.store.list(kind, Freshness::Linearizable).await?;
+        let newest = listing.objects.iter().map(|object| object.revision).max();
+        self.progress.note_change(newest.unwrap_or_default());
+        self.sink.learn_all(listing.objects);
+        Ok(Changes {
+            changes: Vec::new(),
+            revision: listing.revision,
+        })
+    }
 
-async fn watch(
-    store: &dyn KindStore,
-    kind: &str,
-    after: u64,
-    sink: &dyn KindSink,
-) -> Result<u64, KindError> {
-    let changes = store.watch(kind, after, WATCH_WAIT).await?;
-    let has_changes = !changes.changes.is_empty();
-    for change in changes.changes {
-        sink.learn(change);
+    /// Waits for changes, by a watch that may be old while others watch the newest state.
+    async fn next_changes(&self, after: Revision) -> Result<Changes, KindError> {
+        let kind = self.progress.kind;
+        let watch = |wait, freshness| self.store.watch(kind, after, wait, freshness);
+        if self.progress.is_guarded() {
+            tokio::select! {
+                found = watch(WATCH_WAIT, Freshness::Stale) => return found,
+                () = self.progress.needs_newest(after) => {}
+            }
+        }
+        let wait = if self.progress.is_guarded() {
+            Duration::ZERO
+        } else {
+            WATCH_WAIT
+        };
+        let changes = watch(wait, Freshness::Linearizable).await?;
+        if !changes.changes.is_empty() {
+            self.progress.note_change(changes.revision);
+        }
+        Ok(changes)
     }
-    if has_changes {
-        tokio::time::sleep(SETTLE_PAUSE).await;
+
+    async fn take_in(&self, changes: Changes) {
+        let has_changes = !changes.changes.is_empty();
+        for change in changes.changes {
+            self.sink.learn(change);
+        }
+        if has_changes {
+            tokio::time::sleep(SETTLE_PAUSE).await;
+        }
     }
-    Ok(changes.revision)
 }
--- a/src/store/kinds.rs
+++ b/src/store/kinds.rs
@@ -110,6 +110,7 @@
         kind: &str,
         after: Revision,
         wait: Duration,
+        freshness: Freshness,
     ) -> Result<Changes, KindError>;
 
     /// Reads one object.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod kinds;
 pub mod memory;
+pub(crate) mod progress;
 pub mod update;
 
 use std::fmt;
