Take a ledger that answers with a conflict for one that is in reach

Cause: a test with five busy writers refused 1 of 150 requests now and then (six of some 40 runs). The log of one: routers that draw answered an ask with nothing at once, though the ledger held half of the budget. A call counts as slow after 40 ms, counted from the first try; a write that meets a few conflicts takes longer, so a ledger that had just answered was taken for out of reach. Before that: a router asked others with a part of the tokens before one that can draw all; a write given up after twelve conflicts waited a second for its next turn; waits of 250 and 400 ms ended before a pause and two writes with conflicts.

Change: an answer of any kind restarts that time; those that can draw are asked first unless another has all; a write that was given up goes on at once; waits are 400 and 600 ms. A router lags behind others by the revision of the objects that changed, not by the store's, which the ledger raises too (Changes::newest_revision, tests/kinds.rs).

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -247,8 +247,9 @@
         largest.max().unwrap_or_default()
     }
 
-    /// What this router's requests and those that ask it need until it can draw again or ask others,
-    /// or a part of that as the budget runs out: the rest lasts for `rest_s` at the present demand of all holders.
+    /// What this router's requests and the routers that ask it need until it can draw again or ask
+    /// others, or a part of that as the budget runs out: the rest lasts for `rest_s` at the present
+    /// demand of all holders.
     #[must_use]
     pub fn own_cover_tokens(&self, rest_s: f64) -> Tokens {
         let cover_s = OWN_COVER_S * cover_part(rest_s);
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -212,6 +212,11 @@
         self.transfers.notify_one();
     }
 
+    /// Notes that the ledger answered, though others had changed it.
+    pub(crate) fn note_ledger_answer(&self) {
+        lock(&self.state).ledger_call_since = Some(Instant::now());
+    }
+
     /// Notes that the ledger could not be reached.
     pub(crate) fn learn_unreachable(&self) {
         lock(&self.state)
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -28,7 +28,7 @@
 
 /// Longest wait of a request for tokens: an ask of a router that died, and one of a router that
 /// draws on the ledger for it. Coming back after a refusal takes longer.
-const TOKENS_WAIT: Duration = Duration::from_millis(400);
+const TOKENS_WAIT: Duration = Duration::from_millis(600);
 /// Time after which a ledger that has not answered counts as slow, so that other routers are
 /// asked: ten times its usual answer.
 const SLOW_LEDGER: Duration = Duration::from_millis(40);
@@ -418,6 +418,11 @@
         lock(&self.state).duty.distributes
     }
 
+    /// Has the ledger written again.
+    pub(crate) fn want_ledger(&self) {
+        self.wake.notify_one();
+    }
+
     /// Waits until a request needs the ledger.
     pub(crate) async fn wanted(&self) {
         self.wake.notified().await;
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -128,9 +128,13 @@
             }
             self.last_write = Some(Instant::now());
             match self.sync().await {
-                Ok(()) => {
+                Ok(is_done) => {
                     pause = FIRST_PAUSE;
                     self.note_reached();
+                    if !is_done {
+                        self.grants.want_ledger();
+                        continue;
+                    }
                     info!(self.log, "grants changed"; "revision" => self.seen.revision,
                         "grants" => self.grants.describe(&asked));
                 }
@@ -181,7 +185,8 @@
         false
     }
 
-    async fn sync(&mut self) -> Result<(), KindError> {
+    /// Brings the pending updates into the ledger. Returns false when others changed it each time.
+    async fn sync(&mut self) -> Result<bool, KindError> {
         for _ in 0..MAX_CONFLICTS {
             if !self.seen.is_known {
                 self.read().await?;
@@ -189,17 +194,21 @@
             let mut next = self.seen.shard.clone();
             if !self.grants.apply_to(&mut next) {
                 self.grants.learn_ledger(&self.seen.shard);
-                return Ok(());
+                return Ok(true);
             }
             match self.write(&next).await {
                 Ok(revision) => {
                     self.seen.shard = next;
                     self.seen.revision = Some(revision);
                     self.grants.learn_ledger(&self.seen.shard);
-                    return Ok(());
+                    return Ok(true);
+                }
+                Err(KindError::Conflict(Some(object))) => {
+                    self.grants.note_ledger_answer();
+                    self.learn(&object)?;
                 }
-                Err(KindError::Conflict(Some(object))) => self.learn(&object)?,
                 Err(KindError::Conflict(None) | KindError::NotFound) => {
+                    self.grants.note_ledger_answer();
                     self.seen.is_known = false;
                 }
                 Err(error) => {
@@ -208,7 +217,7 @@
                 }
             }
         }
-        Ok(())
+        Ok(false)
     }
 
     async fn read(&mut self) -> Result<(), KindError> {
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -21,8 +21,9 @@
 const UNIT_TOKENS: u64 = 64;
 /// Longest wait for a router that was asked: some round trips within a region.
 const ASK_WAIT: Duration = Duration::from_millis(40);
-/// Longest time that an ask waits for the ledger: a turn of writing and some conflicts.
-const LEDGER_WAIT: Duration = Duration::from_millis(250);
+/// Longest time that an ask waits for the ledger: the end of a write, the pause after it and a
+/// write of its own, both with some conflicts.
+const LEDGER_WAIT: Duration = Duration::from_millis(400);
 /// Time for which a router that had nothing is not asked again for that budget.
 const DRY_TIME: Duration = Duration::from_millis(400);
 
@@ -185,15 +186,18 @@
     }
 
     /// The router to ask: one that has all that is wanted, another one for each asker; if none
-    /// has, the one with the most.
+    /// has, one that can draw it; if none can, the one with the most.
     pub(super) fn best(others: &HashMap<SocketAddr, Self>, wish: &StockWish) -> Option<SocketAddr> {
         let asker = wish.asker.to_string();
         let offers = others.iter().filter_map(|(router, other)| {
             let free_tokens = other.offer_tokens(wish.budget, wish.may_draw)?;
+            let offered_tokens = free_tokens.min(wish.wanted_tokens);
+            let has_all = offered_tokens == wish.wanted_tokens;
+            let can_draw = wish.may_draw && other.reaches_ledger();
             let spread = stable_hash(&[&asker, &other.holder.to_string()]);
-            Some((free_tokens.min(wish.wanted_tokens), spread, *router))
+            Some((has_all, can_draw, offered_tokens, spread, *router))
         });
-        offers.max().map(|(_, _, router)| router)
+        offers.max().map(|(.., router)| router)
     }
 
     fn note_dry(&mut self, budget: u32) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 pub use crate::router::refusal::{ErrorBody, RefusalKind, RunState};
 pub use crate::router::web::{AddressesAnswer, RequestStatus};
 pub use crate::settings::{Settings, SettingsError};
+pub use crate::store::kinds::{Change, Changes, KindObject, Revision};
 pub use crate::store::memory::{MemoryStore, StoreCounts, StoreFaults};
 pub use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError};
 pub use crate::telemetry::{json_logger, silent_logger};
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -133,8 +133,8 @@
             WATCH_WAIT
         };
         let changes = watch(wait, Freshness::Linearizable).await?;
-        if !changes.changes.is_empty() {
-            self.progress.note_change(changes.revision);
+        if let Some(newest) = changes.newest_revision() {
+            self.progress.note_change(newest);
         }
         Ok(changes)
     }
--- a/src/store/kinds.rs
+++ b/src/store/kinds.rs
@@ -49,6 +49,23 @@
     pub revision: Revision,
 }
 
+impl Changes {
+    /// Revision up to which a kind must have been followed to have seen all of the changes. The
+    /// store's own is too high for that: changes of other kinds raise it too.
+    #[must_use]
+    pub fn newest_revision(&self) -> Option<Revision> {
+        let revisions = self.changes.iter().map(|change| {
+            if change.is_removed {
+                // The object bears the revision of its last change, not that of its removal.
+                self.revision
+            } else {
+                change.object.revision
+            }
+        });
+        revisions.max()
+    }
+}
+
 /// How fresh an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
