Turn estimates into tokens in one place

Change: Tokens::from_estimate and Tokens::as_estimate, each with its own exception and example; the others are gone. Rounding is as before.

--- a/src/core/cover.rs
+++ b/src/core/cover.rs
@@ -40,18 +40,12 @@
 /// assert!(fleet_cover_tokens([900, 0, 0], 9, 10.0) < full);
 /// ```
 #[must_use]
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_precision_loss,
-    clippy::cast_sign_loss,
-    reason = "an estimate of a positive number"
-)]
 pub fn fleet_cover_tokens(demand_tokens_per_s: [u64; RANKS], holders: u64, rest_s: f64) -> Tokens {
     let demands = demand_tokens_per_s.iter().zip(FLEET_COVER_S);
     let full: f64 = demands
-        .map(|(demand, cover_s)| *demand as f64 * cover_s)
+        .map(|(demand, cover_s)| Tokens::new(*demand).as_estimate() * cover_s)
         .sum();
-    Tokens::new((full * cover_part(rest_s)) as u64).scaled(1, holders.max(1))
+    Tokens::from_estimate(full * cover_part(rest_s)).scaled(1, holders.max(1))
 }
 
 /// Covers recent demand for some seconds, so that a router that is cut off from the ledger for
@@ -108,9 +102,8 @@
 
 impl WarmMeter {
     /// Counts a request by what it is expected to spend and what it reserves.
-    #[allow(clippy::cast_precision_loss, reason = "an average")]
     pub fn note(&mut self, expected_tokens: Tokens, reserved_tokens: Tokens) {
-        let tokens = expected_tokens.get() as f64;
+        let tokens = expected_tokens.as_estimate();
         self.tokens += tokens;
         self.squares += tokens * tokens;
         self.largest_tokens = self.largest_tokens.max(reserved_tokens);
@@ -142,28 +135,18 @@
     /// assert!((900..1100).contains(&meter.tokens_per_s()));
     /// ```
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive average"
-    )]
     pub fn tokens_per_s(&self) -> u64 {
-        (self.tokens / self.seconds.max(1.0)) as u64
+        Tokens::from_estimate(self.tokens / self.seconds.max(1.0)).get()
     }
 
     /// What a time of this demand needs: its average and one standard deviation, for requests
     /// that come independently of one another.
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a positive average"
-    )]
     pub fn need_tokens(&self, time_s: f64) -> Tokens {
         let seconds = self.seconds.max(1.0);
         let average = self.tokens / seconds * time_s;
         let spread = (self.squares / seconds * time_s).sqrt();
-        Tokens::new((average + spread) as u64)
+        Tokens::from_estimate(average + spread)
     }
 
     /// Largest reservation since the demand was last zero.
@@ -187,16 +170,10 @@
 
 impl RankedDemand {
     /// Counts a request that has just reserved its tokens.
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss,
-        reason = "an estimate of a positive number"
-    )]
     pub fn note_start(&mut self, rank: u8, reserved_tokens: Tokens) {
         let index = usize::from(rank).min(RANKS - 1);
-        let expected_tokens = reserved_tokens.get() as f64 * self.spent_part();
-        self.meters[index].note(Tokens::new(expected_tokens as u64), reserved_tokens);
+        let expected_tokens = reserved_tokens.as_estimate() * self.spent_part();
+        self.meters[index].note(Tokens::from_estimate(expected_tokens), reserved_tokens);
     }
 
     /// Counts tokens handed to another router, which are its demand and not told as this one's.
@@ -205,12 +182,11 @@
     }
 
     /// Takes in what a request spent of its reservation.
-    #[allow(clippy::cast_precision_loss, reason = "an average")]
     pub fn note_end(&mut self, spent_tokens: Tokens, reserved_tokens: Tokens) {
         self.ended_reserved_tokens =
-            self.ended_reserved_tokens * REQUEST_MEMORY + reserved_tokens.get() as f64;
+            self.ended_reserved_tokens * REQUEST_MEMORY + reserved_tokens.as_estimate();
         self.ended_spent_tokens =
-            self.ended_spent_tokens * REQUEST_MEMORY + spent_tokens.get() as f64;
+            self.ended_spent_tokens * REQUEST_MEMORY + spent_tokens.as_estimate();
     }
 
     /// The part of reservations that is spent; all before any request has ended.
--- a/src/core/pooling.rs
+++ b/src/core/pooling.rs
@@ -83,15 +83,9 @@
 
     /// What requests more urgent than a rank need for a time.
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss,
-        reason = "an estimate of a positive number"
-    )]
     pub fn more_urgent_tokens(&self, rank: u8, time_s: f64) -> Tokens {
         let urgent = &self.sum.demand_tokens_per_s[..usize::from(rank).min(RANKS - 1)];
-        Tokens::new((urgent.iter().sum::<u64>() as f64 * time_s) as u64)
+        Tokens::from_estimate(Tokens::new(urgent.iter().sum()).as_estimate() * time_s)
     }
 
     /// True when a request may be served in a cut that lasts for a further time: what is left then
--- a/src/core/units.rs
+++ b/src/core/units.rs
@@ -53,6 +53,35 @@
         self.0
     }
 
+    /// An estimate rounded down; none where it is negative or no number.
+    ///
+    /// ```
+    /// use currantlever::Tokens;
+    /// assert_eq!(Tokens::from_estimate(2.9), Tokens::new(2));
+    /// assert_eq!(Tokens::from_estimate(-1.0), Tokens::ZERO);
+    /// ```
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast saturates at both ends"
+    )]
+    pub const fn from_estimate(count: f64) -> Self {
+        Self(count as u64)
+    }
+
+    /// The count for estimates, which need not be exact.
+    ///
+    /// ```
+    /// use currantlever::Tokens;
+    /// assert!((Tokens::new(3).as_estimate() * 0.5 - 1.5).abs() < 1e-9);
+    /// ```
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+    pub const fn as_estimate(self) -> f64 {
+        self.0 as f64
+    }
+
     /// The product of the amount and `numerator / denominator`, rounded down.
     ///
     /// # Panics
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -127,9 +127,8 @@
     }
 
     /// How long the rest of the budget lasts at the demand of all routers, in seconds.
-    #[allow(clippy::cast_precision_loss, reason = "an estimate")]
     fn rest_s(&self, fleet: &FleetStock) -> f64 {
-        let demand = fleet.sum.all_demand_tokens_per_s() as f64;
+        let demand = Tokens::new(fleet.sum.all_demand_tokens_per_s()).as_estimate();
         if demand < 1.0 {
             return f64::INFINITY;
         }
@@ -138,7 +137,7 @@
             .others_free_tokens
             .max(fleet.sum.free_tokens - self.holder.free_tokens());
         let rest_tokens = self.available_tokens() + others_tokens + self.holder.free_tokens();
-        rest_tokens.get() as f64 / demand
+        rest_tokens.as_estimate() / demand
     }
 
     /// What the policy sees. `holders` is the number of routers that draw on the ledger.
