Derive what hellos and grants kept twice, and hash a router's place once

Cause: whether a router can draw on the ledger was written out in five places, and whether another can in two; a hello told the latter twice, once as an option; GrantAsk copied the two fields of a decision; the order of all routers was hashed anew from their addresses ten times a second on each.

Change: GrantState::can_draw and can_others_draw; Hello::seen_changes is plain and counts if the hello says that the ledger is reached, as before; GrantAsk holds the decision; members keep their DutyCandidate. No bound or decision changes.

Checked: clippy; tests entry, duty, cover, pooling, kinds (46 passed). tests/duty.rs passes references now, its assertions are as they were.

--- a/src/core/duty.rs
+++ b/src/core/duty.rs
@@ -51,13 +51,13 @@
 ///     order: u64::from(cpu_millis),
 /// };
 /// let fleet = [candidate("a", 500), candidate("a", 120), candidate("b", 250)];
-/// assert_eq!(ledger_order(&fleet), [0, 2, 1]);
+/// assert_eq!(ledger_order(&fleet.iter().collect::<Vec<_>>()), [0, 2, 1]);
 /// ```
 #[must_use]
-pub fn ledger_order(candidates: &[DutyCandidate]) -> Vec<usize> {
+pub fn ledger_order(candidates: &[&DutyCandidate]) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
     ranked.sort_by_key(|index| {
-        let candidate = &candidates[*index];
+        let candidate = candidates[*index];
         (std::cmp::Reverse(candidate.cpu_millis), candidate.order)
     });
     let mut in_domain: HashMap<&FailureDomain, usize> = HashMap::new();
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -20,8 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct GrantAsk {
     budget: BudgetId,
-    draw_tokens: Tokens,
-    return_tokens: Tokens,
+    decision: GrantDecision,
 }
 
 /// On what occasion the ledger is written.
@@ -140,8 +139,7 @@
             }
             asked.push(GrantAsk {
                 budget: budget.clone(),
-                draw_tokens: decision.draw_tokens,
-                return_tokens: decision.return_tokens,
+                decision,
             });
         }
         if !asked.is_empty() {
@@ -240,8 +238,8 @@
                 text,
                 "{} draw={} return={} free={} reserved={} paid={} available={} others={}; ",
                 ask.budget,
-                ask.draw_tokens,
-                ask.return_tokens,
+                ask.decision.draw_tokens,
+                ask.decision.return_tokens,
                 team.holder.free_tokens(),
                 team.holder.reserved_tokens(),
                 team.paid_tokens,
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -197,6 +197,16 @@
         }
     }
 
+    /// True when this router can draw on the ledger now.
+    pub(super) fn can_draw(&self) -> bool {
+        self.duty.distributes && !self.is_ledger_slow()
+    }
+
+    /// True when another router tells that it can.
+    pub(super) fn can_others_draw(&self) -> bool {
+        self.others.values().any(OtherRouter::reaches_ledger)
+    }
+
     /// True when the ledger does not answer in time.
     pub(super) fn is_ledger_slow(&self) -> bool {
         self.cut_off_since.is_some()
@@ -351,9 +361,8 @@
     ) -> Result<Reservation, Short> {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        let needs_others = state.is_ledger_slow() || !state.duty.distributes;
-        let is_fleet_cut_off = state.cut_off_since().is_some()
-            && !state.others.values().any(OtherRouter::reaches_ledger);
+        let needs_others = !state.can_draw();
+        let is_fleet_cut_off = state.cut_off_since().is_some() && !state.can_others_draw();
         let cut_rest_s = state
             .cut_off_since()
             .map(|since| (CUT_S - since.elapsed().as_secs_f64()).max(LEAST_CUT_REST_S));
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -96,8 +96,7 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
-            // Routers that draw on the ledger notice at once when they do not reach the store.
-            seen_changes: reach.then(|| followed.each_ref().map(|kind| kind.changed())),
+            seen_changes: followed.each_ref().map(|kind| kind.changed()),
             grants: told_grants,
         };
         PeerMessage::Hello(hello).send_all(&socket, &receivers);
@@ -135,15 +134,13 @@
     parts
         .grants
         .learn_told(router, &hello.grants, interval * SILENT_HELLOS);
-    // A router that draws on the ledger watches the newest state itself.
-    let seen_changes = hello.seen_changes.filter(|_| !parts.grants.distributes());
-    let guarded_until = Instant::now() + interval * GUARD_HELLOS;
-    for (kind, revision) in parts
-        .followed
-        .iter()
-        .zip(seen_changes.into_iter().flatten())
-    {
-        kind.learn_told(revision, guarded_until);
+    // Routers that draw on the ledger watch the newest state, and notice at once when they do not
+    // reach the store.
+    if hello.grants.reaches_ledger && !parts.grants.distributes() {
+        let guarded_until = Instant::now() + interval * GUARD_HELLOS;
+        for (kind, revision) in parts.followed.iter().zip(hello.seen_changes) {
+            kind.learn_told(revision, guarded_until);
+        }
     }
     if parts.members.learn_hello(hello) {
         info!(parts.log, "router heard"; "router" => router.to_string(),
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -104,16 +104,35 @@
     /// Its grants.
     pub grants: ToldGrants,
     /// Revisions of the newest changes that it saw of the operator's lists and of the replicas'
-    /// entries; none if its watches may be old.
-    pub seen_changes: Option<[u64; 2]>,
+    /// entries. They guard others only if it reaches the ledger: its watches may be old otherwise.
+    pub seen_changes: [u64; 2],
 }
 
 #[derive(Debug)]
 struct Member {
     entry: RouterEntry,
+    /// Kept, since the duty is worked out many times a second.
+    candidate: DutyCandidate,
     heard: Option<Heard>,
 }
 
+impl Member {
+    fn new(entry: RouterEntry) -> Self {
+        Self {
+            candidate: entry.candidate(),
+            entry,
+            heard: None,
+        }
+    }
+
+    fn set_entry(&mut self, entry: RouterEntry) {
+        if self.entry != entry {
+            self.candidate = entry.candidate();
+            self.entry = entry;
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Heard {
     at: Instant,
@@ -157,6 +176,7 @@
 #[derive(Debug)]
 pub(crate) struct Members {
     own: RouterEntry,
+    own_candidate: DutyCandidate,
     started: Instant,
     others: Mutex<Others>,
 }
@@ -165,6 +185,7 @@
     /// A fleet of one.
     pub(crate) fn new(own: RouterEntry) -> Self {
         Self {
+            own_candidate: own.candidate(),
             own,
             started: Instant::now(),
             others: Mutex::default(),
@@ -191,7 +212,7 @@
                 continue;
             }
             let member = others.members.entry(entry.peer_address);
-            member.or_insert(Member { entry, heard: None });
+            member.or_insert_with(|| Member::new(entry));
         }
     }
 
@@ -205,10 +226,7 @@
         let member = others
             .members
             .entry(hello.entry.peer_address)
-            .or_insert_with(|| Member {
-                entry: hello.entry.clone(),
-                heard: None,
-            });
+            .or_insert_with(|| Member::new(hello.entry.clone()));
         let was_silent = member.heard.as_ref().is_none_or(|heard| heard.is_silent);
         if let Some(heard) = &member.heard {
             if heard.process == hello.process && heard.sequence >= hello.sequence {
@@ -222,7 +240,7 @@
             sum.requests += load.requests;
             sum.unread_tokens += load.unread_tokens;
         }
-        member.entry = hello.entry;
+        member.set_entry(hello.entry);
         member.heard = Some(Heard {
             at: Instant::now(),
             process: hello.process,
@@ -271,18 +289,16 @@
             let heard = member.heard.as_ref();
             heard.map_or(is_starting, Heard::is_alive)
         });
-        let present = present.map(|(_, member)| &member.entry);
+        let present = present.map(|(address, member)| (*address, &member.candidate));
         // This router stands first.
-        let entries: Vec<&RouterEntry> = [&self.own].into_iter().chain(present).collect();
-        let candidates: Vec<DutyCandidate> =
-            entries.iter().map(|entry| entry.candidate()).collect();
+        let own = (self.own.peer_address, &self.own_candidate);
+        let (addresses, candidates): (Vec<SocketAddr>, Vec<&DutyCandidate>) =
+            [own].into_iter().chain(present).unzip();
         let order = ledger_order(&candidates);
         let distributors = order.iter().take(distributor_count(order.len()));
         LedgerDuty {
             distributes: distributors.clone().any(|index| *index == 0),
-            distributors: distributors
-                .map(|index| entries[*index].peer_address)
-                .collect(),
+            distributors: distributors.map(|index| addresses[*index]).collect(),
             place: order.iter().position(|index| *index == 0).unwrap_or(0),
             is_fleet_found: others.is_fleet_found,
         }
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -215,7 +215,7 @@
             .map(|team| ToldStock::new(team.digest, &team.stock()));
         ToldGrants {
             holder: self.holder,
-            reaches_ledger: state.duty.distributes && !state.is_ledger_slow(),
+            reaches_ledger: state.can_draw(),
             stocks: stocks.filter(|told| !told.is_empty()).collect(),
         }
     }
@@ -240,7 +240,7 @@
             valid_until: now + valid,
         };
         state.others.insert(router, other);
-        if state.others.values().any(OtherRouter::reaches_ledger) {
+        if state.can_others_draw() {
             state.others_cut_off_since = None;
         } else {
             state.others_cut_off_since.get_or_insert(now);
@@ -255,7 +255,7 @@
     /// The asks that are due, each with the router that gets it.
     pub(crate) fn due_asks(&self) -> Vec<(SocketAddr, TokenAsk)> {
         let mut state = lock(&self.state);
-        let needs_others = state.is_ledger_slow() || !state.duty.distributes;
+        let needs_others = !state.can_draw();
         let GrantState { teams, others, .. } = &mut *state;
         let now = Instant::now();
         let mut due = Vec::new();
@@ -313,7 +313,7 @@
             return None;
         }
         let mut state = lock(&self.state);
-        let may_draw = state.duty.distributes && !state.is_ledger_slow();
+        let may_draw = state.can_draw();
         let team = state.teams.get_mut(&ask.budget)?;
         let free_tokens = team.holder.free_tokens();
         let lacks = free_tokens < ask.needed_tokens;
--- a/tests/duty.rs
+++ b/tests/duty.rs
@@ -5,7 +5,7 @@
 use currantlever::{distributor_count, ledger_order, DutyCandidate, FailureDomain};
 
 fn ledger_distributors(candidates: &[DutyCandidate]) -> Vec<usize> {
-    let mut order = ledger_order(candidates);
+    let mut order = ledger_order(&candidates.iter().collect::<Vec<_>>());
     order.truncate(distributor_count(candidates.len()));
     order
 }
