Take the stand-in store down by one call in the tests

Cause: four tests of tests/entry set up an outage by the same six lines. Change: StandInStore::go_down. The assertions are as they were. Checked: tests/entry, 28 passed.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -104,12 +104,7 @@
         unknown_route.send(router.callers).await.unwrap().status,
         404
     );
-    let faults = StoreFaults {
-        refuse: Some(503),
-        ..StoreFaults::default()
-    };
-    site.store.set_faults(faults);
-    site.store.cut_connections();
+    site.store.go_down();
     wait_until("the loss is logged", || async {
         router.log_of("store lost").len() >= 2
     })
@@ -393,12 +388,7 @@
         router.log_of("replica learned").len() >= 2
     })
     .await;
-    let faults = StoreFaults {
-        refuse: Some(503),
-        ..StoreFaults::default()
-    };
-    site.store.set_faults(faults);
-    site.store.cut_connections();
+    site.store.go_down();
     wait_until("the loss is logged", || async {
         router.log_of("store lost").len() >= 2
     })
@@ -613,12 +603,7 @@
         !busy.log_of("router heard").is_empty()
     })
     .await;
-    let faults = StoreFaults {
-        refuse: Some(503),
-        ..StoreFaults::default()
-    };
-    site.store.set_faults(faults);
-    site.store.cut_connections();
+    site.store.go_down();
     let own: u64 = site.held().into_iter().max().unwrap();
     let mut served = 0;
     for number in 0..own / 10_000 + 5 {
@@ -806,12 +791,7 @@
     let call = |attempt: &str| Call::new("draft", attempt).with_tokens(1_000, 10);
     assert_eq!(call("a-1").send(router.callers).await.unwrap().status, 200);
     wait_until("a grant was stocked", || async { site.charged() > 20_000 }).await;
-    let faults = StoreFaults {
-        refuse: Some(503),
-        ..StoreFaults::default()
-    };
-    site.store.set_faults(faults);
-    site.store.cut_connections();
+    site.store.go_down();
     for number in 0..10 {
         let got = call(&format!("b-{number}"))
             .send(router.callers)
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -90,6 +90,15 @@
         self.objects.lock().unwrap().faults = faults;
     }
 
+    /// Refuses all calls from now on, and breaks all connections.
+    pub fn go_down(&self) {
+        self.set_faults(StoreFaults {
+            refuse: Some(503),
+            ..StoreFaults::default()
+        });
+        self.cut_connections();
+    }
+
     /// Breaks all connections, watches too.
     pub fn cut_connections(&self) {
         for task in self.connections.lock().unwrap().drain(..) {
