Obey replicas that say they leave or ask for quiet in their answers

A replica marks its leaving by `Server-Leaving: 1` in the head of any answer, and a 503 may carry `Retry-After`; the router passed both over, so a replica whose entry was old or whose store was cut kept getting work, and one that asked for quiet was asked again at once.

Change: the transport decodes both into a notice, also of answers that are not accepted (unsigned, of another request); not of a 421, which is another replica's word. The mark stays with the incarnation, over old entries and entries that come back, and ends with a new start time. Quiet replicas are no choice until their time is over; where all are quiet the caller is told at once when the first may be asked. Hellos tell other routers: the mark counts there as here, quiet is a hint that costs.

Ruled out: a second memory of leaving incarnations in the directory. The pools' own mark is asked instead, so `draining` there is gone.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -46,6 +46,13 @@
 const MAX_READERS_PERCENT: usize = 40;
 /// Charge of a short prompt at a replica that reads long ones, in tokens to read.
 const READER_COST_TOKENS: u64 = 12_000;
+/// Charge, in tokens to read, for a replica that asked another router for quiet: others are taken
+/// first, but this router was not asked itself.
+const QUIET_HINT_COST_TOKENS: u64 = 50_000;
+/// The same at a replica without an engine.
+const QUIET_HINT_CALL_COST: u64 = 50 * CALL_COST;
+/// Longest quiet that a replica is granted.
+const MAX_QUIET_MS: u64 = 60_000;
 /// Charge of a long prompt for each stream at a replica that does not read long ones.
 const HELD_UP_COST_TOKENS: u64 = 2_000;
 /// Weight of past prompts when a new one is counted in.
@@ -93,6 +100,8 @@
     pub others: ReplicaLoad,
     /// Gets no new work: it said that it leaves, or its entry is gone.
     pub is_leaving: bool,
+    quiet_until_ms: u64,
+    hinted_quiet_until_ms: u64,
     failures: u32,
     ejected_until_ms: u64,
     is_probed: bool,
@@ -109,6 +118,8 @@
             own: ReplicaLoad::default(),
             others: ReplicaLoad::default(),
             is_leaving: false,
+            quiet_until_ms: 0,
+            hinted_quiet_until_ms: 0,
             failures: 0,
             ejected_until_ms: 0,
             is_probed: false,
@@ -150,6 +161,23 @@
         self.eject(now_ms);
     }
 
+    /// Notes that it asked this router for quiet. It gets nothing until then.
+    pub fn learn_quiet(&mut self, now_ms: u64, quiet_ms: u64) {
+        let until_ms = now_ms + quiet_ms.min(MAX_QUIET_MS);
+        self.quiet_until_ms = self.quiet_until_ms.max(until_ms);
+    }
+
+    /// Notes that it asked another router for quiet. It is passed over while others have room.
+    pub fn learn_quiet_hint(&mut self, now_ms: u64, quiet_ms: u64) {
+        self.hinted_quiet_until_ms = now_ms + quiet_ms.min(MAX_QUIET_MS);
+    }
+
+    /// Time for which it wants no requests of this router.
+    #[must_use]
+    pub const fn quiet_left_ms(&self, now_ms: u64) -> u64 {
+        self.quiet_until_ms.saturating_sub(now_ms)
+    }
+
     fn eject(&mut self, now_ms: u64) {
         let doublings = (self.failures - FAILURES_TO_EJECT).min(5);
         self.ejected_until_ms = now_ms + (EJECT_MS << doublings).min(MAX_EJECT_MS);
@@ -211,6 +239,11 @@
     },
     /// Replicas are in service, but none has room.
     Full,
+    /// All replicas in service asked for quiet.
+    Quiet {
+        /// Time until the first of them may be asked again.
+        left_ms: u64,
+    },
     /// No replica is in service.
     Nobody,
 }
@@ -267,12 +300,18 @@
 where
     R: Rng,
 {
-    let eligible: Vec<usize> = (0..places.len())
+    let in_service: Vec<usize> = (0..places.len())
         .filter(|index| places[*index].is_eligible(wish))
         .collect();
-    if eligible.is_empty() {
+    let quiet_left_ms = |index: &usize| places[*index].quiet_left_ms(wish.now_ms);
+    let Some(left_ms) = in_service.iter().map(quiet_left_ms).min() else {
         return Choice::Nobody;
+    };
+    if left_ms > 0 {
+        return Choice::Quiet { left_ms };
     }
+    let mut eligible = in_service;
+    eligible.retain(|index| quiet_left_ms(index) == 0);
     let readers = match wish.prompt {
         Some(_) => holders_of(places, &eligible, READERS_KEY, mix.readers(eligible.len())),
         None => Vec::new(),
@@ -337,9 +376,20 @@
     let is_near = place.failure_domain == *wish.failure_domain;
     let domain_tokens = if is_near { 0 } else { DOMAIN_COST_TOKENS };
     let requests = u64::from(place.requests());
+    let is_quiet_elsewhere = place.hinted_quiet_until_ms > wish.now_ms;
     if wish.prompt.is_none() {
-        return requests * CALL_COST + domain_tokens;
+        let hint_cost = if is_quiet_elsewhere {
+            QUIET_HINT_CALL_COST
+        } else {
+            0
+        };
+        return requests * CALL_COST + domain_tokens + hint_cost;
     }
+    let hint_tokens = if is_quiet_elsewhere {
+        QUIET_HINT_COST_TOKENS
+    } else {
+        0
+    };
     // The request itself waits where all slots are taken.
     let waiting = (requests + 1).saturating_sub(u64::from(place.slots));
     let running = requests.saturating_sub(waiting);
@@ -361,4 +411,5 @@
         + waiting_tokens
         + domain_tokens
         + mixing_tokens
+        + hint_tokens
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -247,20 +247,14 @@
         let parts = HelloParts {
             members: members(),
             grants: grants(),
+            pools: Arc::clone(self.pools),
             followed,
             log: log(),
         };
         let registry = Arc::clone(self.registry);
         let is_ready: IsReady = Arc::new(move || registry.is_ready());
-        let pools = Arc::clone(self.pools);
         let sending = Arc::clone(&socket);
-        tokio::spawn(send_hellos(
-            sending,
-            parts.clone(),
-            pools,
-            process,
-            is_ready,
-        ));
+        tokio::spawn(send_hellos(sending, parts.clone(), process, is_ready));
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
         tokio::spawn(receive_datagrams(socket, parts));
         tokio::spawn(keep_entries(store(), members(), log()));
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -25,8 +25,7 @@
 struct State {
     /// Replicas whose entries may come back until then.
     missing: HashMap<ReplicaId, Instant>,
-    /// Incarnations that said that they leave.
-    draining: HashMap<ReplicaId, Option<u64>>,
+    /// Incarnations that said that they leave and did, with the time of that.
     left: HashMap<ReplicaId, (Option<u64>, Instant)>,
 }
 
@@ -64,9 +63,6 @@
             return;
         }
         state.missing.remove(&entry.id);
-        if entry.is_draining {
-            state.draining.insert(entry.id.clone(), entry.born_ms);
-        }
         drop(state);
         if self.pools.learn_replica(entry) {
             info!(self.log, "replica learned"; "replica" => entry.id.as_str(),
@@ -78,7 +74,7 @@
     /// Takes in that an entry is gone.
     pub(crate) fn learn_removed(&self, id: &ReplicaId, now: Instant) {
         let mut state = lock(&self.state);
-        if let Some(born_ms) = state.draining.remove(id) {
+        if let Some(born_ms) = self.pools.leaving_incarnation(id) {
             state.left.insert(id.clone(), (born_ms, now));
         } else if let Some(end) = return_limit(self.store_health.last_failure(), now) {
             state.missing.entry(id.clone()).or_insert(end);
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -39,7 +39,7 @@
     grants: Arc<Grants>,
     pub(super) transport: Arc<dyn ReplicaTransport>,
     metrics: Arc<ExchangeMetrics>,
-    log: Logger,
+    pub(super) log: Logger,
 }
 
 impl Exchange {
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -44,6 +44,8 @@
     pub members: Arc<Members>,
     /// This router's grants.
     pub grants: Arc<Grants>,
+    /// The replicas and this router's work there.
+    pub pools: Arc<Pools>,
     /// How far the operator's lists and the replicas' entries were followed.
     pub followed: [Arc<KindProgress>; 2],
     /// For what this router comes to believe.
@@ -54,13 +56,13 @@
 pub(crate) async fn send_hellos(
     socket: Arc<UdpSocket>,
     parts: HelloParts,
-    pools: Arc<Pools>,
     process: u64,
     is_ready: IsReady,
 ) {
     let HelloParts {
         members,
         grants,
+        pools,
         followed,
         log,
     } = parts;
@@ -96,6 +98,7 @@
             is_ready: is_ready(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
+            notices: pools.told_notices(),
             seen_changes: followed.each_ref().map(|kind| kind.changed()),
             grants: told_grants,
         };
@@ -142,6 +145,10 @@
             kind.learn_told(revision, guarded_until);
         }
     }
+    for replica in parts.pools.learn_notices(&hello.notices) {
+        info!(parts.log, "a replica is leaving, by another router's word";
+            "replica" => replica.as_str(), "router" => router.to_string());
+    }
     if parts.members.learn_hello(hello) {
         info!(parts.log, "router heard"; "router" => router.to_string(),
             "known" => parts.members.known_count());
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::pooling::ToldGrants;
+use super::pools::ToldNotice;
 use crate::core::duty::{distributor_count, ledger_order, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
@@ -101,6 +102,8 @@
     pub interval_ms: u32,
     /// Its work at each replica that has some.
     pub loads: Vec<ToldLoad>,
+    /// What replicas said of themselves to it.
+    pub notices: Vec<ToldNotice>,
     /// Its grants.
     pub grants: ToldGrants,
     /// Revisions of the newest changes that it saw of the operator's lists and of the replicas'
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -3,19 +3,21 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::catalog::{Catalog, EngineRules};
 use super::members::{Members, ToldLoad};
-use super::request::ReplicaAddress;
+use super::request::{ReplicaAddress, ReplicaNotice};
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
 use crate::core::placement::{choose_place, Choice, Place, PlaceWish, PromptMix, PromptWish};
 use crate::core::retry_share::{RetryRule, RetryShare};
-use crate::util::{lock, short_digest};
+use crate::util::{lock, millis, short_digest};
 
 /// Connections to a replica that a router may always hold, however large the fleet.
 const LEAST_CONNECTIONS: u32 = 4;
@@ -46,6 +48,8 @@
     address: SocketAddr,
     digest: u32,
     born_ms: Option<u64>,
+    /// True when it told this router, in an answer, that it leaves.
+    said_leaving: bool,
 }
 
 #[derive(Debug, Default)]
@@ -109,6 +113,24 @@
             .with_place(&self.pool, &self.replica.id, Place::learn_failure);
     }
 
+    /// Takes in what the replica said of itself.
+    pub(crate) fn learn_notice(&self, notice: ReplicaNotice) -> NewNotice {
+        let mut new = NewNotice::default();
+        self.pools
+            .with_place(&self.pool, &self.replica.id, |place, now_ms| {
+                new.is_leaving = notice.is_leaving && !place.is_leaving;
+                place.is_leaving |= notice.is_leaving;
+                if let Some(quiet) = notice.quiet {
+                    new.is_quiet = place.quiet_left_ms(now_ms) == 0;
+                    place.learn_quiet(now_ms, millis(quiet));
+                }
+            });
+        if new.is_leaving {
+            self.pools.tell_leaving(&self.pool, &self.replica.id);
+        }
+        new
+    }
+
     /// Notes that the replica takes no connections.
     pub(crate) fn learn_unreachable(&self) {
         self.pools
@@ -127,6 +149,28 @@
     }
 }
 
+/// What was not known of a replica before it said so.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct NewNotice {
+    /// It is about to leave.
+    pub is_leaving: bool,
+    /// It wants no requests.
+    pub is_quiet: bool,
+}
+
+/// A replica's word as passed on in a hello.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ToldNotice {
+    /// Short digest of the replica's id.
+    pub replica: u32,
+    /// Start of its incarnation.
+    pub born_ms: Option<u64>,
+    /// True when it is about to leave.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests of the teller, in milliseconds.
+    pub quiet_ms: u32,
+}
+
 /// What came of the search for a replica.
 #[derive(Debug)]
 pub(crate) enum Search {
@@ -134,6 +178,8 @@
     Found(ChosenReplica),
     /// All are full.
     Full,
+    /// All asked for quiet, the first of them for this long.
+    Quiet(Duration),
     /// None is in service.
     Nobody,
 }
@@ -200,7 +246,11 @@
             .iter_mut()
             .filter(|(id, _)| **id != entry.pool)
             .find_map(|(_, pool)| pool.index_of(&entry.id).map(|index| (pool, index)));
+        let mut is_leaving = entry.is_draining;
         if let Some((pool, index)) = moved {
+            // A leaving replica does not come back in the same incarnation.
+            let is_same = pool.replicas[index].born_ms == entry.born_ms;
+            is_leaving |= is_same && pool.places[index].is_leaving;
             pool.drop_place(index);
         }
         let pool = state.pools.entry(entry.pool.clone()).or_default();
@@ -209,7 +259,6 @@
             let is_reborn = pool.replicas[index].born_ms != entry.born_ms;
             if !is_reborn {
                 let place = &mut pool.places[index];
-                // A leaving replica does not come back in the same incarnation.
                 let is_changed = entry.is_draining && !place.is_leaving;
                 place.is_leaving |= entry.is_draining;
                 place.slots = slots;
@@ -218,16 +267,27 @@
             pool.drop_place(index);
         }
         let mut place = Place::new(entry.id.clone(), entry.failure_domain.clone(), slots);
-        place.is_leaving = entry.is_draining;
+        place.is_leaving = is_leaving;
         pool.places.push(place);
         pool.replicas.push(Replica {
             address: entry.address,
             digest: short_digest(entry.id.as_str()),
             born_ms: entry.born_ms,
+            said_leaving: false,
         });
         true
     }
 
+    /// The incarnation of a replica that said that it leaves, by its start.
+    pub(crate) fn leaving_incarnation(&self, id: &ReplicaId) -> Option<Option<u64>> {
+        let state = lock(&self.state);
+        state.pools.values().find_map(|pool| {
+            let index = pool.index_of(id)?;
+            let is_leaving = pool.places[index].is_leaving;
+            is_leaving.then_some(pool.replicas[index].born_ms)
+        })
+    }
+
     /// Removes a replica. Returns true when it was known.
     pub(crate) fn forget_replica(&self, id: &ReplicaId) -> bool {
         let mut state = lock(&self.state);
@@ -284,6 +344,7 @@
                 })
             }
             Choice::Full => Search::Full,
+            Choice::Quiet { left_ms } => Search::Quiet(Duration::from_millis(left_ms)),
             Choice::Nobody => Search::Nobody,
         }
     }
@@ -323,6 +384,64 @@
         told
     }
 
+    /// What replicas said of themselves to this router, for hellos.
+    pub(crate) fn told_notices(&self) -> Vec<ToldNotice> {
+        let now_ms = self.now_ms();
+        let state = lock(&self.state);
+        let mut told = Vec::new();
+        for pool in state.pools.values() {
+            for (place, replica) in pool.places.iter().zip(&pool.replicas) {
+                let quiet_ms = place.quiet_left_ms(now_ms);
+                if replica.said_leaving || quiet_ms > 0 {
+                    told.push(ToldNotice {
+                        replica: replica.digest,
+                        born_ms: replica.born_ms,
+                        is_leaving: replica.said_leaving,
+                        quiet_ms: u32::try_from(quiet_ms).unwrap_or(u32::MAX),
+                    });
+                }
+            }
+        }
+        told
+    }
+
+    /// Takes in what replicas said to another router. Names those that leave and were not known to.
+    pub(crate) fn learn_notices(&self, told: &[ToldNotice]) -> Vec<ReplicaId> {
+        let mut leaving = Vec::new();
+        if told.is_empty() {
+            return leaving;
+        }
+        let now_ms = self.now_ms();
+        let mut state = lock(&self.state);
+        for pool in state.pools.values_mut() {
+            for (place, replica) in pool.places.iter_mut().zip(&pool.replicas) {
+                let is_meant = |told: &&ToldNotice| {
+                    (told.replica, told.born_ms) == (replica.digest, replica.born_ms)
+                };
+                let Some(notice) = told.iter().find(is_meant) else {
+                    continue;
+                };
+                if notice.quiet_ms > 0 {
+                    place.learn_quiet_hint(now_ms, u64::from(notice.quiet_ms));
+                }
+                if notice.is_leaving && !place.is_leaving {
+                    place.is_leaving = true;
+                    leaving.push(place.id.clone());
+                }
+            }
+        }
+        leaving
+    }
+
+    fn tell_leaving(&self, pool: &PoolId, id: &ReplicaId) {
+        let mut state = lock(&self.state);
+        if let Some(pool) = state.pools.get_mut(pool) {
+            if let Some(index) = pool.index_of(id) {
+                pool.replicas[index].said_leaving = true;
+            }
+        }
+    }
+
     /// Replicas in service and all, by pool, for the metrics.
     pub(crate) fn counts(&self) -> Vec<(CompactString, usize, usize)> {
         let state = lock(&self.state);
@@ -336,7 +455,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        millis(self.started.elapsed())
     }
 
     fn with_place<F>(&self, pool: &PoolId, id: &ReplicaId, action: F)
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -11,6 +11,7 @@
 use super::grants::GrantNote;
 use super::metrics::ExchangeMetrics;
 use super::request::RejectKind;
+use crate::util::millis;
 
 /// The story of one request. Logged when dropped, so also when the caller leaves.
 #[derive(Debug)]
@@ -133,7 +134,3 @@
             "elapsed_ms" => millis(elapsed));
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -122,6 +122,15 @@
     BadRequest,
 }
 
+/// What a replica says of itself in the head of any answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ReplicaNotice {
+    /// True when it is about to leave.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests.
+    pub quiet: Option<Duration>,
+}
+
 /// Why one try brought no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum DispatchError {
@@ -138,6 +147,8 @@
     Unknown {
         /// What the transport saw.
         reason: CompactString,
+        /// What the replica said of itself, if the head of an answer came.
+        notice: ReplicaNotice,
     },
 }
 
@@ -162,6 +173,8 @@
     pub is_not_run: bool,
     /// True when another replica has the address.
     pub is_other_replica: bool,
+    /// What the replica says of itself.
+    pub notice: ReplicaNotice,
     /// The body.
     pub body: BodyStream,
 }
@@ -204,6 +217,8 @@
     NoReplica,
     /// All replicas are full or their queues are too long.
     Overloaded,
+    /// All replicas asked for quiet.
+    ReplicasQuiet,
     /// Replicas refused the request and stated that it did not run.
     ReplicasRefused,
     /// The request may have run and its answer was lost.
@@ -227,6 +242,7 @@
             | Self::Leaving
             | Self::NoReplica
             | Self::Overloaded
+            | Self::ReplicasQuiet
             | Self::ReplicasRefused
             | Self::TimedOutUnsent => 503,
             Self::AnswerLost => 502,
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -6,6 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use rand::RngExt;
+use slog::info;
+use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
 use super::catalog::{Route, RouteKind, Team};
@@ -15,11 +17,12 @@
 use super::record::RequestRecord;
 use super::request::{
     BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
-    ReplicaAnswer, Reply, ReplyBody, UnsentCause,
+    ReplicaAnswer, ReplicaNotice, Reply, ReplyBody, UnsentCause,
 };
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::PromptWish;
 use crate::core::units::Tokens;
+use crate::util::millis;
 
 /// Replicas that may turn out to be out of reach before a request is rejected.
 const MAX_UNSENT_TRIES: u32 = 4;
@@ -61,6 +64,8 @@
     pub(super) chosen: ChosenReplica,
 }
 
+type SendResult = Result<Result<ReplicaAnswer, DispatchError>, Elapsed>;
+
 fn overload_retry() -> Duration {
     let spread_ms = rand::rng().random_range(0..OVERLOAD_SPREAD_MS);
     OVERLOAD_RETRY + Duration::from_millis(spread_ms)
@@ -208,6 +213,7 @@
             };
             let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
             let replica = chosen.replica.id.as_str();
+            self.learn_notice(&chosen, &sent);
             match sent {
                 Ok(Ok(answer)) if answer.is_not_run || answer.is_other_replica => {
                     self.sends += 1;
@@ -267,15 +273,39 @@
             rank: u32::from(self.rank),
             prompt: self.prompt,
         };
-        let kind = match self.exchange.pools.choose(&wish) {
+        let (kind, retry_after) = match self.exchange.pools.choose(&wish) {
             Search::Found(chosen) => return Ok(chosen),
-            Search::Full => RejectKind::Overloaded,
-            Search::Nobody => RejectKind::NoReplica,
+            Search::Full => (RejectKind::Overloaded, overload_retry()),
+            Search::Quiet(left) => (RejectKind::ReplicasQuiet, left),
+            Search::Nobody => (RejectKind::NoReplica, overload_retry()),
         };
         if self.may_have_run {
             return Err(Rejection::new(RejectKind::AnswerLost));
         }
-        Err(Rejection::new(kind).with_retry_after(overload_retry()))
+        Err(Rejection::new(kind).with_retry_after(retry_after))
+    }
+
+    /// Takes in what the replica said of itself, whatever became of the request.
+    fn learn_notice(&self, chosen: &ChosenReplica, sent: &SendResult) {
+        let notice = match sent {
+            Ok(Ok(answer)) => answer.notice,
+            Ok(Err(DispatchError::Unknown { notice, .. })) => *notice,
+            _ => return,
+        };
+        if notice == ReplicaNotice::default() {
+            return;
+        }
+        let new = chosen.learn_notice(notice);
+        let replica = chosen.replica.id.as_str();
+        let (log, request) = (&self.exchange.log, self.request.attempt.as_str());
+        if new.is_leaving {
+            info!(log, "a replica is leaving, by its own answer"; "replica" => replica,
+                "request" => request);
+        }
+        if new.is_quiet {
+            info!(log, "a replica asked for quiet"; "replica" => replica, "request" => request,
+                "quiet_ms" => notice.quiet.map(millis));
+        }
     }
 
     /// True when a further replica may be sent the request; takes that out of the retry budget.
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -16,6 +16,12 @@
 pub(crate) const REQUEST_PRIORITY: &str = "currantlever-request-priority";
 /// Marks an answer whose request did not run.
 pub(crate) const NOT_EXECUTED: &str = "currantlever-not-executed";
+/// Marks all answers of a replica that is about to leave.
+pub(crate) const LEAVING: &str = "server-leaving";
+/// Value of that mark.
+pub(crate) const LEAVING_VALUE: &str = "1";
+/// Seconds, with fractions, after which to come back.
+pub(crate) const RETRY_AFTER: &str = "retry-after";
 /// Proof that a body is the replica's.
 pub(crate) const SIGNATURE: &str = "currantlever-replica-signature";
 /// Last event that the receiver of a stream has.
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
 use futures::StreamExt;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -22,7 +22,7 @@
 
 use super::names;
 use crate::exchange::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ReplicaAddress, ReplicaAnswer,
+    BodyStream, BrokenBody, Dispatch, DispatchError, ReplicaAddress, ReplicaAnswer, ReplicaNotice,
     ReplicaTransport, UnsentCause,
 };
 use crate::util::lock;
@@ -237,6 +237,7 @@
 fn unknown(reason: impl std::fmt::Display) -> DispatchError {
     DispatchError::Unknown {
         reason: compact_str::format_compact!("{reason}"),
+        notice: ReplicaNotice::default(),
     }
 }
 
@@ -293,8 +294,12 @@
                 });
             }
         };
-        check_answer(&dispatch, &response, is_first)?;
-        Ok(self.answer(response, connection))
+        let notice = decode_notice(&response);
+        if let Err(reason) = check_answer(&dispatch, &response, is_first) {
+            let reason = CompactString::const_new(reason);
+            return Err(DispatchError::Unknown { reason, notice });
+        }
+        Ok(self.answer(response, notice, connection))
     }
 }
 
@@ -303,29 +308,54 @@
     dispatch: &Dispatch<'_>,
     response: &Response<Incoming>,
     is_first: bool,
-) -> Result<(), DispatchError> {
+) -> Result<(), &'static str> {
     let headers = response.headers();
     let echoed = headers.get(names::ATTEMPT_ID).map(HeaderValue::as_bytes);
     match echoed {
         Some(echoed) if echoed == dispatch.request.attempt.as_bytes() => {}
         None if is_first => {}
-        _ => return Err(unknown("answer of another request")),
+        _ => return Err("answer of another request"),
     }
     if headers.contains_key("content-encoding") {
-        return Err(unknown("body is encoded"));
+        return Err("body is encoded");
     }
     if response.status().is_success() && !headers.contains_key(names::SIGNATURE) {
-        return Err(unknown("success without signature"));
+        return Err("success without signature");
     }
     Ok(())
 }
 
+/// What the replica says of itself. A replica that another one's requests reach by mistake says
+/// nothing of that one.
+fn decode_notice(response: &Response<Incoming>) -> ReplicaNotice {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return ReplicaNotice::default();
+    }
+    let text = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::trim)
+    };
+    let quiet = text(names::RETRY_AFTER)
+        .filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE)
+        .and_then(|seconds| seconds.parse().ok())
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    ReplicaNotice {
+        is_leaving: text(names::LEAVING) == Some(names::LEAVING_VALUE),
+        quiet,
+    }
+}
+
 impl HttpTransport {
-    fn answer(&self, response: Response<Incoming>, connection: Connection) -> ReplicaAnswer {
+    fn answer(
+        &self,
+        response: Response<Incoming>,
+        notice: ReplicaNotice,
+        connection: Connection,
+    ) -> ReplicaAnswer {
         let (parts, body) = response.into_parts();
         let reuse_limit = reuse_limit(&parts.headers);
         let is_not_run = parts.headers.contains_key(names::NOT_EXECUTED);
-        let is_other_replica = parts.status == http::StatusCode::MISDIRECTED_REQUEST;
+        let is_other_replica = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let mut headers = parts.headers;
         remove_connection_headers(&mut headers);
         ReplicaAnswer {
@@ -333,6 +363,7 @@
             headers,
             is_not_run: is_not_run || is_other_replica,
             is_other_replica,
+            notice,
             body: read_body(body, connection, reuse_limit, Arc::clone(&self.idle)),
         }
     }
--- a/src/util.rs
+++ b/src/util.rs
@@ -33,3 +33,8 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |time| time.as_secs())
 }
+
+/// A time in whole milliseconds.
+pub(crate) fn millis(time: std::time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -32,6 +32,10 @@
     Stream { events: u64, pause: Duration },
     /// A stream that breaks off in the middle of an event.
     BreakStream { after: u64 },
+    /// States that it did not run the request, and asks for quiet in seconds.
+    AskQuiet(Duration),
+    /// Says in the head of its answer that it leaves.
+    Leaving(Box<Behaviour>),
 }
 
 /// What a replica has seen of one request.
@@ -140,21 +144,27 @@
     left: &Mutex<u32>,
 ) {
     while let Some(request) = read_request(&mut stream).await {
-        let behaviour = behaviour.lock().unwrap().clone();
+        let mut behaviour = behaviour.lock().unwrap().clone();
         seen.lock().unwrap().push(request.clone());
-        if !answer(&mut stream, &request, &behaviour, left).await {
+        let mut mark = "";
+        if let Behaviour::Leaving(inner) = behaviour {
+            (behaviour, mark) = (*inner, LEAVING);
+        }
+        if !answer(&mut stream, &request, &behaviour, mark, left).await {
             return;
         }
     }
 }
 
 const BODY: &str = "the replica's whole answer";
+const LEAVING: &str = "Server-Leaving: 1\r\n";
 
 /// Answers and tells whether the connection lives on.
 async fn answer(
     stream: &mut TcpStream,
     request: &SeenRequest,
     behaviour: &Behaviour,
+    mark: &str,
     left: &Mutex<u32>,
 ) -> bool {
     let id = request
@@ -163,7 +173,7 @@
     let whole = |status: &str, id: &str, extra: &str| {
         let length = BODY.len();
         format!(
-            "HTTP/1.1 {status}\r\nCurrantlever-Attempt-Id: {id}\r\n{extra}\
+            "HTTP/1.1 {status}\r\nCurrantlever-Attempt-Id: {id}\r\n{mark}{extra}\
              Content-Length: {length}\r\n\r\n{BODY}"
         )
     };
@@ -180,6 +190,15 @@
             id,
             "Currantlever-Not-Executed: 1\r\n",
         ),
+        Behaviour::AskQuiet(time) => whole(
+            "503 Service Unavailable",
+            id,
+            &format!(
+                "Currantlever-Not-Executed: 1\r\nRetry-After: {}\r\n",
+                time.as_secs_f64()
+            ),
+        ),
+        Behaviour::Leaving(_) => panic!("marks are not nested"),
         Behaviour::Misdirected => whole("421 Misdirected Request", id, ""),
         Behaviour::WrongId => whole("200 OK", "another", signature),
         Behaviour::Unsigned => whole("200 OK", id, ""),
@@ -191,11 +210,10 @@
         }
         Behaviour::RunAndReset => return false,
         Behaviour::Stream { events, pause } => {
-            return stream_events(stream, request, *events, *pause, left).await;
+            return stream_events(stream, request, *events, *pause, mark, left).await;
         }
         Behaviour::BreakStream { after } => {
-            let head = stream_head(id);
-            let mut text = head;
+            let mut text = stream_head(id, mark);
             for event in 1..=*after {
                 text.push_str(&chunk(&event_text(event)));
             }
@@ -217,9 +235,9 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn stream_head(id: &str) -> String {
+fn stream_head(id: &str, mark: &str) -> String {
     format!(
-        "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
+        "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n{mark}\
          Currantlever-Replica-Signature: sig\r\nContent-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n\r\n"
     )
@@ -230,6 +248,7 @@
     request: &SeenRequest,
     events: u64,
     pause: Duration,
+    mark: &str,
     left: &Mutex<u32>,
 ) -> bool {
     let id = request
@@ -239,7 +258,8 @@
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    if stream.write_all(stream_head(id).as_bytes()).await.is_err() {
+    let head = stream_head(id, mark);
+    if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
     for event in after + 1..=events {
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -200,9 +200,18 @@
     }
 
     pub fn enter_as(&self, replica: &StandInReplica, phase: &str) {
+        self.put_entry(replica, phase, 1000);
+    }
+
+    /// Enters a later incarnation of a replica at the same address.
+    pub fn enter_born(&self, replica: &StandInReplica, born_ms: u64) {
+        self.put_entry(replica, "ready", born_ms);
+    }
+
+    fn put_entry(&self, replica: &StandInReplica, phase: &str, born_ms: u64) {
         let entry = json!({
             "service": "pool", "address": replica.address(), "zone": "a", "version": "v1",
-            "slots": 8, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": 1000,
+            "slots": 8, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": born_ms,
         });
         self.store.put("servers", &replica.id, &entry);
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -39,7 +39,7 @@
 fn choose(places: &mut [Place], wish: &PlaceWish<'_>, mix: &PromptMix) -> Option<usize> {
     match choose_place(places, wish, mix, &mut StdRng::seed_from_u64(7)) {
         Choice::Place { index, .. } => Some(index),
-        Choice::Full | Choice::Nobody => None,
+        Choice::Full | Choice::Nobody | Choice::Quiet { .. } => None,
     }
 }
 
@@ -180,3 +180,40 @@
         Choice::Nobody
     );
 }
+
+#[test]
+fn a_replica_that_asked_for_quiet_is_passed_over_and_all_of_them_tell_how_long() {
+    let domain = domain("a");
+    let mix = PromptMix::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut places = places(2);
+    places[0].learn_quiet(1_000, 3_000);
+    for now_ms in [1_000, 2_500, 3_999] {
+        let wish = wish(&domain, now_ms, None);
+        assert_eq!(choose(&mut places, &wish, &mix), Some(1));
+    }
+    // A later, shorter word does not shorten the first one.
+    places[0].learn_quiet(1_500, 100);
+    places[1].learn_quiet(1_500, 5_000);
+    assert_eq!(
+        choose_place(&mut places, &wish(&domain, 2_000, None), &mix, &mut rng),
+        Choice::Quiet { left_ms: 2_000 }
+    );
+    assert_eq!(
+        choose(&mut places, &wish(&domain, 4_000, None), &mix),
+        Some(0)
+    );
+}
+
+#[test]
+fn a_replica_that_asked_another_router_for_quiet_is_the_last_choice_but_a_choice() {
+    let domain = domain("a");
+    let mix = PromptMix::default();
+    let mut places = places(2);
+    places[0].learn_quiet_hint(0, 1_000);
+    places[1].own.requests = 3;
+    let now = wish(&domain, 500, Some(prompt(100, 400, 9)));
+    assert_eq!(choose(&mut places, &now, &mix), Some(1));
+    places[1].is_leaving = true;
+    assert_eq!(choose(&mut places, &now, &mix), Some(0));
+}
