Let two routers of each failure domain watch the store, and pass on what they see

Cause: each router watched the store for itself.

Change: two routers of each failure domain (all of a fleet up to twelve) watch configuration, replica entries and router entries. The others ask them by turns over TCP and wait for news (long polling); a revision for each kind shows what is lacking. `store/feed_log.rs` mixes watches, listings and second-hand news in any order; `store/feed.rs` tells the sinks only what is new, so sinks no longer compare whole lists. A router that hears of no watcher in step with the store asks those of other domains, then tries the store itself at the lowest price, spread in time, and watches until one is back. The guarded watches (`store/progress.rs`) and `seen_changes` in hellos go. `routers` is a followed kind like the others.

Ruled out: members that only learn of a revision and read the object themselves (the price still grows with the fleet); one relay a domain (one that lags is not noticed).

Found by the property test while it was built: a listing that hides an object made and removed between two listings left that object at a follower which had heard of it from another watcher. Logs now keep such stretches as gaps and give all objects to followers from within one (20,000 cases since).

Tests: tests/feed_log.rs (model of a store, two lagging watchers, a member), tests/entry/feed.rs (13 processes: cost of a change, a router cut from the store, cut, frozen and killed watchers, lapsed entries). The test of guarded watches is replaced by these; it asked that routers with old watches hear of changes, these ask it of routers with no watch at all.

--- a/src/core/duty.rs
+++ b/src/core/duty.rs
@@ -1,17 +1,22 @@
-//! Which routers of a large fleet draw on the ledger for all.
+//! Which routers of a large fleet draw on the ledger and watch the store for all (a hub in each
+//! group, by an order that all work out alike).
 //!
 //! All budgets lie in one object that is changed on condition, so many writers mostly meet one
-//! another's changes: their calls are wasted, and the slowest of them never get through.
+//! another's changes: their calls are wasted, and the slowest of them never get through. Watches of
+//! all routers would make the price of a change grow with the fleet.
 
 use std::collections::HashMap;
 
 use super::ids::FailureDomain;
 
-/// Largest fleet in which each router draws for itself.
+/// Largest fleet in which each router draws and watches for itself.
 const MOST_DIRECT_ROUTERS: usize = 12;
 /// Routers that draw for a larger fleet. Each writes at most ten times a second and a write takes
 /// some ten milliseconds, so five leave half of the time free.
 const MOST_DISTRIBUTORS: usize = 5;
+/// Routers of each failure domain that watch the store in a larger fleet. The others ask them by
+/// turns, so that one which lags behind is noticed.
+const WATCHERS_PER_DOMAIN: usize = 2;
 
 /// A router that may draw on the ledger for others.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +60,38 @@
 /// ```
 #[must_use]
 pub fn ledger_order(candidates: &[&DutyCandidate]) -> Vec<usize> {
+    let order = order_by_round(candidates);
+    order.into_iter().map(|(_, index)| index).collect()
+}
+
+/// The routers that watch the store for all, by their places in the list: the most capable two of
+/// each failure domain, or all of a small fleet.
+///
+/// ```
+/// use currantlever::{store_watchers, DutyCandidate, FailureDomain};
+/// let candidate = |number: u64| DutyCandidate {
+///     failure_domain: FailureDomain::new(if number % 2 == 0 { "a" } else { "b" }).unwrap(),
+///     cpu_millis: 250,
+///     order: number,
+/// };
+/// let fleet: Vec<_> = (0..40).map(candidate).collect();
+/// let watchers = store_watchers(&fleet.iter().collect::<Vec<_>>());
+/// assert_eq!(watchers, [0, 1, 2, 3]);
+/// ```
+#[must_use]
+pub fn store_watchers(candidates: &[&DutyCandidate]) -> Vec<usize> {
+    let rounds = if candidates.len() <= MOST_DIRECT_ROUTERS {
+        candidates.len()
+    } else {
+        WATCHERS_PER_DOMAIN
+    };
+    let order = order_by_round(candidates).into_iter();
+    let watchers = order.take_while(|(round, _)| *round < rounds);
+    watchers.map(|(_, index)| index).collect()
+}
+
+/// The candidates' places by their rank in their failure domain, and by capacity within a rank.
+fn order_by_round(candidates: &[&DutyCandidate]) -> Vec<(usize, usize)> {
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
     ranked.sort_by_key(|index| {
         let candidate = candidates[*index];
@@ -71,5 +108,5 @@
     }
     // The sort is stable: within a round over the domains the more capable stay first.
     placed.sort_by_key(|(round, _)| *round);
-    placed.into_iter().map(|(_, index)| index).collect()
+    placed
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,16 +8,19 @@
 use slog::{info, o, Logger};
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Mutex;
+use tokio::sync::{watch, Mutex};
 use tokio::time::Instant;
 
 use crate::core::policy::PolicyName;
 use crate::entry_settings::EntrySettings;
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::Exchange;
+use crate::exchange::feed_keeper::FeedKeeper;
+use crate::exchange::feed_link::serve_feed;
 use crate::exchange::grants::{holder_on_vm, Grants};
 use crate::exchange::hellos::{
-    keep_entries, leave, receive_datagrams, send_hellos, HelloParts, IsReady,
+    keep_entries, leave, receive_datagrams, send_hellos, EntrySink, HelloParts, IsReady,
+    ROUTER_KIND,
 };
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::members::{Members, RouterEntry};
@@ -30,14 +33,20 @@
 use crate::platform::registry::Registry;
 use crate::platform::sinks::{ConfigSink, ReplicaSink};
 use crate::platform::transport::HttpTransport;
-use crate::store::follow::{Follower, KindSink};
+use crate::store::feed::{Feed, KindFeed, KindSink};
+use crate::store::follow::Follower;
 use crate::store::health::StoreHealth;
-use crate::store::kinds::KindStore;
-use crate::store::progress::KindProgress;
+use crate::store::kinds::{Freshness, KindStore};
 use crate::util::stable_hash;
 
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Longest wait of one watch of a kind whose changes must be heard of at once. Each answer is
+/// priced, so it is long; other calls show that the store is out of reach.
+const LONG_WATCH: Duration = Duration::from_secs(25);
+/// Longest wait of one watch of the routers' entries. By its answers a router that watches for
+/// others notices that it does not reach the store.
+const ENTRY_WATCH: Duration = Duration::from_secs(1);
 /// Time after SIGTERM for which requests are still taken: callers that were told this router's
 /// address hear of others within it.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
@@ -131,6 +140,7 @@
             .await
             .map_err(|source| listen_error("peer_listen", settings.peer_listen, source))?;
         let socket = Arc::new(socket);
+        let feed_listener = listen("peer_listen", settings.peer_listen).await?;
         Tasks {
             store: &store,
             store_health: &store_health,
@@ -143,7 +153,7 @@
             transport: &transport,
             log: &log,
         }
-        .spawn(socket, process);
+        .spawn(socket, feed_listener, process);
         let new_sync = || {
             LedgerSync::new(
                 Arc::clone(&store),
@@ -223,32 +233,16 @@
 }
 
 impl Tasks<'_> {
-    fn spawn(&self, socket: Arc<UdpSocket>, process: u64) {
+    fn spawn(&self, socket: Arc<UdpSocket>, feed_listener: TcpListener, process: u64) {
         let store = || Arc::clone(self.store);
-        let health = || Arc::clone(self.store_health);
         let members = || Arc::clone(self.members);
         let grants = || Arc::clone(self.grants);
         let log = || self.log.clone();
-        let followed = [CONFIG_KIND, SERVER_KIND].map(|kind| Arc::new(KindProgress::new(kind)));
-        let sinks: [Arc<dyn KindSink>; 2] = [
-            Arc::new(ConfigSink::new(Arc::clone(self.exchange), log())),
-            Arc::new(ReplicaSink::new(Arc::clone(self.directory))),
-        ];
-        for (progress, sink) in followed.iter().zip(sinks) {
-            let task = Follower {
-                store: store(),
-                health: health(),
-                progress: Arc::clone(progress),
-                sink,
-                log: log(),
-            };
-            tokio::spawn(task.run());
-        }
+        let routers = self.spawn_feed(feed_listener);
         let parts = HelloParts {
             members: members(),
             grants: grants(),
             pools: Arc::clone(self.pools),
-            followed,
             log: log(),
         };
         let registry = Arc::clone(self.registry);
@@ -257,12 +251,66 @@
         tokio::spawn(send_hellos(sending, parts.clone(), process, is_ready));
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
         tokio::spawn(receive_datagrams(socket, parts));
-        tokio::spawn(keep_entries(store(), members(), log()));
+        tokio::spawn(keep_entries(store(), members(), routers, log()));
         let transport = Arc::clone(self.transport);
         tokio::spawn(keep_house(Arc::clone(self.directory), transport));
     }
 }
 
+impl Tasks<'_> {
+    /// Starts to follow all kinds. Returns the feed of the routers' entries.
+    fn spawn_feed(&self, listener: TcpListener) -> Arc<KindFeed> {
+        let store = || Arc::clone(self.store);
+        let health = || Arc::clone(self.store_health);
+        let config: Arc<dyn KindSink> =
+            Arc::new(ConfigSink::new(Arc::clone(self.exchange), self.log.clone()));
+        let replicas: Arc<dyn KindSink> = Arc::new(ReplicaSink::new(Arc::clone(self.directory)));
+        let news = watch::Sender::default();
+        let new_kind = |kind, sink| Arc::new(KindFeed::new(kind, sink, news.clone()));
+        let routers = new_kind(ROUTER_KIND, Arc::new(EntrySink));
+        let kinds = [
+            new_kind(CONFIG_KIND, config),
+            new_kind(SERVER_KIND, replicas),
+            Arc::clone(&routers),
+        ];
+        let feed = Feed::new(kinds, news.clone());
+        let is_watching = watch::Sender::new(false);
+        for kind in feed.kinds() {
+            let (freshness, watch_wait) = if kind.kind == ROUTER_KIND {
+                (Freshness::Stale, ENTRY_WATCH)
+            } else {
+                (Freshness::Linearizable, LONG_WATCH)
+            };
+            let follower = Follower {
+                store: store(),
+                health: health(),
+                feed: Arc::clone(kind),
+                freshness,
+                watch_wait,
+                is_watching: is_watching.subscribe(),
+                log: self.log.clone(),
+            };
+            tokio::spawn(follower.run());
+        }
+        tokio::spawn(serve_feed(
+            listener,
+            feed.clone(),
+            health(),
+            self.log.clone(),
+        ));
+        let keeper = FeedKeeper::new(
+            store(),
+            feed,
+            health(),
+            Arc::clone(self.members),
+            is_watching,
+            self.log.clone(),
+        );
+        tokio::spawn(keeper.run());
+        routers
+    }
+}
+
 fn listen_error(place: &'static str, address: SocketAddr, source: std::io::Error) -> EntryError {
     EntryError::Listen {
         place,
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -3,14 +3,14 @@
 //! Entries lapse when the store cannot be written, so an entry that is gone right after an outage
 //! proves little: its replica stays in service for a short time, within which it comes back.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use slog::{info, Logger};
 use tokio::time::Instant;
 
-use super::pools::{Pools, ReplicaEntry};
+use super::pools::{Incarnation, Pools, ReplicaEntry};
 use crate::core::ids::ReplicaId;
 use crate::store::health::StoreHealth;
 use crate::util::lock;
@@ -26,7 +26,7 @@
     /// Replicas whose entries may come back until then.
     missing: HashMap<ReplicaId, Instant>,
     /// Incarnations that said that they leave and did, with the time of that.
-    left: HashMap<ReplicaId, (Option<u64>, Instant)>,
+    left: HashMap<ReplicaId, (Incarnation, Instant)>,
 }
 
 /// The replicas' entries as this router knows them.
@@ -58,7 +58,7 @@
         let has_left = state
             .left
             .get(&entry.id)
-            .is_some_and(|(born, _)| *born == entry.born_ms);
+            .is_some_and(|(incarnation, _)| incarnation.born_ms == entry.born_ms);
         if has_left {
             return;
         }
@@ -74,8 +74,8 @@
     /// Takes in that an entry is gone.
     pub(crate) fn learn_removed(&self, id: &ReplicaId, now: Instant) {
         let mut state = lock(&self.state);
-        if let Some(born_ms) = self.pools.leaving_incarnation(id) {
-            state.left.insert(id.clone(), (born_ms, now));
+        if let Some(incarnation) = self.pools.leaving_incarnation(id) {
+            state.left.insert(id.clone(), (incarnation, now));
         } else if let Some(end) = return_limit(self.store_health.last_failure(), now) {
             state.missing.entry(id.clone()).or_insert(end);
             info!(self.log, "entry lapsed; kept for now"; "replica" => id.as_str());
@@ -86,17 +86,6 @@
         self.drop_replica(id, "entry removed");
     }
 
-    /// Takes in all entries at once: what is not listed is gone.
-    pub(crate) fn learn_all(&self, entries: &[ReplicaEntry], known: &[ReplicaId], now: Instant) {
-        let listed: HashSet<&ReplicaId> = entries.iter().map(|entry| &entry.id).collect();
-        for id in known.iter().filter(|id| !listed.contains(id)) {
-            self.learn_removed(id, now);
-        }
-        for entry in entries {
-            self.learn_entry(entry, now);
-        }
-    }
-
     /// Removes replicas whose entries did not come back.
     pub(crate) fn drop_missing(&self, now: Instant) {
         let late: Vec<ReplicaId> = {
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -421,11 +421,6 @@
         self.looks.send_modify(|count| *count += 1);
     }
 
-    /// True when this router draws on the ledger, so that others rely on it.
-    pub(crate) fn distributes(&self) -> bool {
-        lock(&self.state).duty.distributes
-    }
-
     /// Has the ledger written again.
     pub(crate) fn want_ledger(&self) {
         self.wake.notify_one();
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -6,29 +6,22 @@
 
 use slog::{debug, info, warn, Logger};
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 
 use super::grants::Grants;
 use super::members::{entry_name, Hello, Members, RouterEntry, SILENT_HELLOS};
 use super::pools::Pools;
 use super::transfers::{learn_transfer, PeerMessage};
-use crate::store::kinds::{Freshness, KindError, KindStore};
-use crate::store::progress::KindProgress;
+use crate::store::feed::{KindFeed, KindSink};
+use crate::store::kinds::{Change, Freshness, KindError, KindObject, KindStore};
 
 /// Kind of the routers' entries.
-const ROUTER_KIND: &str = "routers";
+pub(crate) const ROUTER_KIND: &str = "routers";
 /// Time between two rounds of hellos.
 const ROUND: Duration = Duration::from_millis(150);
-/// Hellos after which a router is no longer taken to watch the newest state for others. One may
-/// be lost.
-const GUARD_HELLOS: u32 = 2;
 /// Most hellos sent in one round.
 const HELLOS_PER_ROUND: usize = 12;
-/// Time between two readings of the entries in the store. Routers that do not draw on the ledger
-/// notice an outage by them.
-const ENTRIES_INTERVAL: Duration = Duration::from_secs(3);
-/// Pause after a reading that failed.
-const ENTRIES_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two looks at the entries.
+const ENTRIES_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a router's entry is removed from the store.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(120);
 /// Largest datagram.
@@ -46,8 +39,6 @@
     pub grants: Arc<Grants>,
     /// The replicas and this router's work there.
     pub pools: Arc<Pools>,
-    /// How far the operator's lists and the replicas' entries were followed.
-    pub followed: [Arc<KindProgress>; 2],
     /// For what this router comes to believe.
     pub log: Logger,
 }
@@ -63,7 +54,6 @@
         members,
         grants,
         pools,
-        followed,
         log,
     } = parts;
     let mut sequence = 0;
@@ -99,7 +89,6 @@
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
             notices: pools.told_notices(),
-            seen_changes: followed.each_ref().map(|kind| kind.changed()),
             grants: told_grants,
         };
         PeerMessage::Hello(hello).send_all(&socket, &receivers);
@@ -137,14 +126,6 @@
     parts
         .grants
         .learn_told(router, &hello.grants, interval * SILENT_HELLOS);
-    // Routers that draw on the ledger watch the newest state, and notice at once when they do not
-    // reach the store.
-    if hello.grants.reaches_ledger && !parts.grants.distributes() {
-        let guarded_until = Instant::now() + interval * GUARD_HELLOS;
-        for (kind, revision) in parts.followed.iter().zip(hello.seen_changes) {
-            kind.learn_told(revision, guarded_until);
-        }
-    }
     for replica in parts.pools.learn_notices(&hello.notices) {
         info!(parts.log, "a replica is leaving, by another router's word";
             "replica" => replica.as_str(), "router" => router.to_string());
@@ -155,31 +136,46 @@
     }
 }
 
-/// Enters this router in the store and reads the other entries again and again.
-pub(crate) async fn keep_entries(store: Arc<dyn KindStore>, members: Arc<Members>, log: Logger) {
+/// Hears of the routers' entries. They are looked at in turn, so each change need not be taken in.
+pub(crate) struct EntrySink;
+
+impl KindSink for EntrySink {
+    fn learn(&self, _: Change) {}
+}
+
+/// Enters this router in the store and takes in the other entries again and again.
+pub(crate) async fn keep_entries(
+    store: Arc<dyn KindStore>,
+    members: Arc<Members>,
+    feed: Arc<KindFeed>,
+    log: Logger,
+) {
     let mut entered = None;
     loop {
         if entered.is_none() {
             entered = enter(&*store, &members, &log).await;
         }
-        match store.list(ROUTER_KIND, Freshness::Stale).await {
-            Ok(listing) => {
-                let entries: Vec<RouterEntry> = listing
-                    .objects
-                    .iter()
-                    .filter_map(|object| serde_json::from_str(object.value.get()).ok())
-                    .collect();
-                members.learn_entries(entries, entered == Some(Entered::Before));
-                remove_silent(&*store, &members, &listing.objects, &log).await;
-                let pause = if entered.is_some() && members.is_fleet_found() {
-                    ENTRIES_INTERVAL
-                } else {
-                    ENTRIES_PAUSE
-                };
-                tokio::time::sleep(pause).await;
-            }
-            Err(_) => tokio::time::sleep(ENTRIES_PAUSE).await,
+        if !members.is_fleet_found() {
+            read_entries(&*store, &feed).await;
+        }
+        let objects = feed.objects();
+        let entries: Vec<RouterEntry> = objects
+            .iter()
+            .filter_map(|object| serde_json::from_str(object.value.get()).ok())
+            .collect();
+        members.learn_entries(entries, entered == Some(Entered::Before));
+        if members.watch_duty().watches {
+            remove_silent(&*store, &members, &objects, &log).await;
         }
+        tokio::time::sleep(ENTRIES_INTERVAL).await;
+    }
+}
+
+/// Reads the entries before the fleet is known from which they are heard otherwise.
+async fn read_entries(store: &dyn KindStore, feed: &KindFeed) {
+    // A reading that failed is repeated, and the store's client counts it.
+    if let Ok(listing) = store.list(feed.kind, Freshness::Stale).await {
+        feed.learn_old_listing(listing);
     }
 }
 
@@ -211,7 +207,7 @@
 async fn remove_silent(
     store: &dyn KindStore,
     members: &Members,
-    objects: &[crate::store::kinds::KindObject],
+    objects: &[KindObject],
     log: &Logger,
 ) {
     for address in members.silent_for(ENTRY_LIFETIME) {
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -15,7 +15,7 @@
 
 use super::pooling::ToldGrants;
 use super::pools::ToldNotice;
-use crate::core::duty::{distributor_count, ledger_order, DutyCandidate};
+use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
 use crate::util::{lock, stable_hash};
@@ -106,9 +106,6 @@
     pub notices: Vec<ToldNotice>,
     /// Its grants.
     pub grants: ToldGrants,
-    /// Revisions of the newest changes that it saw of the operator's lists and of the replicas'
-    /// entries. They guard others only if it reaches the ledger: its watches may be old otherwise.
-    pub seen_changes: [u64; 2],
 }
 
 #[derive(Debug)]
@@ -167,6 +164,17 @@
     pub is_fleet_found: bool,
 }
 
+/// Which routers watch the store for all.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WatchDuty {
+    /// True when this router watches.
+    pub watches: bool,
+    /// Other routers of its failure domain that do, by their addresses for hellos.
+    pub near: Vec<SocketAddr>,
+    /// Those of other failure domains, in an order that differs from router to router.
+    pub far: Vec<SocketAddr>,
+}
+
 #[derive(Debug, Default)]
 struct Others {
     members: HashMap<SocketAddr, Member>,
@@ -175,6 +183,17 @@
     turn: usize,
 }
 
+impl Others {
+    /// Routers that are there. Shortly after the start those count that were not heard yet.
+    fn present(&self, is_starting: bool) -> impl Iterator<Item = (SocketAddr, &DutyCandidate)> {
+        let present = self.members.iter().filter(move |(_, member)| {
+            let heard = member.heard.as_ref();
+            heard.map_or(is_starting, Heard::is_alive)
+        });
+        present.map(|(address, member)| (*address, &member.candidate))
+    }
+}
+
 /// The fleet.
 #[derive(Debug)]
 pub(crate) struct Members {
@@ -286,17 +305,8 @@
     /// The routers that draw on the ledger for all. All routers work out the same ones as far as
     /// they hear the same routers; where they differ nothing breaks.
     pub(crate) fn ledger_duty(&self) -> LedgerDuty {
-        let is_starting = self.started.elapsed() < FIRST_HEARD;
         let others = lock(&self.others);
-        let present = others.members.iter().filter(|(_, member)| {
-            let heard = member.heard.as_ref();
-            heard.map_or(is_starting, Heard::is_alive)
-        });
-        let present = present.map(|(address, member)| (*address, &member.candidate));
-        // This router stands first.
-        let own = (self.own.peer_address, &self.own_candidate);
-        let (addresses, candidates): (Vec<SocketAddr>, Vec<&DutyCandidate>) =
-            [own].into_iter().chain(present).unzip();
+        let (addresses, candidates) = self.candidates(&others);
         let order = ledger_order(&candidates);
         let distributors = order.iter().take(distributor_count(order.len()));
         LedgerDuty {
@@ -307,6 +317,35 @@
         }
     }
 
+    /// The routers that watch the store for all. Before the fleet was found, this one does not.
+    pub(crate) fn watch_duty(&self) -> WatchDuty {
+        let others = lock(&self.others);
+        let (addresses, candidates) = self.candidates(&others);
+        let watchers = store_watchers(&candidates);
+        let is_near =
+            |index: &usize| candidates[*index].failure_domain == self.own_candidate.failure_domain;
+        let address = |index: usize| addresses[index];
+        let (near, far): (Vec<usize>, Vec<usize>) = watchers
+            .iter()
+            .filter(|index| **index != 0)
+            .partition(|index| is_near(index));
+        let mut far: Vec<SocketAddr> = far.into_iter().map(address).collect();
+        let own = self.own.peer_address.to_string();
+        far.sort_by_cached_key(|address| stable_hash(&[&own, &address.to_string()]));
+        WatchDuty {
+            watches: others.is_fleet_found && watchers.contains(&0),
+            near: near.into_iter().map(address).collect(),
+            far,
+        }
+    }
+
+    /// Routers that may have a duty, this one first.
+    fn candidates<'a>(&'a self, others: &'a Others) -> (Vec<SocketAddr>, Vec<&'a DutyCandidate>) {
+        let is_starting = self.started.elapsed() < FIRST_HEARD;
+        let own = (self.own.peer_address, &self.own_candidate);
+        [own].into_iter().chain(others.present(is_starting)).unzip()
+    }
+
     /// Routers known, this one included.
     pub(crate) fn known_count(&self) -> usize {
         lock(&self.others).members.len() + 1
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -8,6 +8,8 @@
 pub(crate) mod directory;
 pub(crate) mod engine;
 pub(crate) mod events;
+pub(crate) mod feed_keeper;
+pub(crate) mod feed_link;
 pub(crate) mod grant_updates;
 pub(crate) mod grants;
 pub(crate) mod hellos;
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -43,6 +43,13 @@
     pub born_ms: Option<u64>,
 }
 
+/// One life of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Incarnation {
+    /// Its start, if its entry names one, in milliseconds since the Unix epoch.
+    pub born_ms: Option<u64>,
+}
+
 #[derive(Debug)]
 struct Replica {
     address: SocketAddr,
@@ -278,13 +285,15 @@
         true
     }
 
-    /// The incarnation of a replica that said that it leaves, by its start.
-    pub(crate) fn leaving_incarnation(&self, id: &ReplicaId) -> Option<Option<u64>> {
+    /// The incarnation of a replica that said that it leaves.
+    pub(crate) fn leaving_incarnation(&self, id: &ReplicaId) -> Option<Incarnation> {
         let state = lock(&self.state);
         state.pools.values().find_map(|pool| {
             let index = pool.index_of(id)?;
             let is_leaving = pool.places[index].is_leaving;
-            is_leaving.then_some(pool.replicas[index].born_ms)
+            is_leaving.then_some(Incarnation {
+                born_ms: pool.replicas[index].born_ms,
+            })
         })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod router;
 mod store;
+mod tcp;
 #[rustfmt::skip]
 #[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
 mod router_capnp;
@@ -34,7 +35,7 @@
 pub use crate::core::bill::{Bill, BudgetTotals, RunEnd, RunId, Settlement};
 pub use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
 pub use crate::core::cover::{fleet_cover_tokens, CoverPolicy, RankedDemand, WarmMeter};
-pub use crate::core::duty::{distributor_count, ledger_order, DutyCandidate};
+pub use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
 pub use crate::core::holder::{Holder, ReserveError, UpdateWish};
 pub use crate::core::ids::{
     BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
@@ -64,7 +65,8 @@
 pub use crate::router::refusal::{ErrorBody, RefusalKind, RunState};
 pub use crate::router::web::{AddressesAnswer, RequestStatus};
 pub use crate::settings::{Settings, SettingsError};
-pub use crate::store::kinds::{Change, Changes, KindObject, Revision};
+pub use crate::store::feed_log::{FeedLog, FeedNews, LoggedChange};
+pub use crate::store::kinds::{Change, Changes, KindObject, Listing, Revision};
 pub use crate::store::memory::{MemoryStore, StoreCounts, StoreFaults};
 pub use crate::store::{Expected, Object, ObjectKey, ObjectStore, StoreError};
 pub use crate::telemetry::{json_logger, silent_logger};
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -21,12 +21,13 @@
 use tokio::time::Instant;
 
 use super::names;
-use super::transport::{notice_silence, remove_connection_headers};
+use super::transport::remove_connection_headers;
 use crate::core::units::Tokens;
 use crate::exchange::engine::Exchange;
 use crate::exchange::request::{
     BrokenBody, ExchangeRequest, PromptPart, Rejection, Reply, ReplyBody, TokenBound,
 };
+use crate::tcp::notice_silence;
 
 /// Time without acknowledgement after which a caller counts as gone.
 const CALLER_SILENCE_LIMIT: Duration = Duration::from_secs(4);
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -11,15 +11,16 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use super::transport::connect;
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::store::health::StoreHealth;
 use crate::store::kinds::{
     Change, Changes, Freshness, KindError, KindObject, KindStore, Listing, Revision,
 };
+use crate::tcp::connect;
 use crate::util::lock;
 
 /// Longest wait for an answer. A store that is only slow answers within a quarter of a second.
@@ -183,7 +184,7 @@
         let stream = connect(self.address, CONNECT_TIMEOUT, SILENCE_LIMIT)
             .await
             .map_err(no_answer)?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(stream)
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
             .map_err(no_answer)?;
         // The calls on the connection see its errors.
--- a/src/platform/sinks.rs
+++ b/src/platform/sinks.rs
@@ -1,6 +1,6 @@
 //! Hands what is followed in the store to the exchange.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use slog::{info, warn, Logger};
 use tokio::time::Instant;
@@ -11,9 +11,8 @@
 use crate::core::ids::ReplicaId;
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::Exchange;
-use crate::store::follow::KindSink;
+use crate::store::feed::KindSink;
 use crate::store::kinds::{Change, KindObject};
-use crate::util::lock;
 
 /// Puts the operator's lists in force.
 pub(crate) struct ConfigSink {
@@ -48,12 +47,6 @@
 }
 
 impl KindSink for ConfigSink {
-    fn learn_all(&self, objects: Vec<KindObject>) {
-        for object in &objects {
-            self.learn_object(object);
-        }
-    }
-
     fn learn(&self, change: Change) {
         if !change.is_removed {
             self.learn_object(&change.object);
@@ -64,40 +57,24 @@
 /// Keeps the directory of replicas.
 pub(crate) struct ReplicaSink {
     directory: Arc<Directory>,
-    known: Mutex<Vec<ReplicaId>>,
 }
 
 impl ReplicaSink {
     /// A sink for a directory.
-    pub(crate) fn new(directory: Arc<Directory>) -> Self {
-        Self {
-            directory,
-            known: Mutex::default(),
-        }
+    pub(crate) const fn new(directory: Arc<Directory>) -> Self {
+        Self { directory }
     }
 }
 
 impl KindSink for ReplicaSink {
-    fn learn_all(&self, objects: Vec<KindObject>) {
-        let entries: Vec<_> = objects.iter().filter_map(decode_replica).collect();
-        let mut known = lock(&self.known);
-        self.directory.learn_all(&entries, &known, Instant::now());
-        *known = entries.into_iter().map(|entry| entry.id).collect();
-    }
-
     fn learn(&self, change: Change) {
-        let mut known = lock(&self.known);
         match decode_replica(&change.object) {
             Some(entry) if !change.is_removed => {
-                if !known.contains(&entry.id) {
-                    known.push(entry.id.clone());
-                }
                 self.directory.learn_entry(&entry, Instant::now());
             }
             _ => {
                 // A removed entry, or one that was overwritten with something else.
                 if let Ok(id) = ReplicaId::new(change.object.name) {
-                    known.retain(|other| *other != id);
                     self.directory.learn_removed(&id, Instant::now());
                 }
             }
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -15,8 +15,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -25,6 +23,7 @@
     BodyStream, BrokenBody, Dispatch, DispatchError, ReplicaAddress, ReplicaAnswer, ReplicaNotice,
     ReplicaTransport, UnsentCause,
 };
+use crate::tcp::connect;
 use crate::util::lock;
 
 /// Longest wait for a connection to a replica in the same region.
@@ -41,30 +40,6 @@
 /// Most idle connections kept to one replica.
 const MAX_IDLE: usize = 6;
 
-/// Opens a TCP connection that notices a peer which has gone silent.
-pub(crate) async fn connect(
-    address: SocketAddr,
-    timeout: Duration,
-    silence_limit: Duration,
-) -> std::io::Result<TokioIo<TcpStream>> {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    notice_silence(&stream, silence_limit)?;
-    Ok(TokioIo::new(stream))
-}
-
-/// Sets the probes and limits by which a silent peer is noticed.
-pub(crate) fn notice_silence(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(Duration::from_secs(1))
-        .with_interval(Duration::from_secs(1));
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(limit))
-}
-
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -164,6 +139,7 @@
         let guard = self.count_open(replica)?;
         let stream = connect(replica.address, CONNECT_TIMEOUT, SILENCE_LIMIT)
             .await
+            .map(TokioIo::new)
             .map_err(|error| {
                 let cause = if error.kind() == std::io::ErrorKind::ConnectionRefused {
                     UnsentCause::Refused
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -1,17 +1,16 @@
-//! Follows all objects of a kind: lists them, then watches, and lists anew when history is gone.
+//! Follows all objects of a kind in the store while this router is one that watches: lists them,
+//! then watches, and lists anew when history is gone.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn, Logger};
+use tokio::sync::watch;
 
+use super::feed::KindFeed;
 use super::health::StoreHealth;
-use super::kinds::{Change, Changes, Freshness, KindError, KindObject, KindStore, Revision};
-use super::progress::KindProgress;
+use super::kinds::{Freshness, KindError, KindStore, Revision};
 
-/// Longest wait of one watch. Each answer is priced, so it is long; silent connections are found
-/// by the transport's probes.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause after changes before the next watch, so that changes which come in quick succession share
 /// one priced answer. What it delays has to be in force within two seconds.
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
@@ -21,36 +20,44 @@
 /// mostly noticed by cheaper calls.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// Takes in what a follower sees.
-pub(crate) trait KindSink: Send + Sync {
-    /// All objects at once.
-    fn learn_all(&self, objects: Vec<KindObject>);
-
-    /// One change.
-    fn learn(&self, change: Change);
-}
-
 /// Follows one kind.
 pub(crate) struct Follower {
     /// The store.
     pub store: Arc<dyn KindStore>,
     /// Whether it answers.
     pub health: Arc<StoreHealth>,
-    /// The kind, and how far others have seen it.
-    pub progress: Arc<KindProgress>,
-    /// Takes in what is seen.
-    pub sink: Arc<dyn KindSink>,
+    /// The kind and what is known of it.
+    pub feed: Arc<KindFeed>,
+    /// How fresh the watch has to be.
+    pub freshness: Freshness,
+    /// Longest wait of one watch. Each answer is priced.
+    pub watch_wait: Duration,
+    /// True while this router watches the store.
+    pub is_watching: watch::Receiver<bool>,
     /// For what the follower comes to believe.
     pub log: Logger,
 }
 
 impl Follower {
-    /// Follows the kind until the process ends.
+    /// Follows the kind until the process ends, whenever this router watches the store.
+    pub(crate) async fn run(self) {
+        let mut is_watching = self.is_watching.clone();
+        // The sender lives as long as the process.
+        while is_watching.wait_for(|watches| *watches).await.is_ok() {
+            tokio::select! {
+                () = self.follow() => {}
+                _ = is_watching.wait_for(|watches| !*watches) => {}
+            }
+            self.feed.set_current(false);
+        }
+    }
+
+    /// Follows the kind.
     ///
     /// When other calls show that an outage has ended, the kind is listed anew: a watch from before
     /// may hang, and what it missed is not told later.
-    pub(crate) async fn run(self) {
-        let kind = self.progress.kind;
+    async fn follow(&self) {
+        let kind = self.feed.kind;
         let log = &self.log;
         let mut recoveries = self.health.recoveries();
         let mut pause = FIRST_PAUSE;
@@ -75,14 +82,17 @@
                     }
                 },
             };
+            self.feed.set_current(found.is_ok());
             match found {
-                Ok(changes) => {
-                    revision = Some(changes.revision);
+                Ok(watched) => {
+                    revision = Some(watched.revision);
                     pause = FIRST_PAUSE;
                     if std::mem::take(&mut is_lost) {
                         info!(log, "store regained"; "kind" => kind, "revision" => revision);
                     }
-                    self.take_in(changes).await;
+                    if watched.has_changes {
+                        tokio::time::sleep(SETTLE_PAUSE).await;
+                    }
                 }
                 Err(KindError::HistoryGone) => {
                     info!(log, "history gone; listing anew"; "kind" => kind, "revision" => revision);
@@ -104,48 +114,42 @@
         }
     }
 
-    /// Lists all objects. There are no changes to take in afterwards.
-    async fn list(&self) -> Result<Changes, KindError> {
-        let kind = self.progress.kind;
-        let listing = self.store.list(kind, Freshness::Linearizable).await?;
-        let newest = listing.objects.iter().map(|object| object.revision).max();
-        self.progress.note_change(newest.unwrap_or_default());
-        self.sink.learn_all(listing.objects);
-        Ok(Changes {
-            changes: Vec::new(),
-            revision: listing.revision,
+    /// Lists all objects as they are now.
+    async fn list(&self) -> Result<Watched, KindError> {
+        let listing = self
+            .store
+            .list(self.feed.kind, Freshness::Linearizable)
+            .await?;
+        let revision = listing.revision;
+        self.feed.learn_listing(listing);
+        Ok(Watched {
+            revision,
+            has_changes: false,
         })
     }
 
-    /// Waits for changes, by a watch that may be old while others watch the newest state.
-    async fn next_changes(&self, after: Revision) -> Result<Changes, KindError> {
-        let kind = self.progress.kind;
-        let watch = |wait, freshness| self.store.watch(kind, after, wait, freshness);
-        if self.progress.is_guarded() {
-            tokio::select! {
-                found = watch(WATCH_WAIT, Freshness::Stale) => return found,
-                () = self.progress.needs_newest(after) => {}
-            }
+    /// Waits for changes.
+    async fn next_changes(&self, after: Revision) -> Result<Watched, KindError> {
+        let mut changes = self
+            .store
+            .watch(self.feed.kind, after, self.watch_wait, self.freshness)
+            .await?;
+        if self.freshness == Freshness::Stale {
+            // The store's revision may be newer than the state that an old answer shows.
+            changes.revision = changes.newest_revision().unwrap_or(after);
         }
-        let wait = if self.progress.is_guarded() {
-            Duration::ZERO
-        } else {
-            WATCH_WAIT
+        let watched = Watched {
+            revision: changes.revision,
+            has_changes: !changes.changes.is_empty(),
         };
-        let changes = watch(wait, Freshness::Linearizable).await?;
-        if let Some(newest) = changes.newest_revision() {
-            self.progress.note_change(newest);
-        }
-        Ok(changes)
+        self.feed.learn_changes(changes);
+        Ok(watched)
     }
+}
 
-    async fn take_in(&self, changes: Changes) {
-        let has_changes = !changes.changes.is_empty();
-        for change in changes.changes {
-            self.sink.learn(change);
-        }
-        if has_changes {
-            tokio::time::sleep(SETTLE_PAUSE).await;
-        }
-    }
+/// What one call has brought.
+struct Watched {
+    /// Revision from which to watch on.
+    revision: Revision,
+    has_changes: bool,
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,11 +1,12 @@
 //! The platform's object API: versions, conditional updates and watches.
 
-pub mod follow;
+pub(crate) mod feed;
+pub mod feed_log;
+pub(crate) mod follow;
 pub(crate) mod health;
 pub mod http;
 pub mod kinds;
 pub mod memory;
-pub(crate) mod progress;
 pub mod update;
 
 use std::fmt;
--- /dev/null
+++ b/tests/entry/feed.rs
@@ -0,0 +1,174 @@
+//! A fleet in which few routers watch the store and the others hear of its changes from them.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use super::replica::{Behaviour, StandInReplica};
+use super::site::{lists, wait_ready, wait_until, Call, Router, Site};
+use super::{site_with, PLENTY};
+
+/// Routers of one failure domain of which the two large ones watch.
+struct Fleet {
+    site: Site,
+    replicas: Vec<StandInReplica>,
+    /// They reach the store by a door that can be closed.
+    watchers: Vec<Router>,
+    door_of_watchers: Arc<AtomicBool>,
+    others: Vec<Router>,
+    /// One of the others, with a door of its own.
+    cut: Router,
+    door_of_cut: Arc<AtomicBool>,
+}
+
+fn watches(router: &Router) -> bool {
+    let changes = router.log_of("watch duty changed");
+    changes.last().is_some_and(|line| line["watches"] == true)
+}
+
+fn is_in_force(router: &Router, version: u64) -> bool {
+    let lines = router.log_of("configuration in force");
+    let last = lines.last();
+    last.is_some_and(|line| line["config_version"] == version)
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let (site, replicas) = site_with(&[Behaviour::Answer, Behaviour::Answer]).await;
+        let (door, door_of_watchers) = site.store.open_door().await;
+        let (own_door, door_of_cut) = site.store.open_door().await;
+        let watchers: Vec<Router> = (0..2)
+            .map(|number| site.large_router(&format!("large-{number}"), door))
+            .collect();
+        let others: Vec<Router> = (0..10)
+            .map(|number| site.router(&format!("small-{number}")))
+            .collect();
+        let cut = site.router_by("small-cut", own_door);
+        for router in watchers.iter().chain(&others).chain([&cut]) {
+            wait_ready(router).await;
+        }
+        let fleet = Self {
+            site,
+            replicas,
+            watchers,
+            door_of_watchers,
+            others,
+            cut,
+            door_of_cut,
+        };
+        wait_until("only the large ones watch", || async {
+            fleet.watchers.iter().all(watches) && !fleet.members().any(watches)
+        })
+        .await;
+        fleet
+    }
+
+    fn members(&self) -> impl Iterator<Item = &Router> {
+        self.others.iter().chain([&self.cut])
+    }
+
+    /// Puts a version in force and waits until some routers have it.
+    async fn put_and_wait<'a, I>(&self, version: u64, routers: I)
+    where
+        I: Iterator<Item = &'a Router>,
+    {
+        let routers: Vec<&Router> = routers.collect();
+        self.site
+            .store
+            .put("config", "main", &lists(version, PLENTY));
+        wait_until("the lists are in force", || async {
+            routers.iter().all(|router| is_in_force(router, version))
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_costs_the_store_two_reads_however_many_routers_hear_of_it() {
+    let fleet = Fleet::start().await;
+    let all = || fleet.members().chain(&fleet.watchers);
+    fleet.put_and_wait(2, all()).await;
+    let before = fleet.site.store.reads("config");
+    for version in 3..=8 {
+        fleet.put_and_wait(version, all()).await;
+    }
+    let reads = fleet.site.store.reads("config") - before;
+    // Each watch of a watcher is answered once a change, and one of each may still wait.
+    assert!(reads <= 2 * 6 + 2, "{reads} reads");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_does_not_reach_the_store_hears_of_changes_from_those_that_do() {
+    let fleet = Fleet::start().await;
+    fleet.door_of_cut.store(false, Ordering::Relaxed);
+    fleet.put_and_wait(2, [&fleet.cut].into_iter()).await;
+    fleet.site.enter_as(&fleet.replicas[0], "draining");
+    wait_until("it hears that a replica leaves", || async {
+        let lines = fleet.cut.log_of("replica learned");
+        lines.iter().any(|line| line["draining"] == true)
+    })
+    .await;
+    let unknown_key = Call::new("look", "a-1").with("authorization", "Token nobody");
+    let got = unknown_key.send(fleet.cut.callers).await.unwrap();
+    assert_eq!(got.status, 401, "newer lists would be heard of");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_whose_watchers_are_cut_off_watch_themselves_until_those_are_back() {
+    let fleet = Fleet::start().await;
+    fleet.door_of_watchers.store(false, Ordering::Relaxed);
+    fleet.site.store.cut_connections();
+    fleet.put_and_wait(2, fleet.members()).await;
+    assert!(fleet.members().any(watches));
+    fleet.door_of_watchers.store(true, Ordering::Relaxed);
+    wait_until("only the large ones watch again", || async {
+        fleet.watchers.iter().all(watches) && !fleet.members().any(watches)
+    })
+    .await;
+    let all = fleet.members().chain(&fleet.watchers);
+    fleet.put_and_wait(3, all).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_watcher_holds_no_change_back() {
+    let fleet = Fleet::start().await;
+    fleet.watchers[0].freeze();
+    for version in 2..=4 {
+        let running = fleet.members().chain([&fleet.watchers[1]]);
+        fleet.put_and_wait(version, running).await;
+    }
+    fleet.watchers[0].thaw();
+    fleet.put_and_wait(5, fleet.watchers.iter()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_heard_of_after_all_watchers_died() {
+    let mut fleet = Fleet::start().await;
+    for watcher in &mut fleet.watchers {
+        watcher.kill();
+    }
+    fleet.put_and_wait(2, fleet.members()).await;
+    for watcher in &mut fleet.watchers {
+        watcher.restart();
+        wait_ready(watcher).await;
+    }
+    let all = fleet.members().chain(&fleet.watchers);
+    fleet.put_and_wait(3, all).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lapsed_entry_counts_as_gone_only_after_the_outage_that_a_watcher_saw() {
+    let fleet = Fleet::start().await;
+    fleet.site.store.go_down();
+    wait_until("the watchers notice", || async {
+        let lost = |router: &Router| !router.log_of("store lost").is_empty();
+        fleet.watchers.iter().all(lost)
+    })
+    .await;
+    fleet.site.store.remove("servers", &fleet.replicas[0].id);
+    fleet.site.store.set_faults(super::StoreFaults::default());
+    wait_until("the lapse is heard of", || async {
+        let kept = |router: &Router| !router.log_of("entry lapsed; kept for now").is_empty();
+        fleet.members().all(kept)
+    })
+    .await;
+}
