Spread the tries to stand in for the ledger's writers by their place

Cause: while all VMs were cut from the store, each of 295 tried the ledger each second to stand in for the five that draw on it. In the half second between the end of a cut and the word of those five, 51 and 63 routers stood in; each then gave back what it drew by a conditional write of its own, and met the writes of all others for ten seconds.

Change: the pause between two tries grows with the router's place in the order, so that the tries of all in half a second grow with the logarithm of the fleet (tests/duty.rs: at most 10 at 295, 15 at 2,100; was 150).

Ruled out: no stand-in beyond the first places (when a part of the VMs is cut from the store, all of the first ones may be in it).

--- a/src/core/duty.rs
+++ b/src/core/duty.rs
@@ -14,6 +14,10 @@
 /// Routers that draw for a larger fleet. Each writes at most ten times a second and a write takes
 /// some ten milliseconds, so five leave half of the time free.
 const MOST_DISTRIBUTORS: usize = 5;
+/// Time between two tries of the first router in the order to stand in, in milliseconds.
+const STAND_IN_PAUSE_MS: u64 = 1_000;
+/// What each further place adds to that time, in milliseconds.
+const STAND_IN_PAUSE_STEP_MS: u64 = 250;
 /// Routers of each failure domain that watch the store in a larger fleet. The others ask them by
 /// turns, so that one which lags behind is noticed.
 const WATCHERS_PER_DOMAIN: usize = 2;
@@ -64,6 +68,23 @@
     order.into_iter().map(|(_, index)| index).collect()
 }
 
+/// Time between two tries of a router to stand in for those that draw on the ledger, by its place
+/// in the order, in milliseconds.
+///
+/// All routers try while an outage lasts. The first ones that find the ledger again stand in before
+/// the others hear of it, so their number is bounded by the tries of all in that time: it grows with
+/// the logarithm of the fleet.
+///
+/// ```
+/// use currantlever::stand_in_pause_ms;
+/// assert_eq!(stand_in_pause_ms(0), 1_000);
+/// assert_eq!(stand_in_pause_ms(294), 74_500);
+/// ```
+#[must_use]
+pub const fn stand_in_pause_ms(place: usize) -> u64 {
+    STAND_IN_PAUSE_MS + STAND_IN_PAUSE_STEP_MS * place as u64
+}
+
 /// The routers that watch the store for all, by their places in the list: the most capable two of
 /// each failure domain, or all of a small fleet.
 ///
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -11,6 +11,7 @@
 use super::grant_updates::LedgerTurn;
 use super::grants::Grants;
 use super::members::{LedgerDuty, Members};
+use crate::core::duty::stand_in_pause_ms;
 use crate::core::ledger::LedgerShard;
 use crate::store::kinds::{KindError, KindObject, KindStore, Revision};
 
@@ -30,8 +31,6 @@
 const STAND_IN_STEP: Duration = Duration::from_millis(15);
 /// Longest wait for the ledger before standing in: several of its usual answers.
 const STAND_IN_WAIT: Duration = Duration::from_millis(300);
-/// Time between two tries to stand in.
-const STAND_IN_PAUSE: Duration = Duration::from_secs(1);
 /// First pause after the store gave no answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after the store gave no answer.
@@ -161,9 +160,10 @@
             .grants
             .others_cut_off_since()
             .is_some_and(|since| since.elapsed() >= wait);
+        let pause = Duration::from_millis(stand_in_pause_ms(duty.place));
         let is_tried = self
             .last_stand_in_try
-            .is_some_and(|last| last.elapsed() < STAND_IN_PAUSE);
+            .is_some_and(|last| last.elapsed() < pause);
         if is_turn && !is_tried {
             self.last_stand_in_try = Some(Instant::now());
             let found = tokio::time::timeout(STAND_IN_WAIT, self.read()).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,7 +35,9 @@
 pub use crate::core::bill::{Bill, BudgetTotals, RunEnd, RunId, Settlement};
 pub use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
 pub use crate::core::cover::{fleet_cover_tokens, CoverPolicy, RankedDemand, WarmMeter};
-pub use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
+pub use crate::core::duty::{
+    distributor_count, ledger_order, stand_in_pause_ms, store_watchers, DutyCandidate,
+};
 pub use crate::core::holder::{Holder, ReserveError, UpdateWish};
 pub use crate::core::ids::{
     BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
--- a/tests/duty.rs
+++ b/tests/duty.rs
@@ -1,8 +1,12 @@
 //! Which routers draw on the ledger, in fleets of several sizes.
 
+#![allow(clippy::cast_precision_loss, reason = "small counts")]
+
 use std::collections::HashSet;
 
-use currantlever::{distributor_count, ledger_order, DutyCandidate, FailureDomain};
+use currantlever::{
+    distributor_count, ledger_order, stand_in_pause_ms, DutyCandidate, FailureDomain,
+};
 
 fn ledger_distributors(candidates: &[DutyCandidate]) -> Vec<usize> {
     let mut order = ledger_order(&candidates.iter().collect::<Vec<_>>());
@@ -76,3 +80,16 @@
     let next: HashSet<u64> = next.iter().map(|i| rest[*i].order).collect();
     assert_eq!(names.intersection(&next).count(), 4);
 }
+
+/// After an outage that all routers saw, those that try before they hear that the routers on duty
+/// draw again all stand in, and each that does gives back what it drew by a write of its own.
+#[test]
+fn few_routers_stand_in_together_after_an_outage_however_large_the_fleet() {
+    // Time until the routers on duty have found the ledger and said so.
+    let notice_s = 0.5;
+    for (routers, most) in [(87, 8.0), (295, 10.0), (1_000, 13.0), (2_100, 15.0)] {
+        let tries_per_s = |place| 1_000.0 / stand_in_pause_ms(place) as f64;
+        let tries: f64 = (0..routers).map(tries_per_s).sum();
+        assert!(tries * notice_s <= most, "{routers}: {}", tries * notice_s);
+    }
+}
