Let a router use as many connections to a replica as its requests have slots

Cause: a replica's connections were divided evenly among all routers: 1,800 by 295 is 6.

Change: what a router may keep idle stays an even part; in use it may have half as many more as the replica has slots, which is what the choice of a replica admits at most.

Test: tests/entry/load.rs, 13 routers, 8 requests to one replica of 8 slots by one of them: before, one was refused; now all are served.

--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -340,14 +340,17 @@
                 if place_wish.prompt.is_some() {
                     pool.mix.note(unread_tokens);
                 }
+                // What all may keep idle is shared evenly; what is in use is bounded by the slots.
                 let share = (pool.connection_limit / routers).max(LEAST_CONNECTIONS);
+                let in_use = place.slots + place.slots / 2;
                 Search::Found(ChosenReplica {
                     pools: Arc::clone(self),
                     pool: wish.pool.clone(),
                     replica: ReplicaAddress {
                         id: place.id.clone(),
                         address: pool.replicas[index].address,
-                        connection_limit: share as usize,
+                        connection_limit: (share + in_use) as usize,
+                        idle_limit: share as usize,
                     },
                     unread_tokens,
                 })
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -85,6 +85,8 @@
     pub address: SocketAddr,
     /// Connections that this router may hold open there.
     pub connection_limit: usize,
+    /// Connections that it may keep idle there.
+    pub idle_limit: usize,
 }
 
 /// One try of a request at one replica.
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -89,11 +89,11 @@
         connections.pop()
     }
 
-    fn give(&self, connection: Connection) {
+    fn give(&self, connection: Connection, most: usize) {
         let mut idle = lock(&self.by_address);
         let connections = idle.entry(connection.address).or_default();
         connections.push(connection);
-        if connections.len() > MAX_IDLE {
+        if connections.len() > most.min(MAX_IDLE) {
             connections.remove(0);
         }
     }
@@ -275,7 +275,7 @@
             let reason = CompactString::const_new(reason);
             return Err(DispatchError::Unknown { reason, notice });
         }
-        Ok(self.answer(response, notice, connection))
+        Ok(self.answer(response, notice, connection, dispatch.replica.idle_limit))
     }
 }
 
@@ -327,6 +327,7 @@
         response: Response<Incoming>,
         notice: ReplicaNotice,
         connection: Connection,
+        idle_limit: usize,
     ) -> ReplicaAnswer {
         let (parts, body) = response.into_parts();
         let reuse_limit = reuse_limit(&parts.headers);
@@ -340,7 +341,13 @@
             is_not_run: is_not_run || is_other_replica,
             is_other_replica,
             notice,
-            body: read_body(body, connection, reuse_limit, Arc::clone(&self.idle)),
+            body: read_body(
+                body,
+                connection,
+                reuse_limit,
+                Arc::clone(&self.idle),
+                idle_limit,
+            ),
         }
     }
 }
@@ -368,6 +375,7 @@
     mut connection: Connection,
     reuse_limit: Option<Duration>,
     idle: Arc<IdleConnections>,
+    idle_limit: usize,
 ) -> BodyStream {
     let pieces = stream! {
         while let Some(frame) = body.frame().await {
@@ -386,7 +394,7 @@
         if let Some(limit) = reuse_limit {
             connection.idle_since = Instant::now();
             connection.usable_until = connection.idle_since + limit;
-            idle.give(connection);
+            idle.give(connection, idle_limit);
         }
     };
     pieces.boxed()
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod feed;
 mod leaving;
+mod load;
 mod replica;
 mod site;
 mod store;
