Tell callers routers by capacity, room and heartbeats

Cause 1: an answer to a caller was the first 16 routers of its failure domain by address, whether full or dead: hellos reach a given VM every 3.7 s in a fleet of 295, so a dead one was named for up to 18 s, one that leaves for up to 4 s.

`core/presence.rs` merges heartbeats, which ride on the asks to the watchers: gone after two seconds of silence. `exchange/room.rs` tells what is left of descriptors and of the punctuality of timers; under a tenth the router leaves the answers. Watchers of a domain ask each other too.

Ruled out: an independent draw for each router (1.31 times the fair share at 1,000 VMs; a ring is even); naming the whole domain (small VMs keep teams).

Change 2: a router that watches believes its own calls only; another one believes in an outage unless a watcher was served all the time.

One test waits for a state that it took for given before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,20 +12,21 @@
 use tokio::time::Instant;
 
 use crate::core::policy::PolicyName;
+use crate::core::presence::OwnWord;
 use crate::entry_settings::EntrySettings;
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::Exchange;
 use crate::exchange::feed_keeper::FeedKeeper;
-use crate::exchange::feed_link::serve_feed;
+use crate::exchange::feed_link::{serve_feed, FeedParts};
 use crate::exchange::grants::{holder_on_vm, Grants};
 use crate::exchange::hellos::{
-    keep_entries, leave, receive_datagrams, send_hellos, EntrySink, HelloParts, IsReady,
-    ROUTER_KIND,
+    keep_entries, leave, receive_datagrams, send_hellos, EntrySink, HelloParts, ROUTER_KIND,
 };
 use crate::exchange::ledger_sync::LedgerSync;
-use crate::exchange::members::{Members, RouterEntry};
+use crate::exchange::members::{Members, OwnWordSource, RouterEntry};
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
+use crate::exchange::room::Room;
 use crate::exchange::transfers::send_transfers;
 use crate::platform::ingress::Ingress;
 use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
@@ -129,11 +130,13 @@
             log.clone(),
         ));
         let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
+        let room = new_room(settings.max_descriptors, &ingress, &transport);
         let registry = Arc::new(Registry::new(
             Arc::clone(&members),
             Arc::clone(&exchange),
             Arc::clone(&pools),
             Arc::clone(&metrics),
+            Arc::clone(&room),
         ));
         listen_all(&settings, &ingress, &registry).await?;
         let socket = UdpSocket::bind(settings.peer_listen)
@@ -150,6 +153,7 @@
             pools: &pools,
             grants: &grants,
             registry: &registry,
+            room: &room,
             transport: &transport,
             log: &log,
         }
@@ -228,6 +232,7 @@
     pools: &'a Arc<Pools>,
     grants: &'a Arc<Grants>,
     registry: &'a Arc<Registry>,
+    room: &'a Arc<Room>,
     transport: &'a Arc<HttpTransport>,
     log: &'a Logger,
 }
@@ -243,12 +248,16 @@
             members: members(),
             grants: grants(),
             pools: Arc::clone(self.pools),
+            room: Arc::clone(self.room),
             log: log(),
         };
-        let registry = Arc::clone(self.registry);
-        let is_ready: IsReady = Arc::new(move || registry.is_ready());
         let sending = Arc::clone(&socket);
-        tokio::spawn(send_hellos(sending, parts.clone(), process, is_ready));
+        tokio::spawn(send_hellos(
+            sending,
+            parts.clone(),
+            process,
+            self.own_word(),
+        ));
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
         tokio::spawn(receive_datagrams(socket, parts));
         tokio::spawn(keep_entries(store(), members(), routers, log()));
@@ -292,23 +301,36 @@
             };
             tokio::spawn(follower.run());
         }
-        tokio::spawn(serve_feed(
-            listener,
-            feed.clone(),
-            health(),
-            self.log.clone(),
-        ));
-        let keeper = FeedKeeper::new(
-            store(),
+        let parts = FeedParts {
             feed,
-            health(),
-            Arc::clone(self.members),
-            is_watching,
-            self.log.clone(),
-        );
+            health: health(),
+            members: Arc::clone(self.members),
+            own_word: self.own_word(),
+        };
+        tokio::spawn(serve_feed(listener, parts.clone(), self.log.clone()));
+        let keeper = FeedKeeper::new(store(), parts, is_watching, self.log.clone());
         tokio::spawn(keeper.run());
         routers
     }
+
+    fn own_word(&self) -> OwnWordSource {
+        let (registry, room) = (Arc::clone(self.registry), Arc::clone(self.room));
+        Arc::new(move || OwnWord {
+            is_ready: registry.is_ready(),
+            room_percent: room.percent(),
+        })
+    }
+}
+
+/// The room of a router by its connections to callers and replicas.
+fn new_room(
+    max_descriptors: u32,
+    ingress: &Arc<Ingress>,
+    transport: &Arc<HttpTransport>,
+) -> Arc<Room> {
+    let (ingress, transport) = (Arc::clone(ingress), Arc::clone(transport));
+    let open_connections = move || ingress.open_count() + transport.open_count();
+    Arc::new(Room::new(max_descriptors, Box::new(open_connections)))
 }
 
 fn listen_error(place: &'static str, address: SocketAddr, source: std::io::Error) -> EntryError {
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -32,6 +32,8 @@
     pub store_address: SocketAddr,
     /// Processor time that the VM has, in cores.
     pub cpu_cores: f64,
+    /// Descriptors that the process may hold open.
+    pub max_descriptors: u32,
     /// Time from SIGTERM until the process is killed.
     pub grace_s: f64,
     /// What the fleet may repeat.
@@ -97,6 +99,12 @@
     /// Fails with the place and reason of the first fault.
     pub fn check(&self) -> Result<(), SettingsError> {
         check_range("cpu_cores", self.cpu_cores, 0.001, 1_000.0)?;
+        check_range(
+            "max_descriptors",
+            f64::from(self.max_descriptors),
+            512.0,
+            1e9,
+        )?;
         check_range("grace_s", self.grace_s, 0.5, 3_600.0)?;
         check_range("retries.ratio", self.retries.ratio, 0.0, 10.0)?;
         check_range("retries.slack", self.retries.slack, 0.0, 1_000_000.0)?;
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -76,7 +76,7 @@
         let mut state = lock(&self.state);
         if let Some(incarnation) = self.pools.leaving_incarnation(id) {
             state.left.insert(id.clone(), (incarnation, now));
-        } else if let Some(end) = return_limit(self.store_health.last_failure(), now) {
+        } else if let Some(end) = return_limit(self.store_health.last_outage(), now) {
             state.missing.entry(id.clone()).or_insert(end);
             info!(self.log, "entry lapsed; kept for now"; "replica" => id.as_str());
             return;
--- a/src/exchange/feed_keeper.rs
+++ b/src/exchange/feed_keeper.rs
@@ -15,17 +15,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::feed_link::FeedSource;
-use super::members::{Members, WatchDuty};
-use crate::store::feed::Feed;
-use crate::store::health::StoreHealth;
+use super::feed_link::{FeedParts, FeedSource};
+use super::members::WatchDuty;
 use crate::store::kinds::{Freshness, KindError, KindStore};
 use crate::util::millis;
 
 /// How long an asked router waits for news before it says that there are none.
-const ASK_WAIT: Duration = Duration::from_millis(500);
-/// Time between two looks of a router that watches itself.
-const WATCHER_LOOK: Duration = Duration::from_millis(200);
+const ASK_WAIT: Duration = Duration::from_millis(300);
 /// Pause while there is nobody to ask.
 const LONELY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a router that failed an ask, or is not in step with the store, is not asked.
@@ -60,9 +56,7 @@
 /// Keeps a router's feed.
 pub(crate) struct FeedKeeper {
     store: Arc<dyn KindStore>,
-    feed: Feed,
-    health: Arc<StoreHealth>,
-    members: Arc<Members>,
+    parts: FeedParts,
     /// Tells the followers whether this router watches.
     is_watching: watch::Sender<bool>,
     log: Logger,
@@ -80,17 +74,13 @@
     /// A keeper that has not begun.
     pub(crate) fn new(
         store: Arc<dyn KindStore>,
-        feed: Feed,
-        health: Arc<StoreHealth>,
-        members: Arc<Members>,
+        parts: FeedParts,
         is_watching: watch::Sender<bool>,
         log: Logger,
     ) -> Self {
         Self {
             store,
-            feed,
-            health,
-            members,
+            parts,
             is_watching,
             log,
             sources: HashMap::new(),
@@ -107,16 +97,16 @@
     pub(crate) async fn run(mut self) {
         self.read_first().await;
         loop {
-            let duty = self.members.watch_duty();
+            let mut duty = self.parts.members.watch_duty();
             self.set_watching(&duty);
-            if duty.watches && self.feed.is_current() && !self.health.is_call_failing() {
-                self.sources.clear();
+            let is_current = self.parts.feed.is_current() && !self.parts.health.is_call_failing();
+            if duty.watches && is_current {
                 self.note_word();
-                tokio::time::sleep(WATCHER_LOOK).await;
-                continue;
+                // Those of its own failure domain tell which routers of it are there.
+                duty.far.clear();
             }
             match self.next_source(&duty) {
-                Some(router) => self.ask(router).await,
+                Some(router) => self.ask(router, duty.near.contains(&router)).await,
                 None => tokio::time::sleep(LONELY_PAUSE).await,
             }
             if !duty.watches && !self.stands_in {
@@ -127,7 +117,7 @@
 
     /// Reads all kinds once, so that this router can serve before it knows whom to ask.
     async fn read_first(&self) {
-        for kind in self.feed.kinds() {
+        for kind in self.parts.feed.kinds() {
             let mut pause = FIRST_PAUSE;
             loop {
                 match self.store.list(kind.kind, Freshness::Stale).await {
@@ -154,31 +144,44 @@
             is_changed
         });
         if is_changed {
+            self.parts.health.set_watching(watches);
             info!(self.log, "watch duty changed"; "watches" => watches,
-                "stands_in" => self.stands_in, "routers_known" => self.members.known_count());
+                "stands_in" => self.stands_in, "routers_known" => self.parts.members.known_count());
         }
     }
 
-    /// The next router to ask: watchers of the own failure domain by turns, then those of others.
+    /// The next router to ask: watchers of the own failure domain by turns. While those are out of
+    /// step, every other turn goes to one of another domain; they still tell who is there.
     fn next_source(&mut self, duty: &WatchDuty) -> Option<SocketAddr> {
         let now = Instant::now();
         let is_usable = |router: &&SocketAddr| {
             let passed_over = self.passed_over.get(*router);
             passed_over.is_none_or(|(until, _)| *until <= now)
         };
+        let is_out_of_step = |router: &&SocketAddr| {
+            let passed_over = self.passed_over.get(*router);
+            passed_over.is_some_and(|(_, reason)| *reason == PassReason::OutOfStep)
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let mut turn = self.turn;
         let mut usable: Vec<SocketAddr> = duty.near.iter().filter(is_usable).copied().collect();
+        if usable.is_empty() {
+            turn = self.turn / 2;
+            if self.turn.is_multiple_of(2) {
+                usable = duty.near.iter().filter(is_out_of_step).copied().collect();
+            }
+        }
         if usable.is_empty() {
             let far = duty.far.iter().filter(is_usable);
             usable = far.take(FAR_SOURCES).copied().collect();
         }
         self.sources
             .retain(|router, _| duty.near.contains(router) || usable.contains(router));
-        self.turn = self.turn.wrapping_add(1);
-        let place = self.turn.checked_rem(usable.len())?;
+        let place = turn.checked_rem(usable.len())?;
         Some(usable[place])
     }
 
-    async fn ask(&mut self, router: SocketAddr) {
+    async fn ask(&mut self, router: SocketAddr, is_near: bool) {
         let source = match self.sources.remove(&router) {
             Some(source) => Ok(source),
             None => FeedSource::open(router).await,
@@ -187,7 +190,7 @@
             self.pass_over(router, PassReason::Unreachable);
             return;
         };
-        match source.ask(&self.feed, &self.health, ASK_WAIT).await {
+        match source.ask(&self.parts, ASK_WAIT, is_near).await {
             Ok(word) => {
                 self.sources.insert(router, source);
                 if word.is_current {
@@ -229,7 +232,7 @@
             return;
         }
         self.last_try = Some(Instant::now());
-        let Some(kind) = self.feed.kinds().last() else {
+        let Some(kind) = self.parts.feed.kinds().last() else {
             return;
         };
         // The cheapest call: what has changed by now, possibly old.
--- a/src/exchange/feed_link.rs
+++ b/src/exchange/feed_link.rs
@@ -15,6 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use super::members::{Members, OwnWordSource};
+use crate::core::presence::OwnWord;
 use crate::store::feed::Feed;
 use crate::store::feed_log::{FeedNews, LoggedChange};
 use crate::store::health::StoreHealth;
@@ -42,6 +44,8 @@
     known: Vec<Option<Revision>>,
     /// How long to wait for news, in milliseconds.
     wait_ms: u32,
+    /// Who asks.
+    asker: WirePresence,
 }
 
 /// News, or word that there are none.
@@ -53,6 +57,59 @@
     failure_age_ms: Option<u64>,
     /// For each kind what is lacking.
     news: Vec<Option<WireNews>>,
+    /// Routers of its failure domain that are there.
+    present: Vec<WirePresence>,
+}
+
+/// A router's heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct WirePresence {
+    router: SocketAddr,
+    is_ready: bool,
+    room_percent: u8,
+    age_ms: u32,
+}
+
+impl WirePresence {
+    fn new(router: SocketAddr, word: OwnWord, age_ms: u64) -> Self {
+        Self {
+            router,
+            is_ready: word.is_ready,
+            room_percent: word.room_percent,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        }
+    }
+
+    const fn word(self) -> OwnWord {
+        OwnWord {
+            is_ready: self.is_ready,
+            room_percent: self.room_percent,
+        }
+    }
+
+    const fn age(self) -> Duration {
+        Duration::from_millis(self.age_ms as u64)
+    }
+}
+
+/// What a router tells another one with an ask or an answer, and learns from it.
+#[derive(Clone)]
+pub(crate) struct FeedParts {
+    /// The followed kinds.
+    pub feed: Feed,
+    /// Whether the store answers.
+    pub health: Arc<StoreHealth>,
+    /// The fleet.
+    pub members: Arc<Members>,
+    /// What this router says of itself.
+    pub own_word: OwnWordSource,
+}
+
+impl FeedParts {
+    fn own_presence(&self) -> WirePresence {
+        let own = self.members.own().peer_address;
+        WirePresence::new(own, (self.own_word)(), 0)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,21 +197,16 @@
 }
 
 /// Answers other routers until the listener is dropped.
-pub(crate) async fn serve_feed(
-    listener: TcpListener,
-    feed: Feed,
-    health: Arc<StoreHealth>,
-    log: Logger,
-) {
+pub(crate) async fn serve_feed(listener: TcpListener, parts: FeedParts, log: Logger) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let (feed, health, log) = (feed.clone(), Arc::clone(&health), log.clone());
+        let (parts, log) = (parts.clone(), log.clone());
         tokio::spawn(async move {
             // Whoever asked goes on elsewhere.
-            if let Err(error) = answer_asks(stream, &feed, &health).await {
+            if let Err(error) = answer_asks(stream, &parts).await {
                 debug!(log, "router left the feed"; "router" => peer.to_string(),
                     "reason" => error.to_string());
             }
@@ -162,17 +214,22 @@
     }
 }
 
-async fn answer_asks(stream: TcpStream, feed: &Feed, health: &StoreHealth) -> io::Result<()> {
+async fn answer_asks(stream: TcpStream, parts: &FeedParts) -> io::Result<()> {
     notice_silence(&stream, SILENCE_LIMIT)?;
     let mut link = frame(stream);
     loop {
         let ask: FeedAsk = receive(&mut link).await?;
-        let answer = answer_ask(&ask, feed, health).await;
+        let asker = ask.asker;
+        parts
+            .members
+            .learn_presence(asker.router, asker.word(), asker.age());
+        let answer = answer_ask(&ask, parts).await;
         send(&mut link, &answer).await?;
     }
 }
 
-async fn answer_ask(ask: &FeedAsk, feed: &Feed, health: &StoreHealth) -> FeedAnswer {
+async fn answer_ask(ask: &FeedAsk, parts: &FeedParts) -> FeedAnswer {
+    let (feed, health) = (&parts.feed, &parts.health);
     let mut news = feed.news();
     let wait = Duration::from_millis(u64::from(ask.wait_ms)).min(MAX_WAIT);
     let end = tokio::time::Instant::now() + wait;
@@ -195,9 +252,17 @@
         is_current: feed.is_current() && !health.is_call_failing(),
         failure_age_ms: health.failure_age().map(millis),
         news: found,
+        present: present(parts),
     }
 }
 
+/// Heartbeats of this router's failure domain, its own among them.
+fn present(parts: &FeedParts) -> Vec<WirePresence> {
+    let heard = parts.members.present_routers().into_iter();
+    let heard = heard.map(|(router, word, age_ms)| WirePresence::new(router, word, age_ms));
+    heard.chain([parts.own_presence()]).collect()
+}
+
 /// What a router answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct FeedWord {
@@ -208,6 +273,7 @@
 /// A connection to a router that is asked for news.
 #[derive(Debug)]
 pub(super) struct FeedSource {
+    router: SocketAddr,
     link: Link,
 }
 
@@ -216,20 +282,24 @@
     pub(super) async fn open(router: SocketAddr) -> io::Result<Self> {
         let stream = connect(router, CONNECT_TIMEOUT, SILENCE_LIMIT).await?;
         Ok(Self {
+            router,
             link: frame(stream),
         })
     }
 
-    /// Asks for news, takes them in and tells what the router said of itself.
+    /// Asks for news, takes them in and tells what the router said of itself. `is_near` says that
+    /// it is of this router's failure domain, so that it tells of all routers there.
     pub(super) async fn ask(
         &mut self,
-        feed: &Feed,
-        health: &StoreHealth,
+        parts: &FeedParts,
         wait: Duration,
+        is_near: bool,
     ) -> io::Result<FeedWord> {
+        let feed = &parts.feed;
         let ask = FeedAsk {
             known: feed.kinds().iter().map(|kind| kind.revision()).collect(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            asker: parts.own_presence(),
         };
         let answer = async {
             send(&mut self.link, &ask).await?;
@@ -240,7 +310,17 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         // What lapsed in an outage is only told from what has left by this.
         let failure_age = answer.failure_age_ms.map(Duration::from_millis);
-        health.note_word(answer.is_current, failure_age);
+        parts
+            .health
+            .note_word(self.router, answer.is_current, failure_age);
+        if is_near {
+            parts.members.note_hub();
+        }
+        for told in answer.present {
+            parts
+                .members
+                .learn_presence(told.router, told.word(), told.age());
+        }
         for (kind, news) in feed.kinds().iter().zip(answer.news) {
             if let Some(news) = news {
                 kind.learn_news(news.try_into()?);
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -6,10 +6,12 @@
 
 use slog::{debug, info, warn, Logger};
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
 
 use super::grants::Grants;
-use super::members::{entry_name, Hello, Members, RouterEntry, SILENT_HELLOS};
+use super::members::{entry_name, Hello, Members, OwnWordSource, RouterEntry, SILENT_HELLOS};
 use super::pools::Pools;
+use super::room::Room;
 use super::transfers::{learn_transfer, PeerMessage};
 use crate::store::feed::{KindFeed, KindSink};
 use crate::store::kinds::{Change, Freshness, KindError, KindObject, KindStore};
@@ -27,9 +29,6 @@
 /// Largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// Whether this router takes requests.
-pub(crate) type IsReady = Arc<dyn Fn() -> bool + Send + Sync>;
-
 /// What this router tells others, and where it keeps what they tell.
 #[derive(Clone)]
 pub(crate) struct HelloParts {
@@ -39,6 +38,8 @@
     pub grants: Arc<Grants>,
     /// The replicas and this router's work there.
     pub pools: Arc<Pools>,
+    /// How much more this router can take on.
+    pub room: Arc<Room>,
     /// For what this router comes to believe.
     pub log: Logger,
 }
@@ -48,12 +49,13 @@
     socket: Arc<UdpSocket>,
     parts: HelloParts,
     process: u64,
-    is_ready: IsReady,
+    own_word: OwnWordSource,
 ) {
     let HelloParts {
         members,
         grants,
         pools,
+        room,
         log,
     } = parts;
     let mut sequence = 0;
@@ -78,6 +80,7 @@
         } else {
             HELLOS_PER_ROUND
         };
+        let own_word = own_word();
         let (receivers, count) = members.next_receivers(most);
         let rounds = count.div_ceil(HELLOS_PER_ROUND).max(1);
         let interval = ROUND * u32::try_from(rounds).unwrap_or(u32::MAX);
@@ -85,14 +88,17 @@
             entry: members.own().clone(),
             process,
             sequence,
-            is_ready: is_ready(),
+            is_ready: own_word.is_ready,
+            room_percent: own_word.room_percent,
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.told_loads(),
             notices: pools.told_notices(),
             grants: told_grants,
         };
         PeerMessage::Hello(hello).send_all(&socket, &receivers);
-        tokio::time::sleep(ROUND).await;
+        let due = Instant::now() + ROUND;
+        tokio::time::sleep_until(due).await;
+        room.note_lag(due.elapsed());
     }
 }
 
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -18,19 +18,19 @@
 use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
-use crate::util::{lock, stable_hash};
+use crate::core::presence::{OwnWord, Presence, PresenceTable, GONE_AFTER_MS};
+use crate::core::subset::{weighted_subset, SubsetCandidate};
+use crate::util::{lock, millis, stable_hash};
 
 /// Silence after which a router counts as gone, in multiples of the time between its hellos.
 pub(super) const SILENT_HELLOS: u32 = 5;
-/// Least number of routers that callers are told while there are that many.
-const LEAST_ADDRESSES: usize = 2;
-/// Most routers that callers are told.
-const MOST_ADDRESSES: usize = 16;
 /// Time after the start within which routers that start with this one have an entry that stale
 /// readings show: half a second for the starts, a second for the age of a reading.
 const ALL_ENTERED: Duration = Duration::from_millis(1_500);
 /// Time after the start within which routers that have an entry are heard, if they are there.
 const FIRST_HEARD: Duration = Duration::from_secs(3);
+/// Room of a router that has not told any.
+const FULL_ROOM_PERCENT: u8 = 100;
 /// Tokens in one unit of a hello's unread work.
 const UNREAD_UNIT_TOKENS: u64 = 64;
 
@@ -98,6 +98,8 @@
     pub sequence: u64,
     /// True when it takes requests.
     pub is_ready: bool,
+    /// How much more it can take on, in hundredths.
+    pub room_percent: u8,
     /// Time until its next hello to the same router, in milliseconds.
     pub interval_ms: u32,
     /// Its work at each replica that has some.
@@ -139,6 +141,7 @@
     process: u64,
     sequence: u64,
     is_ready: bool,
+    room_percent: u8,
     interval: Duration,
     loads: Vec<ToldLoad>,
     /// True once its silence was noticed.
@@ -175,9 +178,14 @@
     pub far: Vec<SocketAddr>,
 }
 
+/// What this router says of itself now.
+pub(crate) type OwnWordSource = Arc<dyn Fn() -> OwnWord + Send + Sync>;
+
 #[derive(Debug, Default)]
 struct Others {
     members: HashMap<SocketAddr, Member>,
+    /// Routers of this router's failure domain by their addresses for hellos.
+    presence: PresenceTable<SocketAddr>,
     is_fleet_found: bool,
     loads: HashMap<u32, ReplicaLoad>,
     turn: usize,
@@ -268,6 +276,7 @@
             process: hello.process,
             sequence: hello.sequence,
             is_ready: hello.is_ready,
+            room_percent: hello.room_percent,
             interval: Duration::from_millis(u64::from(hello.interval_ms)),
             loads: hello.loads,
             is_silent: false,
@@ -346,6 +355,30 @@
         [own].into_iter().chain(others.present(is_starting)).unzip()
     }
 
+    /// Takes in a heartbeat of a router of this failure domain.
+    pub(crate) fn learn_presence(&self, router: SocketAddr, word: OwnWord, age: Duration) {
+        let at_ms = self.now_ms().saturating_sub(millis(age));
+        lock(&self.others).presence.learn(router, word, at_ms);
+    }
+
+    /// Notes that a router that watches for others tells of its failure domain now.
+    pub(crate) fn note_hub(&self) {
+        let now_ms = self.now_ms();
+        lock(&self.others).presence.note_hub(now_ms);
+    }
+
+    /// Routers of this failure domain that are there, with the ages of their heartbeats in
+    /// milliseconds.
+    pub(crate) fn present_routers(&self) -> Vec<(SocketAddr, OwnWord, u64)> {
+        let now_ms = self.now_ms();
+        lock(&self.others).presence.ages(now_ms).collect()
+    }
+
+    /// The process's monotonic clock. It starts at a time that no heartbeat is older than.
+    fn now_ms(&self) -> u64 {
+        millis(self.started.elapsed()) + GONE_AFTER_MS
+    }
+
     /// Routers known, this one included.
     pub(crate) fn known_count(&self) -> usize {
         lock(&self.others).members.len() + 1
@@ -381,37 +414,65 @@
         silent.map(|member| member.entry.peer_address).collect()
     }
 
-    /// Addresses for a caller in a failure domain, its own domain first.
+    /// Addresses for a caller in a failure domain. `own_room_percent` is none while this router
+    /// takes no requests.
     ///
     /// When this router hears nobody, it is probably itself that is cut off, so it goes on naming
     /// the routers that it knows.
-    pub(crate) fn addresses_for(&self, domain: &str, is_own_ready: bool) -> Vec<SocketAddr> {
+    pub(crate) fn addresses_for(
+        &self,
+        domain: &str,
+        own_room_percent: Option<u8>,
+    ) -> Vec<SocketAddr> {
         let others = lock(&self.others);
         let known: Vec<&Member> = others.members.values().collect();
-        let is_alive = |member: &&&Member| {
-            let heard = member.heard.as_ref();
-            heard.is_some_and(|heard| heard.is_alive() && heard.is_ready)
+        let now_ms = self.now_ms();
+        let is_usable = |member: &&&Member| {
+            let presence = self.presence(&others, member, now_ms);
+            match presence {
+                Presence::There(word) => word.is_ready,
+                Presence::Gone => false,
+                Presence::Unknown => {
+                    let heard = member.heard.as_ref();
+                    heard.is_some_and(|heard| heard.is_alive() && heard.is_ready)
+                }
+            }
         };
-        let alive: Vec<&Member> = known.iter().filter(is_alive).copied().collect();
+        let alive: Vec<&Member> = known.iter().filter(is_usable).copied().collect();
         let hears_nobody = alive.is_empty() && self.started.elapsed() > FIRST_HEARD;
         let usable = if hears_nobody { known } else { alive };
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        let own = is_own_ready.then_some(&self.own);
-        for entry in usable.iter().map(|member| &member.entry).chain(own) {
-            if entry.failure_domain.as_str() == domain {
-                near.push(entry.callers_address);
-            } else {
-                far.push(entry.callers_address);
-            }
-        }
-        near.sort_unstable();
-        far.sort_unstable();
-        if near.len() < LEAST_ADDRESSES {
-            near.extend(far);
+        let own = own_room_percent.map(|room| (&self.own, &self.own_candidate, room));
+        let usable = usable.iter().map(|member| {
+            let heard = member.heard.as_ref();
+            let room = match self.presence(&others, member, now_ms) {
+                Presence::There(word) => word.room_percent,
+                _ => heard.map_or(FULL_ROOM_PERCENT, |heard| heard.room_percent),
+            };
+            (&member.entry, &member.candidate, room)
+        });
+        let mut listed: Vec<_> = usable.chain(own).collect();
+        listed.sort_unstable_by_key(|(entry, ..)| entry.callers_address);
+        let candidates: Vec<SubsetCandidate> = listed
+            .iter()
+            .map(|(entry, candidate, room_percent)| SubsetCandidate {
+                hash: candidate.order,
+                failure_domain: entry.failure_domain.clone(),
+                cpu_millis: entry.cpu_millis,
+                room_percent: *room_percent,
+            })
+            .collect();
+        let subset = weighted_subset(&candidates, domain, self.own_candidate.order);
+        let addresses = subset.into_iter().map(|index| listed[index].0);
+        addresses.map(|entry| entry.callers_address).collect()
+    }
+
+    /// What heartbeats tell of a router. They are only complete for the own failure domain.
+    fn presence(&self, others: &Others, member: &Member, now_ms: u64) -> Presence {
+        if member.entry.failure_domain != self.own.failure_domain {
+            return Presence::Unknown;
         }
-        near.truncate(MOST_ADDRESSES);
-        near
+        let router = &member.entry.peer_address;
+        others.presence.presence(router, now_ms)
     }
 }
 
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -21,5 +21,6 @@
 pub(crate) mod record;
 pub(crate) mod relay;
 pub(crate) mod request;
+pub(crate) mod room;
 pub(crate) mod run;
 pub(crate) mod transfers;
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -19,6 +19,7 @@
 use crate::exchange::members::Members;
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
+use crate::exchange::room::Room;
 
 /// Seconds for which callers keep the addresses; some keep them three times as long.
 const ADDRESS_TTL_S: u32 = 2;
@@ -30,6 +31,7 @@
     exchange: Arc<Exchange>,
     pools: Arc<Pools>,
     metrics: Arc<ExchangeMetrics>,
+    room: Arc<Room>,
     is_leaving: AtomicBool,
 }
 
@@ -46,12 +48,14 @@
         exchange: Arc<Exchange>,
         pools: Arc<Pools>,
         metrics: Arc<ExchangeMetrics>,
+        room: Arc<Room>,
     ) -> Self {
         Self {
             members,
             exchange,
             pools,
             metrics,
+            room,
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -108,9 +112,10 @@
 
     fn resolve(&self, query: &str) -> Response<Full<Bytes>> {
         let zone = query.split('&').find_map(|pair| pair.strip_prefix("zone="));
+        let own_room = self.is_ready().then(|| self.room.percent());
         let addresses = self
             .members
-            .addresses_for(zone.unwrap_or_default(), self.is_ready());
+            .addresses_for(zone.unwrap_or_default(), own_room);
         if addresses.is_empty() {
             return answer(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -123,6 +123,11 @@
         self.idle.drop_old();
     }
 
+    /// Connections open to replicas.
+    pub(crate) fn open_count(&self) -> usize {
+        lock(&self.open.by_address).values().sum()
+    }
+
     async fn connection(
         &self,
         replica: &ReplicaAddress,
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -2,6 +2,8 @@
 //!
 //! A watch waits in silence, so it does not show that the store is out of reach; other calls do.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -12,16 +14,42 @@
 
 /// Age up to which the last answer to an own call shows that the store answers.
 const ANSWER_BELIEVED: Duration = Duration::from_secs(6);
-/// The same of another router's word, which comes several times a second.
+/// Time between failures at two routers that may be of one outage.
+const SAME_OUTAGE: Duration = Duration::from_secs(3);
+/// Age up to which another router's word is believed. It comes several times a second.
 const WORD_BELIEVED: Duration = Duration::from_secs(2);
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct State {
     failing_since: Option<Instant>,
     last_answer: Option<Instant>,
     last_failure: Option<Instant>,
-    /// When another router last said that the store answers it.
-    last_word: Option<Instant>,
+    /// True while this router's own calls show all outages.
+    is_watching: bool,
+    /// What other routers said, by their addresses.
+    words: HashMap<SocketAddr, Word>,
+}
+
+/// What another router said.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    at: Instant,
+    /// True when the store answers it.
+    is_answered: bool,
+    /// When the store last did not.
+    failure: Option<Instant>,
+}
+
+impl State {
+    fn is_answered(&self) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < ANSWER_BELIEVED;
+        self.failing_since.is_none() && self.last_answer.is_some_and(is_recent)
+    }
+
+    fn fresh_words(&self) -> impl Iterator<Item = &Word> {
+        let words = self.words.values();
+        words.filter(|word| word.at.elapsed() < WORD_BELIEVED)
+    }
 }
 
 /// The outcome of a process's calls to the store.
@@ -47,13 +75,35 @@
         state.last_failure = Some(now);
     }
 
+    /// Notes whether this router watches the store, so that its own calls show all outages.
+    pub(crate) fn set_watching(&self, is_watching: bool) {
+        lock(&self.state).is_watching = is_watching;
+    }
+
     /// Notes another router's word: whether the store answers it, and how long ago it last did not.
-    pub(crate) fn note_word(&self, is_answered: bool, failure_age: Option<Duration>) {
-        let mut state = lock(&self.state);
+    pub(crate) fn note_word(
+        &self,
+        router: SocketAddr,
+        is_answered: bool,
+        failure_age: Option<Duration>,
+    ) {
         let now = Instant::now();
-        state.last_word = is_answered.then_some(now).or(state.last_word);
-        let failure = failure_age.and_then(|age| now.checked_sub(age));
-        state.last_failure = state.last_failure.max(failure);
+        // A router that is not answered yet tells when it last tried; the outage goes on.
+        let failure_age = if is_answered {
+            failure_age
+        } else {
+            Some(Duration::ZERO)
+        };
+        let word = Word {
+            at: now,
+            is_answered,
+            failure: failure_age.and_then(|age| now.checked_sub(age)),
+        };
+        let mut state = lock(&self.state);
+        state
+            .words
+            .retain(|_, word| word.at.elapsed() < WORD_BELIEVED);
+        state.words.insert(router, word);
     }
 
     /// Tells when a call was answered after others were not.
@@ -69,19 +119,28 @@
     /// True when neither own calls nor other routers show that the store answers.
     pub(crate) fn is_failing(&self) -> bool {
         let state = lock(&self.state);
-        let is_within = |at: Option<Instant>, age| at.is_some_and(|at| at.elapsed() < age);
-        let is_answered =
-            state.failing_since.is_none() && is_within(state.last_answer, ANSWER_BELIEVED);
-        !is_answered && !is_within(state.last_word, WORD_BELIEVED)
+        !state.is_answered() && !state.fresh_words().any(|word| word.is_answered)
     }
 
-    /// When a call was last not answered, here or at a router that watches.
-    pub(crate) fn last_failure(&self) -> Option<Instant> {
-        lock(&self.state).last_failure
+    /// When the store last was out of reach, as far as that was not this router's or one other's
+    /// trouble alone.
+    pub(crate) fn last_outage(&self) -> Option<Instant> {
+        let state = lock(&self.state);
+        if state.is_watching || state.fresh_words().next().is_none() {
+            return state.last_failure;
+        }
+        let newest = state.fresh_words().filter_map(|word| word.failure).max()?;
+        let was_served = |word: &Word| {
+            let is_other = |failure: Instant| failure + SAME_OUTAGE < newest;
+            word.at > newest && word.failure.is_none_or(is_other)
+        };
+        // One that was served meanwhile shows that it was the trouble of another one alone.
+        let is_alone = state.fresh_words().any(was_served);
+        (!is_alone).then_some(newest)
     }
 
-    /// Time since the last call that was not answered.
+    /// Time since a call of this process was last not answered.
     pub(crate) fn failure_age(&self) -> Option<Duration> {
-        self.last_failure().map(|at| at.elapsed())
+        lock(&self.state).last_failure.map(|at| at.elapsed())
     }
 }
--- a/tests/entry/feed.rs
+++ b/tests/entry/feed.rs
@@ -117,8 +117,17 @@
     let fleet = Fleet::start().await;
     fleet.door_of_watchers.store(false, Ordering::Relaxed);
     fleet.site.store.cut_connections();
+    wait_until("the watchers notice", || async {
+        let lost = |router: &Router| !router.log_of("store lost").is_empty();
+        fleet.watchers.iter().all(lost)
+    })
+    .await;
     fleet.put_and_wait(2, fleet.members()).await;
-    assert!(fleet.members().any(watches));
+    let has_watched = |router: &Router| {
+        let changes = router.log_of("watch duty changed");
+        changes.iter().any(|line| line["stands_in"] == true)
+    };
+    assert!(fleet.members().any(has_watched));
     fleet.door_of_watchers.store(true, Ordering::Relaxed);
     wait_until("only the large ones watch again", || async {
         fleet.watchers.iter().all(watches) && !fleet.members().any(watches)
@@ -172,3 +181,39 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_alone_was_cut_off_makes_no_other_believe_in_an_outage() {
+    let (site, replicas) = site_with(&[Behaviour::Answer, Behaviour::Answer]).await;
+    let (door, is_open) = site.store.open_door().await;
+    let cut = site.router_by("r-cut", door);
+    let others = [
+        site.ready_router("r-1").await,
+        site.ready_router("r-2").await,
+    ];
+    wait_ready(&cut).await;
+    wait_until("all watch and hear one another", || async {
+        let all = others.iter().chain([&cut]);
+        let mut known =
+            all.map(|router| watches(router) && router.log_of("router heard").len() >= 2);
+        known.all(|is_known| is_known)
+    })
+    .await;
+    is_open.store(false, Ordering::Relaxed);
+    site.store.cut_connections();
+    wait_until("it notices", || async {
+        !cut.log_of("store lost").is_empty()
+    })
+    .await;
+    // The others lost their connections too, and have forgotten that after this time.
+    tokio::time::sleep(std::time::Duration::from_millis(2_600)).await;
+    site.store.remove("servers", &replicas[0].id);
+    wait_until("the others drop the replica", || async {
+        let gone = |router: &Router| !router.log_of("replica gone").is_empty();
+        others.iter().all(gone)
+    })
+    .await;
+    for router in &others {
+        assert!(router.log_of("entry lapsed; kept for now").is_empty());
+    }
+}
--- a/tests/entry/load.rs
+++ b/tests/entry/load.rs
@@ -1,9 +1,13 @@
 //! All that a team sends comes over one router.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde_json::Value;
+use tokio::net::TcpStream;
+
 use super::replica::Behaviour;
-use super::site::{wait_ready, wait_until, Call};
+use super::site::{get, wait_ready, wait_until, Call, MAX_DESCRIPTORS};
 use super::site_with;
 
 /// The replica takes 100 connections, so that an even part of 13 routers is 7.
@@ -31,3 +35,41 @@
     assert_eq!(statuses, [200; 8]);
     assert_eq!(replicas[0].seen().len(), 8);
 }
+
+async fn named(registry: SocketAddr) -> Vec<String> {
+    let got = get(registry, "/resolve?name=x&region=r&zone=a")
+        .await
+        .unwrap();
+    let body: Value = serde_json::from_slice(&got.body).unwrap();
+    let addresses = body["addresses"].as_array().unwrap();
+    let text = |address: &Value| address.as_str().unwrap().to_owned();
+    addresses.iter().map(text).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_runs_out_of_descriptors_leaves_the_answers_until_it_has_room() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    let first = site.ready_router("r-1").await;
+    let second = site.ready_router("r-2").await;
+    let third = site.ready_router("r-3").await;
+    let busy = second.callers.to_string();
+    wait_until("all are named", || async {
+        named(first.registry).await.len() == 3
+    })
+    .await;
+    let mut callers = Vec::new();
+    for _ in 0..MAX_DESCRIPTORS - 310 {
+        callers.push(TcpStream::connect(second.callers).await.unwrap());
+    }
+    wait_until("it is left out", || async {
+        !named(first.registry).await.contains(&busy) && !named(third.registry).await.contains(&busy)
+    })
+    .await;
+    let call = Call::new("look", "a-1").send(second.callers).await.unwrap();
+    assert_eq!(call.status, 200, "it still serves who comes");
+    drop(callers);
+    wait_until("it is named again", || async {
+        named(first.registry).await.contains(&busy)
+    })
+    .await;
+}
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -24,6 +24,9 @@
 /// Longest wait for a state that must come.
 const WAIT: Duration = Duration::from_secs(20);
 
+/// Descriptors that routers are told they have.
+pub const MAX_DESCRIPTORS: usize = 600;
+
 /// Ports that outgoing connections do not use, so that none is taken between the choice of a port
 /// and the start of the router, or while a router is restarted.
 const PORTS: std::ops::Range<u32> = 10_000..30_000;
@@ -84,6 +87,7 @@
             "callers_listen": callers, "registry_listen": registry, "ready_listen": ready,
             "metrics_listen": local(free_port()), "peer_listen": local(free_port()),
             "store_address": store, "cpu_cores": cpu_cores, "grace_s": 8.0,
+            "max_descriptors": MAX_DESCRIPTORS,
             "retries": {"ratio": 0.2, "slack": 58, "window_s": 10},
         });
         let path = directory.path().join(format!("{name}.json"));
