--- a/tests/entry/leaving.rs
+++ b/tests/entry/leaving.rs
@@ -161,8 +161,12 @@
     ])
     .await;
     let router = site.ready_router("r-1").await;
-    reach(&router, &replicas[0], "look").await;
-    reach(&router, &replicas[1], "look").await;
+    // A call that one of them refused may have gone on to the other.
+    for replica in &replicas {
+        if replica.seen().is_empty() {
+            reach(&router, replica, "look").await;
+        }
+    }
     let seen = replicas.iter().map(|replica| replica.seen().len());
     let seen: usize = seen.sum();
     let asked = std::time::Instant::now();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -445,9 +445,11 @@
         !router.log_of("ledger lost").is_empty()
     })
     .await;
+    // The short watch of the routers' entries may have ended without an answer.
+    let lost = router.log_of("store lost");
     assert!(
-        router.log_of("store lost").is_empty(),
-        "the watches have not noticed"
+        lost.iter().all(|line| line["kind"] == "routers"),
+        "the watches of lists and replicas have not noticed"
     );
     let unknown_key = Call::new("look", "a-2").with("authorization", "Token nobody");
     assert_eq!(unknown_key.send(router.callers).await.unwrap().status, 503);
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -374,9 +374,9 @@
         }
         // A look now and then also notices that the silence is over.
         let _ = tokio::time::timeout(Duration::from_millis(50), news.changed()).await;
-        if tokio::time::Instant::now() >= end {
-            let revision = objects.lock().unwrap().revision;
-            return answer(200, &json!({"events": [], "current_rev": revision}));
+        let state = objects.lock().unwrap();
+        if tokio::time::Instant::now() >= end && !state.faults.silent {
+            return answer(200, &json!({"events": [], "current_rev": state.revision}));
         }
     }
 }
