Tell servers that ended from lost connections, and attempts that are the same request

- the line 'request' has the fingerprint of caller, path and body, the same for each sending;
- a lost connection to a backend server is looked into: 'server ended with a request in progress' names server, request, fingerprint and evidence (nobody listens, or its entry was replaced or removed without word that it leaves);
- currantlever_lost_connections counts findings.

A request that may be repeated waits up to 50 ms for the finding; nothing else is decided by it yet.

--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -34,6 +34,24 @@
         hasher.write(content);
         Self(hasher.finish())
     }
+
+    /// Digests a request by its parts in order.
+    ///
+    /// ```
+    /// use currantlever::Fingerprint;
+    /// let of = |parts: &[&[u8]]| Fingerprint::from_parts(parts);
+    /// assert_eq!(of(&[b"POST", b"/x"]), of(&[b"POST", b"/x"]));
+    /// assert_ne!(of(&[b"POST", b"/x"]), of(&[b"POST/", b"x"]));
+    /// ```
+    #[must_use]
+    pub fn from_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = XxHash64::with_seed(0);
+        for part in parts {
+            hasher.write_u64(part.len() as u64);
+            hasher.write(part);
+        }
+        Self(hasher.finish())
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,6 +27,7 @@
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
 use crate::exchange::room::Room;
+use crate::exchange::server_ends::ServerEnds;
 use crate::exchange::transfers::send_transfers;
 use crate::platform::ingress::Ingress;
 use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
@@ -100,12 +101,7 @@
             Arc::clone(&metrics),
             Arc::clone(&store_health),
         ));
-        let members = Arc::new(Members::new(RouterEntry {
-            callers_address: settings.callers_listen,
-            peer_address: settings.peer_listen,
-            failure_domain: settings.failure_domain.clone(),
-            cpu_millis: settings.cpu_millis(),
-        }));
+        let members = Arc::new(Members::new(own_entry(&settings)));
         let pools = Arc::new(Pools::new(
             settings.failure_domain.clone(),
             Arc::clone(&members),
@@ -116,16 +112,24 @@
         let holder = holder_on_vm(vm_hash, process);
         let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
         let transport = Arc::new(HttpTransport::default());
+        let server_ends = Arc::new(ServerEnds::new(
+            Arc::clone(&transport) as _,
+            Arc::clone(&pools),
+            Arc::clone(&metrics),
+            log.clone(),
+        ));
         let exchange = Arc::new(Exchange::new(
             Arc::clone(&pools),
             Arc::clone(&grants),
             Arc::clone(&transport) as _,
+            Arc::clone(&server_ends),
             Arc::clone(&store_health),
             Arc::clone(&metrics),
             log.clone(),
         ));
         let directory = Arc::new(Directory::new(
             Arc::clone(&pools),
+            server_ends,
             Arc::clone(&store_health),
             log.clone(),
         ));
@@ -322,6 +326,16 @@
     }
 }
 
+/// How this router enters itself in the store.
+fn own_entry(settings: &EntrySettings) -> RouterEntry {
+    RouterEntry {
+        callers_address: settings.callers_listen,
+        peer_address: settings.peer_listen,
+        failure_domain: settings.failure_domain.clone(),
+        cpu_millis: settings.cpu_millis(),
+    }
+}
+
 /// The room of a router by its connections to callers and replicas.
 fn new_room(
     max_descriptors: u32,
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::pools::{Incarnation, Pools, ReplicaEntry};
+use super::server_ends::ServerEnds;
 use crate::core::ids::ReplicaId;
 use crate::store::health::StoreHealth;
 use crate::util::lock;
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Directory {
     pools: Arc<Pools>,
+    server_ends: Arc<ServerEnds>,
     store_health: Arc<StoreHealth>,
     log: Logger,
     state: Mutex<State>,
@@ -40,9 +42,15 @@
 
 impl Directory {
     /// A directory without entries.
-    pub(crate) fn new(pools: Arc<Pools>, store_health: Arc<StoreHealth>, log: Logger) -> Self {
+    pub(crate) fn new(
+        pools: Arc<Pools>,
+        server_ends: Arc<ServerEnds>,
+        store_health: Arc<StoreHealth>,
+        log: Logger,
+    ) -> Self {
         Self {
             pools,
+            server_ends,
             store_health,
             log,
             state: Mutex::default(),
@@ -65,6 +73,9 @@
         state.missing.remove(&entry.id);
         drop(state);
         if self.pools.learn_replica(entry) {
+            let born_ms = entry.born_ms;
+            self.server_ends
+                .learn_entry(&entry.id, Incarnation { born_ms });
             info!(self.log, "replica learned"; "replica" => entry.id.as_str(),
                 "pool" => entry.pool.as_str(), "address" => entry.address.to_string(),
                 "draining" => entry.is_draining, "born_ms" => entry.born_ms);
@@ -100,6 +111,9 @@
     }
 
     fn drop_replica(&self, id: &ReplicaId, reason: &str) {
+        if self.pools.leaving_incarnation(id).is_none() {
+            self.server_ends.learn_removed(id);
+        }
         if self.pools.forget_replica(id) {
             info!(self.log, "replica gone"; "replica" => id.as_str(), "reason" => reason);
         }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -16,8 +16,10 @@
 use super::record::RequestRecord;
 use super::request::{ExchangeRequest, RejectKind, Rejection, ReplicaTransport, Reply};
 use super::run::Run;
+use super::server_ends::ServerEnds;
 use crate::core::ids::PoolId;
 use crate::core::placement::PromptWish;
+use crate::core::quarantine::Fingerprint;
 use crate::core::units::Tokens;
 use crate::store::health::StoreHealth;
 use crate::util::stable_hash;
@@ -38,6 +40,7 @@
     pub(super) pools: Arc<Pools>,
     grants: Arc<Grants>,
     pub(super) transport: Arc<dyn ReplicaTransport>,
+    pub(super) server_ends: Arc<ServerEnds>,
     metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
@@ -48,6 +51,7 @@
         pools: Arc<Pools>,
         grants: Arc<Grants>,
         transport: Arc<dyn ReplicaTransport>,
+        server_ends: Arc<ServerEnds>,
         store_health: Arc<StoreHealth>,
         metrics: Arc<ExchangeMetrics>,
         log: Logger,
@@ -59,6 +63,7 @@
             pools,
             grants,
             transport,
+            server_ends,
             metrics,
             log,
         }
@@ -135,6 +140,8 @@
         if let Some(team) = &team {
             record.team = team.budget.as_str().into();
         }
+        let fingerprint = fingerprint_of(&request, team.as_deref());
+        record.fingerprint = Some(fingerprint);
         let rank = team
             .as_ref()
             .and_then(|team| team.priority)
@@ -151,6 +158,7 @@
             .await?;
         Ok(Start {
             request,
+            fingerprint,
             route,
             team,
             pool,
@@ -208,6 +216,7 @@
 /// A request that may go to a replica.
 struct Start {
     request: ExchangeRequest,
+    fingerprint: Fingerprint,
     route: Arc<Route>,
     team: Option<Arc<Team>>,
     pool: PoolId,
@@ -222,6 +231,7 @@
             exchange: Arc::clone(exchange),
             prompt: prompt_wish(&self.request),
             rank: self.rank,
+            fingerprint: self.fingerprint,
             request: self.request,
             route: self.route,
             pool: self.pool,
@@ -238,6 +248,17 @@
     }
 }
 
+/// Digest of what makes a request the same when it is sent again: caller, path and body.
+fn fingerprint_of(request: &ExchangeRequest, team: Option<&Team>) -> Fingerprint {
+    let team = team.map_or("", |team| team.budget.as_str());
+    Fingerprint::from_parts(&[
+        team.as_bytes(),
+        request.method.as_str().as_bytes(),
+        request.target.as_bytes(),
+        &request.body,
+    ])
+}
+
 /// The prompt's length, and its parts but the last, which no other request shares.
 fn prompt_wish(request: &ExchangeRequest) -> Option<PromptWish> {
     let bound = request.tokens?;
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -21,6 +21,7 @@
     latency: Histogram,
     first_event: Histogram,
     store_calls: IntCounterVec,
+    lost_connections: IntCounterVec,
     replicas: IntGaugeVec,
 }
 
@@ -52,6 +53,13 @@
             Opts::new("currantlever_store_calls", "Calls to the store by result"),
             &["result"],
         )?;
+        let lost_connections = IntCounterVec::new(
+            Opts::new(
+                "currantlever_lost_connections",
+                "Connections to backend servers lost with a request in progress, by what was found",
+            ),
+            &["finding"],
+        )?;
         let replicas = IntGaugeVec::new(
             Opts::new("currantlever_replicas", "Replicas by pool and state"),
             &["pool", "state"],
@@ -61,6 +69,7 @@
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(first_event.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
+        registry.register(Box::new(lost_connections.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
         Ok(Self {
             registry,
@@ -69,6 +78,7 @@
             latency,
             first_event,
             store_calls,
+            lost_connections,
             replicas,
         })
     }
@@ -90,6 +100,11 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a connection that was lost with a request in progress.
+    pub(crate) fn note_lost_connection(&self, finding: &str) {
+        self.lost_connections.with_label_values(&[finding]).inc();
+    }
+
     /// Sets the number of replicas of a pool.
     pub(crate) fn set_replicas(&self, pool: &str, in_service: usize, all: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -23,4 +23,5 @@
 pub(crate) mod request;
 pub(crate) mod room;
 pub(crate) mod run;
+pub(crate) mod server_ends;
 pub(crate) mod transfers;
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -285,6 +285,15 @@
         true
     }
 
+    /// The present incarnation of a replica.
+    pub(crate) fn incarnation(&self, id: &ReplicaId) -> Option<Incarnation> {
+        let state = lock(&self.state);
+        state.pools.values().find_map(|pool| {
+            let born_ms = pool.replicas[pool.index_of(id)?].born_ms;
+            Some(Incarnation { born_ms })
+        })
+    }
+
     /// The incarnation of a replica that said that it leaves.
     pub(crate) fn leaving_incarnation(&self, id: &ReplicaId) -> Option<Incarnation> {
         let state = lock(&self.state);
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -11,6 +11,7 @@
 use super::grants::GrantNote;
 use super::metrics::ExchangeMetrics;
 use super::request::RejectKind;
+use crate::core::quarantine::Fingerprint;
 use crate::util::millis;
 
 /// The story of one request. Logged when dropped, so also when the caller leaves.
@@ -21,6 +22,8 @@
     arrived: Instant,
     /// The caller's name for the try.
     pub attempt: CompactString,
+    /// Digest of the request's content, the same for each try of a caller.
+    pub fingerprint: Option<Fingerprint>,
     /// Version of the configuration that decided.
     pub config_version: u64,
     /// The route.
@@ -59,6 +62,7 @@
             metrics,
             arrived,
             attempt,
+            fingerprint: None,
             config_version: 0,
             route: CompactString::default(),
             team: CompactString::default(),
@@ -117,6 +121,7 @@
         self.metrics.note_request(outcome, elapsed, self.try_count);
         info!(self.log, "request";
             "request" => self.attempt.as_str(),
+            "fingerprint" => self.fingerprint.map(|fingerprint| fingerprint.to_string()),
             "outcome" => outcome,
             "status" => self.status,
             "route" => self.route.as_str(),
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -127,19 +127,29 @@
                 PartEnd::TimedOut => {
                     run.record.note_try(replica, "route's time over in mid-stream");
                     run.record.note_outcome("stream_timed_out");
-                    yield Err(BrokenBody { reason: "the route's time is over".into() });
+                    yield Err(BrokenBody {
+                        reason: "the route's time is over".into(),
+                        is_connection_lost: false,
+                    });
                     return;
                 }
                 PartEnd::Broken(error) => error,
-                PartEnd::Silent => BrokenBody { reason: "the replica fell silent".into() },
+                PartEnd::Silent => BrokenBody {
+                    reason: "the replica fell silent".into(),
+                    is_connection_lost: true,
+                },
             };
             run.record.note_try(replica, &reason);
-            if let Some(chosen) = &opened.chosen {
-                chosen.learn_failure();
-            }
             let last_id = opened.splitter.last_id();
+            let chosen = opened.chosen.take();
             // The connection is closed before another replica goes on.
             drop(opened);
+            if let Some(chosen) = chosen {
+                chosen.learn_failure();
+                if reason.is_connection_lost {
+                    run.learn_lost(&chosen).await;
+                }
+            }
             let Some(next) = resume(&mut run, last_id).await else {
                 run.record.note_outcome("stream_broken");
                 yield Err(reason);
@@ -180,6 +190,9 @@
         if let Err(error) = first {
             run.record.note_try(chosen.replica.id.as_str(), &error);
             chosen.learn_failure();
+            if error.is_connection_lost {
+                run.learn_lost(&chosen).await;
+            }
             continue;
         }
         chosen.note_first_token();
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -151,6 +151,8 @@
         reason: CompactString,
         /// What the replica said of itself, if the head of an answer came.
         notice: ReplicaNotice,
+        /// True when the connection broke, so that the replica may have ended.
+        is_connection_lost: bool,
     },
 }
 
@@ -160,6 +162,8 @@
 pub(crate) struct BrokenBody {
     /// What the transport saw.
     pub reason: CompactString,
+    /// True when the connection broke or fell silent, so that the replica may have ended.
+    pub is_connection_lost: bool,
 }
 
 /// Pieces of a body as they come.
@@ -190,11 +194,25 @@
     }
 }
 
+/// Whether somebody listens at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listening {
+    /// A connection was accepted.
+    Listens,
+    /// The connection was refused.
+    Refused,
+    /// No answer came in time.
+    Silent,
+}
+
 /// Sends requests to replicas.
 #[async_trait::async_trait]
 pub(crate) trait ReplicaTransport: fmt::Debug + Send + Sync {
     /// Sends one try and waits for the head of the answer.
     async fn send(&self, dispatch: Dispatch<'_>) -> Result<ReplicaAnswer, DispatchError>;
+
+    /// Opens a connection, without a request, to see whether a replica is there.
+    async fn probe(&self, address: SocketAddr) -> Listening;
 }
 
 /// Why the router answers a request itself.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -19,8 +19,10 @@
     BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
     ReplicaAnswer, ReplicaNotice, Reply, ReplyBody, UnsentCause,
 };
+use super::server_ends::LostConnection;
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::PromptWish;
+use crate::core::quarantine::Fingerprint;
 use crate::core::units::Tokens;
 use crate::util::millis;
 
@@ -34,6 +36,8 @@
 const OVERLOAD_RETRY: Duration = Duration::from_millis(400);
 /// Width of the spread of such advice, so that callers do not return together.
 const OVERLOAD_SPREAD_MS: u64 = 800;
+/// Longest wait to find out whether a replica ended, before the request goes on elsewhere.
+const FINDING_WAIT: Duration = Duration::from_millis(50);
 /// Most time left when a request is handed to a replica; less is not worth a try.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -50,6 +54,7 @@
     pub(super) team: Option<Arc<Team>>,
     pub(super) prompt: Option<PromptWish>,
     pub(super) rank: u8,
+    pub(super) fingerprint: Fingerprint,
     pub(super) tried: Vec<ReplicaId>,
     pub(super) sends: u32,
     pub(super) unsent: u32,
@@ -139,6 +144,9 @@
                 Ok(Err(error)) => {
                     chosen.learn_failure();
                     self.record.note_try(chosen.replica.id.as_str(), &error);
+                    if error.is_connection_lost {
+                        self.learn_lost(&chosen).await;
+                    }
                     if !self.route.kind.may_repeat() || !self.may_send_again() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
@@ -175,6 +183,9 @@
                 Ok(Err(error)) => {
                     chosen.learn_failure();
                     self.record.note_try(chosen.replica.id.as_str(), &error);
+                    if error.is_connection_lost {
+                        self.learn_lost(&chosen).await;
+                    }
                     if !self.route.kind.may_repeat() || !self.may_send_again() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
@@ -248,11 +259,18 @@
                         return Err(self.refused_by_replicas());
                     }
                 }
-                Ok(Err(error @ DispatchError::Unknown { .. })) => {
+                Ok(Err(
+                    ref error @ DispatchError::Unknown {
+                        is_connection_lost, ..
+                    },
+                )) => {
                     self.sends += 1;
                     self.may_have_run = true;
                     chosen.learn_failure();
-                    self.record.note_try(replica, &error);
+                    self.record.note_try(replica, error);
+                    if is_connection_lost {
+                        self.learn_lost(&chosen).await;
+                    }
                     if !self.route.kind.may_repeat() || !self.may_send_again() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
@@ -308,6 +326,20 @@
         }
     }
 
+    /// Finds out whether a replica ended with this request in progress. A request that may go on
+    /// elsewhere waits a short time for that.
+    pub(super) async fn learn_lost(&self, chosen: &ChosenReplica) {
+        let found = self.exchange.server_ends.investigate(LostConnection {
+            fingerprint: self.fingerprint,
+            request: self.request.attempt.clone(),
+            replica: chosen.replica.clone(),
+        });
+        if self.route.kind.may_repeat() {
+            // What shows later is learned by the task itself.
+            let _ = tokio::time::timeout(FINDING_WAIT, found).await;
+        }
+    }
+
     /// True when a further replica may be sent the request; takes that out of the retry budget.
     fn may_send_again(&mut self) -> bool {
         self.sends < self.route.max_tries
@@ -384,6 +416,7 @@
         if whole.len() > MAX_WHOLE_BYTES {
             return Err(BrokenBody {
                 reason: "longer than what is held".into(),
+                is_connection_lost: false,
             });
         }
     }
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -20,8 +20,8 @@
 
 use super::names;
 use crate::exchange::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ReplicaAddress, ReplicaAnswer, ReplicaNotice,
-    ReplicaTransport, UnsentCause,
+    BodyStream, BrokenBody, Dispatch, DispatchError, Listening, ReplicaAddress, ReplicaAnswer,
+    ReplicaNotice, ReplicaTransport, UnsentCause,
 };
 use crate::tcp::connect;
 use crate::util::lock;
@@ -146,7 +146,7 @@
             .await
             .map(TokioIo::new)
             .map_err(|error| {
-                let cause = if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                let cause = if is_refused(&error) {
                     UnsentCause::Refused
                 } else {
                     UnsentCause::Unreachable
@@ -208,6 +208,10 @@
     }
 }
 
+fn is_refused(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::ConnectionRefused
+}
+
 fn not_sent(cause: UnsentCause, reason: impl std::fmt::Display) -> DispatchError {
     DispatchError::NotSent {
         cause,
@@ -219,6 +223,7 @@
     DispatchError::Unknown {
         reason: compact_str::format_compact!("{reason}"),
         notice: ReplicaNotice::default(),
+        is_connection_lost: true,
     }
 }
 
@@ -278,10 +283,22 @@
         let notice = decode_notice(&response);
         if let Err(reason) = check_answer(&dispatch, &response, is_first) {
             let reason = CompactString::const_new(reason);
-            return Err(DispatchError::Unknown { reason, notice });
+            return Err(DispatchError::Unknown {
+                reason,
+                notice,
+                is_connection_lost: false,
+            });
         }
         Ok(self.answer(response, notice, connection, dispatch.replica.idle_limit))
     }
+
+    async fn probe(&self, address: SocketAddr) -> Listening {
+        match connect(address, CONNECT_TIMEOUT, SILENCE_LIMIT).await {
+            Ok(_) => Listening::Listens,
+            Err(error) if is_refused(&error) => Listening::Refused,
+            Err(_) => Listening::Silent,
+        }
+    }
 }
 
 /// Checks that an answer belongs to the request and is the replica's own.
@@ -391,7 +408,10 @@
                     }
                 }
                 Err(error) => {
-                    yield Err(BrokenBody { reason: describe(&error) });
+                    yield Err(BrokenBody {
+                        reason: describe(&error),
+                        is_connection_lost: true,
+                    });
                     return;
                 }
             }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The entry router as a real process, against a stand-in store and stand-in replicas.
 
+mod ending;
 mod feed;
 mod leaving;
 mod load;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -1,11 +1,21 @@
 //! A stand-in for a replica, with faults. It speaks plain bytes, so that it can break rules.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+use super::site::free_port;
+
+/// Text in the body of a request that ends each server which begins to run it.
+pub const FATAL: &str = "ends servers";
+/// Time after which a server that ended is back.
+pub const BACK_AFTER: Duration = Duration::from_secs(2);
 
 /// How a replica answers a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,32 +74,45 @@
     behaviour: Arc<Mutex<Behaviour>>,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
     left: Arc<Mutex<u32>>,
+    ends: Arc<AtomicU32>,
+    end: Arc<Notify>,
 }
 
 impl StandInReplica {
     pub async fn start(id: &str, behaviour: Behaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let replica = Self {
             id: id.to_owned(),
-            address: listener.local_addr().unwrap(),
+            address,
             behaviour: Arc::new(Mutex::new(behaviour)),
             seen: Arc::default(),
             left: Arc::default(),
+            ends: Arc::default(),
+            end: Arc::default(),
         };
+        let mut listener = TcpListener::bind(address).await.unwrap();
         let (behaviour, seen) = (Arc::clone(&replica.behaviour), Arc::clone(&replica.seen));
-        let left = Arc::clone(&replica.left);
+        let (left, end) = (Arc::clone(&replica.left), Arc::clone(&replica.end));
+        let ends = Arc::clone(&replica.ends);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let parts = (Arc::clone(&behaviour), Arc::clone(&seen), Arc::clone(&left));
-                tokio::spawn(async move {
-                    let (behaviour, seen, left) = parts;
-                    serve(stream, &behaviour, &seen, &left).await;
-                });
+            loop {
+                let mut connections =
+                    accept_until_end(&listener, &end, &behaviour, &seen, &left).await;
+                ends.fetch_add(1, Ordering::SeqCst);
+                drop(listener);
+                connections.shutdown().await;
+                tokio::time::sleep(BACK_AFTER).await;
+                listener = TcpListener::bind(address).await.unwrap();
             }
         });
         replica
     }
 
+    /// Ends the server: all connections break and nobody listens until it is back.
+    pub fn end(&self) {
+        self.end.notify_one();
+    }
+
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
@@ -108,6 +131,31 @@
     }
 }
 
+/// Serves until the server is to end, and gives back the connections that are open then.
+async fn accept_until_end(
+    listener: &TcpListener,
+    end: &Arc<Notify>,
+    behaviour: &Arc<Mutex<Behaviour>>,
+    seen: &Arc<Mutex<Vec<SeenRequest>>>,
+    left: &Arc<Mutex<u32>>,
+) -> JoinSet<()> {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = end.notified() => return connections,
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let parts = (Arc::clone(behaviour), Arc::clone(seen), Arc::clone(left));
+                let end = Arc::clone(end);
+                connections.spawn(async move {
+                    let (behaviour, seen, left) = parts;
+                    serve(stream, &behaviour, &seen, &left, &end).await;
+                });
+            }
+        }
+    }
+}
+
 async fn read_request(stream: &mut TcpStream) -> Option<SeenRequest> {
     let mut bytes = Vec::new();
     let head_end = loop {
@@ -142,10 +190,15 @@
     behaviour: &Mutex<Behaviour>,
     seen: &Mutex<Vec<SeenRequest>>,
     left: &Mutex<u32>,
+    end: &Notify,
 ) {
     while let Some(request) = read_request(&mut stream).await {
         let mut behaviour = behaviour.lock().unwrap().clone();
         seen.lock().unwrap().push(request.clone());
+        if request.body.starts_with(FATAL.as_bytes()) {
+            end.notify_one();
+            std::future::pending::<()>().await;
+        }
         let mut mark = "";
         if let Behaviour::Leaving(inner) = behaviour {
             (behaviour, mark) = (*inner, LEAVING);
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -31,8 +31,8 @@
 /// and the start of the router, or while a router is restarted.
 const PORTS: std::ops::Range<u32> = 10_000..30_000;
 
-/// A free port that no other router of this process gets.
-fn free_port() -> u16 {
+/// A free port that nothing else of this process gets.
+pub fn free_port() -> u16 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let length = PORTS.end - PORTS.start;
     let first = std::process::id().wrapping_mul(101);
@@ -348,6 +348,11 @@
         self
     }
 
+    pub fn with_body(mut self, body: &str) -> Self {
+        body.clone_into(&mut self.body);
+        self
+    }
+
     pub fn with_tokens(self, prompt: u64, output: u64) -> Self {
         self.with("currantlever-token-usage", &format!("{prompt},{output}"))
     }
