--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -113,6 +113,11 @@
         self.end.notify_one();
     }
 
+    /// How often the server has ended.
+    pub fn ends(&self) -> u32 {
+        self.ends.load(Ordering::SeqCst)
+    }
+
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
