Let a test of silent watches wait until there are watches

Trace: 'store lost' with 'revision: null' for lists, replicas and routers: the router began to watch, 1.5 s after its start, at the moment of the silence, so it was listing the kinds, and a listing notices. No assertion changes.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -434,6 +434,12 @@
     let call = |attempt: &str| Call::new("draft", attempt).with_tokens(1_000, 10);
     assert_eq!(call("a-1").send(router.callers).await.unwrap().status, 200);
     wait_until("a grant was stocked", || async { site.charged() > 20_000 }).await;
+    // A router that has just begun to watch lists the kinds first, and would notice the silence.
+    wait_until("lists and replicas are watched", || async {
+        let kinds = ["config", "servers"];
+        kinds.iter().all(|kind| site.store.watches(kind) > 0)
+    })
+    .await;
     let faults = StoreFaults {
         silent: true,
         ..StoreFaults::default()
@@ -450,7 +456,7 @@
     let lost = router.log_of("store lost");
     assert!(
         lost.iter().all(|line| line["kind"] == "routers"),
-        "the watches of lists and replicas have not noticed"
+        "the watches of lists and replicas have not noticed: {lost:?}"
     );
     let unknown_key = Call::new("look", "a-2").with("authorization", "Token nobody");
     assert_eq!(unknown_key.send(router.callers).await.unwrap().status, 503);
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -138,9 +138,13 @@
 
     /// Listings and watches of a kind.
     pub fn reads(&self, kind: &str) -> u64 {
+        self.watches(kind) + self.listings(kind)
+    }
+
+    /// Watches of a kind.
+    pub fn watches(&self, kind: &str) -> u64 {
         let objects = self.objects.lock().unwrap();
-        let watches = objects.watches.get(kind).copied().unwrap_or_default();
-        watches + objects.listings.get(kind).copied().unwrap_or_default()
+        objects.watches.get(kind).copied().unwrap_or_default()
     }
 
     /// Listings of a kind that were answered.
