Refuse requests under which three backend servers ended, at every router

What callers saw: a request that ends each server that begins to run it was sent on with every sending, at any router; nine of nine servers were down at once, and other requests were refused.

Cause: a promise that only one of the two ways keeps. core/quarantine.rs served router/ and peer/ alone; exchange/, which serves callers on the platform, told a lost connection from nothing and remembered no request.

Change: one quarantine for both ways. Its new rule is three ended servers (beside the one for suspects that ran alone); a whole answer of the same request up to 10 s before an end, or later, clears it, so that requests that many send are not blamed for servers that end together; ends are forgotten after an hour; memory is bounded. Routers tell ends by datagram at once to twelve others and with hellos for 3 s (at most eight news a hello), a router that saw one writes the quarantined request to the store ('quarantined-requests', followed and passed on like the other kinds), so it outlives the death of all routers. A suspect runs on a replica drawn at random, apart from other suspects of its router. A refusal is 503 'quarantined' with Retry-After, before anything is reserved; after a try it is 502. An ended server is passed over at once.

--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -1,23 +1,38 @@
-//! Requests that crash the replicas they run on.
+//! Requests that end the backend servers they run on (poison messages).
 //!
-//! Routers tell one another which requests were in progress on each crashed replica. A suspect
-//! runs apart from other suspects, so that its next crash tells them apart: from then on a request
-//! that crashed a replica as the only suspect there, and that alone explains all its crashes, is
-//! quarantined.
+//! Routers tell one another which requests were in progress on servers that ended. Three ended
+//! servers condemn a request. Where suspects run apart from one another, two are enough: a request
+//! that ended one as the only suspect there, and that alone explains all its ends. A request that
+//! runs to its end does not end each server that runs it, so that clears it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
 use std::hash::Hasher;
+use std::str::FromStr;
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use twox_hash::XxHash64;
 
-use super::ids::{ReplicaId, TeamId};
+use super::ids::{IdError, ReplicaId, TeamId};
 
-/// Crashes from which on a request can be quarantined.
-const CRASHES_TO_QUARANTINE: usize = 2;
-/// Requests remembered; the oldest are dropped beyond this number.
+/// Ended servers from which on a request is quarantined.
+const ENDS_TO_QUARANTINE: usize = 3;
+/// The same for a request that was the only suspect on one of them.
+const ENDS_ALONE_TO_QUARANTINE: usize = 2;
+/// Time after a request's last ended server at which it is forgotten, in milliseconds.
+pub const QUARANTINE_MEMORY_MS: u64 = 3_600_000;
+/// Time for which a whole answer shows that a request does not end servers, in milliseconds.
+const COMPLETION_PROOF_MS: u64 = 10_000;
+/// Time between two routers' reports of the same end of a server, in milliseconds. A server is not
+/// back as soon.
+const SAME_END_MS: u64 = 1_000;
+/// Requests remembered; the oldest that are not quarantined are dropped beyond this number.
 const MAX_REQUESTS: usize = 1_024;
+/// Ended servers remembered for one request.
+const MAX_ENDS: usize = 8;
+/// Whole answers remembered.
+const MAX_COMPLETIONS: usize = 4_096;
 
 /// Digest of a request's team and content, the same whichever router gets it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -54,28 +69,100 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = u64::from_str_radix(text, 16).map_err(|_| IdError::NotHex)?;
+        Ok(Self(digits))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
     }
 }
 
+/// The end of a server while a request was in progress there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerEnd {
+    /// The server.
+    pub replica: ReplicaId,
+    /// When it ended, by the clock of whoever keeps this, in milliseconds.
+    pub at_ms: u64,
+    /// The caller's name for the try that was in progress; empty if it has none.
+    pub request: CompactString,
+    /// The router that saw it; empty if that is not told.
+    pub seen_by: CompactString,
+    /// True when the request ran there as the only suspect.
+    pub alone: bool,
+}
+
+impl ServerEnd {
+    /// The end of a server.
+    #[must_use]
+    pub fn new(replica: ReplicaId, at_ms: u64) -> Self {
+        Self {
+            replica,
+            at_ms,
+            request: CompactString::default(),
+            seen_by: CompactString::default(),
+            alone: false,
+        }
+    }
+
+    /// Notes which try was in progress and which router saw the end.
+    #[must_use]
+    pub fn with_source(mut self, request: CompactString, seen_by: CompactString) -> Self {
+        self.request = request;
+        self.seen_by = seen_by;
+        self
+    }
+
+    /// Notes whether the request ran there as the only suspect.
+    #[must_use]
+    pub const fn with_alone(mut self, alone: bool) -> Self {
+        self.alone = alone;
+        self
+    }
+
+    /// True when both tell of the same end. A try runs on a server once.
+    fn is_same(&self, other: &Self) -> bool {
+        self.replica == other.replica
+            && (self.request == other.request || self.at_ms.abs_diff(other.at_ms) < SAME_END_MS)
+    }
+}
+
 /// How far a request is under suspicion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
-    /// It was on no crashed replica.
+    /// No server ended under it.
     Clear,
-    /// It was on a crashed replica and must run apart from other suspects.
+    /// A server ended while it was in progress there.
     Suspect,
-    /// It is the one explanation of two crashes or more and must not run.
+    /// It must not run.
     Quarantined,
 }
 
-/// The crashes known to one router.
+/// What the word of a server's end was worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndNews {
+    /// It was not known.
+    New,
+    /// It was known.
+    Known,
+    /// The request ran to its end at about that time or later, so it counts for nothing.
+    Disproved,
+}
+
+/// The ends of servers known to one router.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    crashes: BTreeMap<Fingerprint, BTreeMap<ReplicaId, bool>>,
-    order: Vec<Fingerprint>,
+    ends: BTreeMap<Fingerprint, Vec<ServerEnd>>,
+    order: VecDeque<Fingerprint>,
+    completed_ms: HashMap<Fingerprint, u64>,
+    completions: VecDeque<(Fingerprint, u64)>,
 }
 
 impl Quarantine {
@@ -85,53 +172,143 @@
         Self::default()
     }
 
-    /// Notes that a request was in progress on a replica that crashed, and whether it ran there
-    /// as the only suspect. Repeats change nothing.
-    pub fn record(&mut self, fingerprint: Fingerprint, replica: ReplicaId, alone: bool) {
-        if !self.crashes.contains_key(&fingerprint) {
-            self.order.push(fingerprint);
+    /// Notes that a request was in progress on a server that ended. Repeats change nothing.
+    ///
+    /// ```
+    /// use currantlever::{Fingerprint, Quarantine, ReplicaId, ServerEnd, Suspicion};
+    ///
+    /// let request = Fingerprint::from_parts(&[b"team", b"/chat/", b"body"]);
+    /// let mut quarantine = Quarantine::new();
+    /// for (name, at_ms) in [("server-1", 0), ("server-2", 900), ("server-3", 2_000)] {
+    ///     let replica = ReplicaId::new(name).unwrap();
+    ///     quarantine.record(request, ServerEnd::new(replica, at_ms));
+    /// }
+    /// assert_eq!(quarantine.suspicion(request, 2_000), Suspicion::Quarantined);
+    /// ```
+    pub fn record(&mut self, fingerprint: Fingerprint, end: ServerEnd) -> EndNews {
+        let completed_ms = self.completed_ms.get(&fingerprint);
+        if completed_ms.is_some_and(|at_ms| end.at_ms <= at_ms + COMPLETION_PROOF_MS) {
+            return EndNews::Disproved;
+        }
+        if !self.ends.contains_key(&fingerprint) {
+            self.make_room(end.at_ms);
+            self.order.push_back(fingerprint);
         }
-        let replicas = self.crashes.entry(fingerprint).or_default();
-        *replicas.entry(replica).or_default() |= alone;
-        if self.order.len() > MAX_REQUESTS {
-            let oldest = self.order.remove(0);
-            self.crashes.remove(&oldest);
+        let ends = self.ends.entry(fingerprint).or_default();
+        if let Some(known) = ends.iter_mut().find(|known| known.is_same(&end)) {
+            known.alone |= end.alone;
+            return EndNews::Known;
         }
+        if ends.len() >= MAX_ENDS {
+            ends.remove(0);
+        }
+        ends.push(end);
+        EndNews::New
     }
 
-    /// Clears a request that ran to its end.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if self.suspicion(fingerprint) == Suspicion::Suspect {
-            self.crashes.remove(&fingerprint);
-            self.order.retain(|known| *known != fingerprint);
+    /// Notes that a request ran to its end. Returns true if that clears it of something.
+    pub fn note_completed(&mut self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        self.completed_ms.insert(fingerprint, now_ms);
+        self.completions.push_back((fingerprint, now_ms));
+        if self.completions.len() > MAX_COMPLETIONS {
+            if let Some((oldest, at_ms)) = self.completions.pop_front() {
+                if self.completed_ms.get(&oldest) == Some(&at_ms) {
+                    self.completed_ms.remove(&oldest);
+                }
+            }
+        }
+        let Some(ends) = self.ends.get_mut(&fingerprint) else {
+            return false;
+        };
+        ends.retain(|end| end.at_ms > now_ms + COMPLETION_PROOF_MS);
+        if ends.is_empty() {
+            self.forget(fingerprint);
         }
+        true
+    }
+
+    /// When a request last ran to its end, as far as that is remembered.
+    #[must_use]
+    pub fn completed_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.completed_ms.get(&fingerprint).copied()
     }
 
     /// How far a request is under suspicion.
     #[must_use]
-    pub fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
-        let Some(replicas) = self.crashes.get(&fingerprint) else {
+    pub fn suspicion(&self, fingerprint: Fingerprint, now_ms: u64) -> Suspicion {
+        let ends: Vec<&ServerEnd> = self.ends(fingerprint, now_ms).collect();
+        if ends.is_empty() {
             return Suspicion::Clear;
-        };
-        let was_alone = replicas.values().any(|alone| *alone);
-        if replicas.len() < CRASHES_TO_QUARANTINE || !was_alone {
+        }
+        if ends.len() >= ENDS_TO_QUARANTINE {
+            return Suspicion::Quarantined;
+        }
+        let was_alone = ends.iter().any(|end| end.alone);
+        if ends.len() < ENDS_ALONE_TO_QUARANTINE || !was_alone {
             return Suspicion::Suspect;
         }
-        let explains_all = |(other, others): (&Fingerprint, &BTreeMap<ReplicaId, bool>)| {
-            *other != fingerprint && replicas.keys().all(|replica| others.contains_key(replica))
+        let explains_all = |(other, others): (&Fingerprint, &Vec<ServerEnd>)| {
+            let explains =
+                |end: &&ServerEnd| others.iter().any(|other| other.replica == end.replica);
+            *other != fingerprint && ends.iter().all(explains)
         };
-        if self.crashes.iter().any(explains_all) {
+        if self.ends.iter().any(explains_all) {
             return Suspicion::Suspect;
         }
         Suspicion::Quarantined
     }
 
-    /// All crashes known, to tell peers.
-    pub fn reports(&self) -> impl Iterator<Item = (Fingerprint, &ReplicaId, bool)> {
-        self.crashes.iter().flat_map(|(fingerprint, replicas)| {
-            replicas
-                .iter()
-                .map(move |(replica, alone)| (*fingerprint, replica, *alone))
-        })
+    /// Time for which a quarantined request stays so, in milliseconds.
+    #[must_use]
+    pub fn quarantined_for_ms(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<u64> {
+        if self.suspicion(fingerprint, now_ms) != Suspicion::Quarantined {
+            return None;
+        }
+        let last_ms = self.ends(fingerprint, now_ms).map(|end| end.at_ms).max()?;
+        Some((last_ms + QUARANTINE_MEMORY_MS).saturating_sub(now_ms))
+    }
+
+    /// Requests that must not run.
+    #[must_use]
+    pub fn quarantined(&self, now_ms: u64) -> Vec<Fingerprint> {
+        let known = self.ends.keys().copied();
+        known
+            .filter(|known| self.suspicion(*known, now_ms) == Suspicion::Quarantined)
+            .collect()
+    }
+
+    /// Servers that ended under a request.
+    pub fn ends(&self, fingerprint: Fingerprint, now_ms: u64) -> impl Iterator<Item = &ServerEnd> {
+        let ends = self.ends.get(&fingerprint).into_iter().flatten();
+        ends.filter(move |end| is_remembered(end, now_ms))
     }
+
+    /// All ends known, to tell peers.
+    pub fn reports(&self, now_ms: u64) -> impl Iterator<Item = (Fingerprint, &ServerEnd)> {
+        let all = self.ends.iter();
+        let all = all.flat_map(|(fingerprint, ends)| ends.iter().map(|end| (*fingerprint, end)));
+        all.filter(move |(_, end)| is_remembered(end, now_ms))
+    }
+
+    /// Drops the oldest request that need not be kept if there is no room for another one.
+    fn make_room(&mut self, now_ms: u64) {
+        if self.ends.len() < MAX_REQUESTS {
+            return;
+        }
+        let is_suspect =
+            |known: &&Fingerprint| self.suspicion(**known, now_ms) != Suspicion::Quarantined;
+        let oldest = self.order.iter().find(is_suspect).or(self.order.front());
+        if let Some(oldest) = oldest.copied() {
+            self.forget(oldest);
+        }
+    }
+
+    fn forget(&mut self, fingerprint: Fingerprint) {
+        self.ends.remove(&fingerprint);
+        self.order.retain(|known| *known != fingerprint);
+    }
+}
+
+const fn is_remembered(end: &ServerEnd, now_ms: u64) -> bool {
+    end.at_ms + QUARANTINE_MEMORY_MS > now_ms
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,14 +20,17 @@
 use crate::exchange::feed_link::{serve_feed, FeedParts};
 use crate::exchange::grants::{holder_on_vm, Grants};
 use crate::exchange::hellos::{
-    keep_entries, leave, receive_datagrams, send_hellos, EntrySink, HelloParts, ROUTER_KIND,
+    keep_entries, leave, receive_datagrams, send_hellos, send_suspicions, EntrySink, HelloParts,
+    ROUTER_KIND,
 };
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::members::{Members, OwnWordSource, RouterEntry};
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
+use crate::exchange::quarantine_store::{QuarantineKeeper, QuarantineSink, QUARANTINE_KIND};
 use crate::exchange::room::Room;
 use crate::exchange::server_ends::ServerEnds;
+use crate::exchange::suspects::Suspects;
 use crate::exchange::transfers::send_transfers;
 use crate::platform::ingress::Ingress;
 use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
@@ -115,6 +118,11 @@
         let server_ends = Arc::new(ServerEnds::new(
             Arc::clone(&transport) as _,
             Arc::clone(&pools),
+            Suspects::new(
+                settings.vm.as_str().into(),
+                Arc::clone(&metrics),
+                log.clone(),
+            ),
             Arc::clone(&metrics),
             log.clone(),
         ));
@@ -129,7 +137,7 @@
         ));
         let directory = Arc::new(Directory::new(
             Arc::clone(&pools),
-            server_ends,
+            Arc::clone(&server_ends),
             Arc::clone(&store_health),
             log.clone(),
         ));
@@ -143,10 +151,7 @@
             Arc::clone(&room),
         ));
         listen_all(&settings, &ingress, &registry).await?;
-        let socket = UdpSocket::bind(settings.peer_listen)
-            .await
-            .map_err(|source| listen_error("peer_listen", settings.peer_listen, source))?;
-        let socket = Arc::new(socket);
+        let socket = bind_datagrams(&settings).await?;
         let feed_listener = listen("peer_listen", settings.peer_listen).await?;
         Tasks {
             store: &store,
@@ -158,6 +163,7 @@
             grants: &grants,
             registry: &registry,
             room: &room,
+            suspects: server_ends.suspects(),
             transport: &transport,
             log: &log,
         }
@@ -237,6 +243,7 @@
     grants: &'a Arc<Grants>,
     registry: &'a Arc<Registry>,
     room: &'a Arc<Room>,
+    suspects: &'a Arc<Suspects>,
     transport: &'a Arc<HttpTransport>,
     log: &'a Logger,
 }
@@ -253,6 +260,7 @@
             grants: grants(),
             pools: Arc::clone(self.pools),
             room: Arc::clone(self.room),
+            suspects: Arc::clone(self.suspects),
             log: log(),
         };
         let sending = Arc::clone(&socket);
@@ -262,6 +270,8 @@
             process,
             self.own_word(),
         ));
+        let suspects = || Arc::clone(self.suspects);
+        tokio::spawn(send_suspicions(Arc::clone(&socket), members(), suspects()));
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
         tokio::spawn(receive_datagrams(socket, parts));
         tokio::spawn(keep_entries(store(), members(), routers, log()));
@@ -281,10 +291,13 @@
         let news = watch::Sender::default();
         let new_kind = |kind, sink| Arc::new(KindFeed::new(kind, sink, news.clone()));
         let routers = new_kind(ROUTER_KIND, Arc::new(EntrySink));
+        let sink = QuarantineSink::new(Arc::clone(self.suspects), self.log.clone());
+        let quarantined = new_kind(QUARANTINE_KIND, Arc::new(sink));
         let kinds = [
             new_kind(CONFIG_KIND, config),
             new_kind(SERVER_KIND, replicas),
             Arc::clone(&routers),
+            Arc::clone(&quarantined),
         ];
         let feed = Feed::new(kinds, news.clone());
         let is_watching = watch::Sender::new(false);
@@ -314,6 +327,14 @@
         tokio::spawn(serve_feed(listener, parts.clone(), self.log.clone()));
         let keeper = FeedKeeper::new(store(), parts, is_watching, self.log.clone());
         tokio::spawn(keeper.run());
+        let keeper = QuarantineKeeper::new(
+            store(),
+            quarantined,
+            Arc::clone(self.suspects),
+            Arc::clone(self.members),
+            self.log.clone(),
+        );
+        tokio::spawn(keeper.run());
         routers
     }
 
@@ -361,6 +382,13 @@
         .map_err(|source| listen_error(place, address, source))
 }
 
+async fn bind_datagrams(settings: &EntrySettings) -> Result<Arc<UdpSocket>, EntryError> {
+    let address = settings.peer_listen;
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.map_err(|source| listen_error("peer_listen", address, source))?;
+    Ok(Arc::new(socket))
+}
+
 async fn listen_all(
     settings: &EntrySettings,
     ingress: &Arc<Ingress>,
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -17,6 +17,7 @@
 use super::request::{ExchangeRequest, RejectKind, Rejection, ReplicaTransport, Reply};
 use super::run::Run;
 use super::server_ends::ServerEnds;
+use super::suspects::Suspects;
 use crate::core::ids::PoolId;
 use crate::core::placement::PromptWish;
 use crate::core::quarantine::Fingerprint;
@@ -41,6 +42,7 @@
     grants: Arc<Grants>,
     pub(super) transport: Arc<dyn ReplicaTransport>,
     pub(super) server_ends: Arc<ServerEnds>,
+    pub(super) suspects: Arc<Suspects>,
     metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
@@ -63,6 +65,7 @@
             pools,
             grants,
             transport,
+            suspects: Arc::clone(server_ends.suspects()),
             server_ends,
             metrics,
             log,
@@ -142,6 +145,9 @@
         }
         let fingerprint = fingerprint_of(&request, team.as_deref());
         record.fingerprint = Some(fingerprint);
+        if let Some(left) = self.suspects.quarantined_for(fingerprint) {
+            return Err(Rejection::new(RejectKind::Quarantined).with_retry_after(left));
+        }
         let rank = team
             .as_ref()
             .and_then(|team| team.priority)
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -12,6 +12,7 @@
 use super::members::{entry_name, Hello, Members, OwnWordSource, RouterEntry, SILENT_HELLOS};
 use super::pools::Pools;
 use super::room::Room;
+use super::suspects::Suspects;
 use super::transfers::{learn_transfer, PeerMessage};
 use crate::store::feed::{KindFeed, KindSink};
 use crate::store::kinds::{Change, Freshness, KindError, KindObject, KindStore};
@@ -22,6 +23,8 @@
 const ROUND: Duration = Duration::from_millis(150);
 /// Most hellos sent in one round.
 const HELLOS_PER_ROUND: usize = 12;
+/// Least time between two messages with news of requests under which servers ended.
+const NEWS_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two looks at the entries.
 const ENTRIES_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a router's entry is removed from the store.
@@ -40,6 +43,8 @@
     pub pools: Arc<Pools>,
     /// How much more this router can take on.
     pub room: Arc<Room>,
+    /// Requests under which servers ended.
+    pub suspects: Arc<Suspects>,
     /// For what this router comes to believe.
     pub log: Logger,
 }
@@ -56,6 +61,7 @@
         grants,
         pools,
         room,
+        suspects,
         log,
     } = parts;
     let mut sequence = 0;
@@ -94,6 +100,7 @@
             loads: pools.told_loads(),
             notices: pools.told_notices(),
             grants: told_grants,
+            suspicions: suspects.told(),
         };
         PeerMessage::Hello(hello).send_all(&socket, &receivers);
         let due = Instant::now() + ROUND;
@@ -102,6 +109,20 @@
     }
 }
 
+/// Sends news of requests under which servers ended, as soon as this router learns of them.
+pub(crate) async fn send_suspicions(
+    socket: Arc<UdpSocket>,
+    members: Arc<Members>,
+    suspects: Arc<Suspects>,
+) {
+    loop {
+        let told = suspects.next_news().await;
+        let receivers = members.some_receivers(HELLOS_PER_ROUND, &mut rand::rng());
+        PeerMessage::Suspicions(told).send_all(&socket, &receivers);
+        tokio::time::sleep(NEWS_PAUSE).await;
+    }
+}
+
 /// Takes in datagrams of other routers.
 pub(crate) async fn receive_datagrams(socket: Arc<UdpSocket>, parts: HelloParts) {
     let log = &parts.log;
@@ -113,6 +134,7 @@
                     Ok(PeerMessage::Hello(hello)) => {
                         learn_hello(router, hello, &parts);
                     }
+                    Ok(PeerMessage::Suspicions(told)) => parts.suspects.learn_told(told),
                     Ok(message) => learn_transfer(&socket, router, message, &parts.grants, log),
                     // Another version of this program, or somebody else.
                     Err(error) => debug!(log, "datagram not understood";
@@ -127,7 +149,7 @@
     }
 }
 
-fn learn_hello(router: SocketAddr, hello: Hello, parts: &HelloParts) {
+fn learn_hello(router: SocketAddr, mut hello: Hello, parts: &HelloParts) {
     let interval = Duration::from_millis(u64::from(hello.interval_ms));
     parts
         .grants
@@ -136,6 +158,9 @@
         info!(parts.log, "a replica is leaving, by another router's word";
             "replica" => replica.as_str(), "router" => router.to_string());
     }
+    parts
+        .suspects
+        .learn_told(std::mem::take(&mut hello.suspicions));
     if parts.members.learn_hello(hello) {
         info!(parts.log, "router heard"; "router" => router.to_string(),
             "known" => parts.members.known_count());
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -10,11 +10,14 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use rand::seq::IteratorRandom;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::pooling::ToldGrants;
 use super::pools::ToldNotice;
+use super::suspects::ToldSuspicion;
 use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
@@ -108,6 +111,8 @@
     pub notices: Vec<ToldNotice>,
     /// Its grants.
     pub grants: ToldGrants,
+    /// Requests under which servers ended.
+    pub suspicions: Vec<ToldSuspicion>,
 }
 
 #[derive(Debug)]
@@ -399,6 +404,15 @@
         (addresses, count)
     }
 
+    /// Some routers, for news that are told at once.
+    pub(crate) fn some_receivers<R>(&self, most: usize, rng: &mut R) -> Vec<SocketAddr>
+    where
+        R: Rng,
+    {
+        let others = lock(&self.others);
+        others.members.keys().copied().sample(rng, most)
+    }
+
     /// Addresses of routers that entries exist for but that were silent for long.
     pub(crate) fn silent_for(&self, time: Duration) -> Vec<SocketAddr> {
         if self.started.elapsed() < time {
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -22,6 +22,7 @@
     first_event: Histogram,
     store_calls: IntCounterVec,
     lost_connections: IntCounterVec,
+    quarantined: IntCounter,
     replicas: IntGaugeVec,
 }
 
@@ -60,6 +61,10 @@
             ),
             &["finding"],
         )?;
+        let quarantined = IntCounter::new(
+            "currantlever_quarantined",
+            "Requests that came to be quarantined",
+        )?;
         let replicas = IntGaugeVec::new(
             Opts::new("currantlever_replicas", "Replicas by pool and state"),
             &["pool", "state"],
@@ -70,6 +75,7 @@
         registry.register(Box::new(first_event.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(lost_connections.clone()))?;
+        registry.register(Box::new(quarantined.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
         Ok(Self {
             registry,
@@ -79,6 +85,7 @@
             first_event,
             store_calls,
             lost_connections,
+            quarantined,
             replicas,
         })
     }
@@ -105,6 +112,11 @@
         self.lost_connections.with_label_values(&[finding]).inc();
     }
 
+    /// Counts a request that is quarantined from now on.
+    pub(crate) fn note_quarantined(&self) {
+        self.quarantined.inc();
+    }
+
     /// Sets the number of replicas of a pool.
     pub(crate) fn set_replicas(&self, pool: &str, in_service: usize, all: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -23,6 +24,9 @@
 const LEAST_CONNECTIONS: u32 = 4;
 /// Slots assumed for a replica whose entry names none.
 const DEFAULT_SLOTS: u32 = 1;
+/// Replicas drawn at random, of which a request under which servers ended gets one. Requests that
+/// were on the same server when it ended would follow one another by load and shared prompts.
+const SUSPECT_CHOICES: usize = 2;
 
 /// A replica's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,6 +61,8 @@
     born_ms: Option<u64>,
     /// True when it told this router, in an answer, that it leaves.
     said_leaving: bool,
+    /// Requests of this router there under which servers ended before.
+    suspects: u32,
 }
 
 #[derive(Debug, Default)]
@@ -94,6 +100,7 @@
     /// The replica.
     pub replica: ReplicaAddress,
     unread_tokens: u64,
+    is_suspect: bool,
 }
 
 impl ChosenReplica {
@@ -153,6 +160,9 @@
                 place.own.read(unread_tokens);
                 place.own.remove();
             });
+        if self.is_suspect {
+            self.pools.drop_suspect(&self.pool, &self.replica.id);
+        }
     }
 }
 
@@ -202,6 +212,8 @@
     pub rank: u32,
     /// The prompt, if it has one.
     pub prompt: Option<PromptWish>,
+    /// True when servers ended under the request, so that it is to run apart from others like it.
+    pub is_suspect: bool,
 }
 
 /// The replicas of all pools.
@@ -281,10 +293,22 @@
             digest: short_digest(entry.id.as_str()),
             born_ms: entry.born_ms,
             said_leaving: false,
+            suspects: 0,
         });
         true
     }
 
+    /// Notes that a replica has ended.
+    pub(crate) fn note_ended(&self, id: &ReplicaId) {
+        let now_ms = self.now_ms();
+        let mut state = lock(&self.state);
+        for pool in state.pools.values_mut() {
+            if let Some(index) = pool.index_of(id) {
+                pool.places[index].learn_unreachable(now_ms);
+            }
+        }
+    }
+
     /// The present incarnation of a replica.
     pub(crate) fn incarnation(&self, id: &ReplicaId) -> Option<Incarnation> {
         let state = lock(&self.state);
@@ -339,11 +363,17 @@
             rank: wish.rank,
             prompt: wish.prompt.filter(|_| pool.engine.is_some()),
         };
-        match choose_place(&mut pool.places, &place_wish, &pool.mix, &mut state.rng) {
+        let choice = if wish.is_suspect {
+            choose_apart(pool, &place_wish, &mut state.rng)
+        } else {
+            choose_place(&mut pool.places, &place_wish, &pool.mix, &mut state.rng)
+        };
+        match choice {
             Choice::Place {
                 index,
                 unread_tokens,
             } => {
+                pool.replicas[index].suspects += u32::from(wish.is_suspect);
                 let place = &mut pool.places[index];
                 place.own.add(unread_tokens);
                 if place_wish.prompt.is_some() {
@@ -362,6 +392,7 @@
                         idle_limit: share as usize,
                     },
                     unread_tokens,
+                    is_suspect: wish.is_suspect,
                 })
             }
             Choice::Full => Search::Full,
@@ -454,6 +485,16 @@
         leaving
     }
 
+    fn drop_suspect(&self, pool: &PoolId, id: &ReplicaId) {
+        let mut state = lock(&self.state);
+        if let Some(pool) = state.pools.get_mut(pool) {
+            if let Some(index) = pool.index_of(id) {
+                let suspects = &mut pool.replicas[index].suspects;
+                *suspects = suspects.saturating_sub(1);
+            }
+        }
+    }
+
     fn tell_leaving(&self, pool: &PoolId, id: &ReplicaId) {
         let mut state = lock(&self.state);
         if let Some(pool) = state.pools.get_mut(pool) {
@@ -503,3 +544,25 @@
         action(pool.retries.get_or_insert_with(|| RetryShare::new(rule, 0)))
     }
 }
+
+/// Chooses among a few random replicas without another suspect, and among all if none of these will
+/// do.
+fn choose_apart(pool: &mut Pool, wish: &PlaceWish<'_>, rng: &mut SmallRng) -> Choice {
+    let free = pool.places.iter().zip(&pool.replicas);
+    let free = free.filter(|(place, replica)| {
+        replica.suspects == 0 && !place.is_leaving && !wish.avoid.contains(&place.id)
+    });
+    let drawn = free.map(|(place, _)| place.id.clone());
+    let drawn = drawn.sample(rng, SUSPECT_CHOICES);
+    let others = pool.places.iter().map(|place| place.id.clone());
+    let avoid: Vec<ReplicaId> = others.filter(|id| !drawn.contains(id)).collect();
+    let apart = PlaceWish {
+        avoid: &avoid,
+        ..*wish
+    };
+    let choice = choose_place(&mut pool.places, &apart, &pool.mix, rng);
+    if matches!(choice, Choice::Place { .. }) {
+        return choice;
+    }
+    choose_place(&mut pool.places, wish, &pool.mix, rng)
+}
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -120,6 +120,7 @@
                     if let Some(chosen) = &opened.chosen {
                         chosen.learn_success();
                     }
+                    run.note_completed(opened.status);
                     run.record.note_try(replica, "whole");
                     run.record.note_outcome("answered");
                     return;
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -241,6 +241,8 @@
     ReplicasQuiet,
     /// Replicas refused the request and stated that it did not run.
     ReplicasRefused,
+    /// Servers ended under the same request before.
+    Quarantined,
     /// The request may have run and its answer was lost.
     AnswerLost,
     /// The route's time is over.
@@ -264,6 +266,7 @@
             | Self::Overloaded
             | Self::ReplicasQuiet
             | Self::ReplicasRefused
+            | Self::Quarantined
             | Self::TimedOutUnsent => 503,
             Self::AnswerLost => 502,
             Self::TimedOut => 504,
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -38,6 +38,8 @@
 const OVERLOAD_SPREAD_MS: u64 = 800;
 /// Longest wait to find out whether a replica ended, before the request goes on elsewhere.
 const FINDING_WAIT: Duration = Duration::from_millis(50);
+/// Time within which other routers tell of servers that ended under the same request just now.
+const REPORTS_WAIT: Duration = Duration::from_millis(30);
 /// Most time left when a request is handed to a replica; less is not worth a try.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -132,6 +134,7 @@
                         }
                     } else {
                         chosen.learn_success();
+                        self.note_completed(answer.status);
                         self.record
                             .note_try(chosen.replica.id.as_str(), answer.status);
                     }
@@ -205,6 +208,9 @@
         resume_after: Option<u64>,
     ) -> Result<Answered, Rejection> {
         loop {
+            if let Some(left) = self.exchange.suspects.quarantined_for(self.fingerprint) {
+                return Err(self.quarantined(left));
+            }
             let chosen = self.choose()?;
             self.tried.push(chosen.replica.id.clone());
             let time_left = self.deadline.saturating_duration_since(Instant::now());
@@ -290,6 +296,7 @@
             avoid: &self.tried,
             rank: u32::from(self.rank),
             prompt: self.prompt,
+            is_suspect: self.exchange.suspects.is_suspect(self.fingerprint),
         };
         let (kind, retry_after) = match self.exchange.pools.choose(&wish) {
             Search::Found(chosen) => return Ok(chosen),
@@ -336,7 +343,17 @@
         });
         if self.route.kind.may_repeat() {
             // What shows later is learned by the task itself.
-            let _ = tokio::time::timeout(FINDING_WAIT, found).await;
+            let found = tokio::time::timeout(FINDING_WAIT, found).await;
+            if matches!(found, Ok(Ok(true))) {
+                tokio::time::sleep(REPORTS_WAIT).await;
+            }
+        }
+    }
+
+    /// Notes that the request ran to its end. Failures may come from servers that did not run it.
+    pub(super) fn note_completed(&self, status: u16) {
+        if (200..300).contains(&status) {
+            self.exchange.suspects.note_completed(self.fingerprint);
         }
     }
 
@@ -352,6 +369,13 @@
         self.may_send_again()
     }
 
+    fn quarantined(&self, left: Duration) -> Rejection {
+        if self.may_have_run {
+            return Rejection::new(RejectKind::AnswerLost);
+        }
+        Rejection::new(RejectKind::Quarantined).with_retry_after(left)
+    }
+
     fn refused_by_replicas(&self) -> Rejection {
         if self.may_have_run {
             return Rejection::new(RejectKind::AnswerLost);
--- a/src/exchange/server_ends.rs
+++ b/src/exchange/server_ends.rs
@@ -17,6 +17,7 @@
 use super::metrics::ExchangeMetrics;
 use super::pools::{Incarnation, Pools};
 use super::request::{Listening, ReplicaAddress, ReplicaTransport};
+use super::suspects::Suspects;
 use crate::core::ids::ReplicaId;
 use crate::core::quarantine::Fingerprint;
 use crate::util::lock;
@@ -70,6 +71,7 @@
 pub(crate) struct ServerEnds {
     transport: Arc<dyn ReplicaTransport>,
     pools: Arc<Pools>,
+    suspects: Arc<Suspects>,
     metrics: Arc<ExchangeMetrics>,
     log: Logger,
     state: Mutex<State>,
@@ -80,18 +82,25 @@
     pub(crate) fn new(
         transport: Arc<dyn ReplicaTransport>,
         pools: Arc<Pools>,
+        suspects: Suspects,
         metrics: Arc<ExchangeMetrics>,
         log: Logger,
     ) -> Self {
         Self {
             transport,
             pools,
+            suspects: Arc::new(suspects),
             metrics,
             log,
             state: Mutex::default(),
         }
     }
 
+    /// Requests under which servers ended.
+    pub(crate) const fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     /// Looks at a server after a connection to it was lost. The task tells whether it ended, as far
     /// as that shows at once. Ends of servers that had said that they leave count for nothing.
     pub(crate) fn investigate(self: &Arc<Self>, lost: LostConnection) -> JoinHandle<bool> {
@@ -101,9 +110,12 @@
                 return false;
             };
             match ends.transport.probe(lost.replica.address).await {
-                Listening::Refused => ends.explain(EndEvidence::Refused, |unexplained| {
-                    unexplained.number == number
-                }),
+                Listening::Refused => {
+                    ends.pools.note_ended(&lost.replica.id);
+                    ends.explain(EndEvidence::Refused, |unexplained| {
+                        unexplained.number == number
+                    })
+                }
                 Listening::Listens => {
                     debug!(ends.log, "connection lost; the server still listens";
                         "replica" => lost.replica.id.as_str(), "request" => lost.request.as_str());
@@ -165,11 +177,12 @@
         lock(&self.state).unexplained.retain(|unexplained| {
             let is_explained = is_meant(unexplained) && unexplained.since.elapsed() < CONFIRM_TIME;
             if is_explained {
-                explained.push(unexplained.lost.clone());
+                explained.push((unexplained.lost.clone(), unexplained.since));
             }
             !is_explained
         });
-        for lost in &explained {
+        for (lost, since) in &explained {
+            self.suspects.learn_end(lost, *since);
             self.metrics.note_lost_connection("server_ended");
             info!(self.log, "server ended with a request in progress";
                 "replica" => lost.replica.id.as_str(), "evidence" => evidence.to_string(),
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -11,6 +11,7 @@
 use super::grants::Grants;
 use super::members::Hello;
 use super::pooling::{TokenAsk, TokenGive};
+use super::suspects::ToldSuspicion;
 
 /// Time between two looks at asks that wait.
 const OPEN_ASK_LOOK: Duration = Duration::from_millis(10);
@@ -24,6 +25,8 @@
     Ask(TokenAsk),
     /// Hands tokens over.
     Give(TokenGive),
+    /// News of requests under which servers ended.
+    Suspicions(Vec<ToldSuspicion>),
 }
 
 impl PeerMessage {
@@ -69,7 +72,7 @@
     log: &Logger,
 ) {
     match message {
-        PeerMessage::Hello(_) => {}
+        PeerMessage::Hello(_) | PeerMessage::Suspicions(_) => {}
         PeerMessage::Ask(ask) => {
             if let Some(give) = grants.learn_ask(router, ask) {
                 PeerMessage::Give(give).send(socket, router);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,9 @@
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::pooling::{FleetStock, RouterStock};
 pub use crate::core::presence::{OwnWord, Presence, PresenceTable, GONE_AFTER_MS};
-pub use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
+pub use crate::core::quarantine::{
+    EndNews, Fingerprint, Quarantine, ServerEnd, Suspicion, QUARANTINE_MEMORY_MS,
+};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{PoolState, ReplicaState, RouteWish, RoutingName, RoutingPolicy};
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -72,6 +72,8 @@
     pub replica: ReplicaId,
     /// True when the request ran there apart from other suspects.
     pub alone: bool,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A wish to raise the horizon of one budget.
--- a/src/router/replicas.rs
+++ b/src/router/replicas.rs
@@ -11,7 +11,7 @@
 
 use crate::catalog::Catalog;
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
-use crate::core::quarantine::{Fingerprint, Quarantine, Suspicion};
+use crate::core::quarantine::{Fingerprint, Quarantine, ServerEnd, Suspicion};
 use crate::core::routing::{PoolState, PrefixKey, ReplicaState, RouteWish, RoutingPolicy};
 use crate::peer::CrashReport;
 use crate::util::lock;
@@ -191,7 +191,8 @@
             pool.learn_success(index);
         });
         drop(state);
-        lock(&self.quarantine).clear(chosen.fingerprint);
+        let now_ms = self.now_ms();
+        lock(&self.quarantine).note_completed(chosen.fingerprint, now_ms);
     }
 
     /// Notes that a replica failed a request but is there.
@@ -218,24 +219,24 @@
     /// Notes a crash: all requests in progress there come under suspicion.
     pub fn learn_crash(&self, chosen: &Chosen) {
         let in_flight = lock(&self.pools).in_flight.get(&chosen.replica).cloned();
+        let end = ServerEnd::new(chosen.replica.clone(), self.now_ms());
         let mut quarantine = lock(&self.quarantine);
         for (fingerprint, alone) in in_flight.unwrap_or_default() {
-            quarantine.record(fingerprint, chosen.replica.clone(), alone);
+            quarantine.record(fingerprint, end.clone().with_alone(alone));
         }
-        quarantine.record(
-            chosen.fingerprint,
-            chosen.replica.clone(),
-            chosen.is_suspect,
-        );
+        quarantine.record(chosen.fingerprint, end.with_alone(chosen.is_suspect));
         drop(quarantine);
         self.learn_gone(&chosen.replica);
     }
 
     /// Takes in what a peer found.
     pub fn learn_from_peer(&self, gone: &[ReplicaId], crashes: &[CrashReport]) {
+        let now_ms = self.now_ms();
         let mut quarantine = lock(&self.quarantine);
         for crash in crashes {
-            quarantine.record(crash.fingerprint, crash.replica.clone(), crash.alone);
+            let at_ms = now_ms.saturating_sub(crash.age_ms);
+            let end = ServerEnd::new(crash.replica.clone(), at_ms).with_alone(crash.alone);
+            quarantine.record(crash.fingerprint, end);
         }
         drop(quarantine);
         let mut state = lock(&self.pools);
@@ -274,16 +275,15 @@
     /// All crashes known.
     #[must_use]
     pub fn crashes(&self) -> Vec<CrashReport> {
+        let now_ms = self.now_ms();
         let quarantine = lock(&self.quarantine);
-        let reports = quarantine.reports();
+        let reports = quarantine.reports(now_ms);
         reports
-            .map(|(fingerprint, replica, alone)| {
-                let replica = replica.clone();
-                CrashReport {
-                    fingerprint,
-                    replica,
-                    alone,
-                }
+            .map(|(fingerprint, end)| CrashReport {
+                fingerprint,
+                replica: end.replica.clone(),
+                alone: end.alone,
+                age_ms: now_ms.saturating_sub(end.at_ms),
             })
             .collect()
     }
@@ -291,7 +291,7 @@
     /// How far a request is under suspicion.
     #[must_use]
     pub fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
-        lock(&self.quarantine).suspicion(fingerprint)
+        lock(&self.quarantine).suspicion(fingerprint, self.now_ms())
     }
 
     /// Addresses of all replicas in service, to ask them for their load.
--- a/tests/entry/ending.rs
+++ b/tests/entry/ending.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::replica::{Behaviour, StandInReplica, FATAL};
-use super::site::{wait_until, Call, Router, Site};
+use super::replica::{Behaviour, StandInReplica, BACK_AFTER, FATAL, FATAL_LATER};
+use super::site::{wait_ready, wait_until, Call, Router, Site};
 use super::site_with;
 
 const SERVERS: usize = 9;
@@ -89,3 +89,202 @@
     let requests = router.log_of("request");
     assert_eq!(requests[0]["fingerprint"], requests[1]["fingerprint"]);
 }
+
+/// Sends a request that ends servers until a router refuses it, and returns the refusal's number.
+async fn send_until_refused(router: &Router, attempts: &str) -> u32 {
+    for number in 0..=ALLOWED_ENDS {
+        let call = fatal("book", &format!("{attempts}-{number}"));
+        if call.send(router.callers).await.unwrap().status == 503 {
+            return number;
+        }
+    }
+    panic!("the request was not refused");
+}
+
+async fn assert_refused(router: &Router, attempt: &str, replicas: &[StandInReplica]) {
+    let seen = replicas.iter().map(|replica| replica.seen().len());
+    let before: usize = seen.sum();
+    let got = fatal("book", attempt).send(router.callers).await.unwrap();
+    assert_eq!(got.status, 503, "{attempt}");
+    let seen = replicas.iter().map(|replica| replica.seen().len());
+    assert_eq!(
+        seen.sum::<usize>(),
+        before,
+        "{attempt}: it reached a server"
+    );
+}
+
+/// Guards against a refusal that hides why, that comes late, that charges, or that lies about
+/// whether the request ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_refusal_of_a_request_that_ends_servers_says_why_and_costs_nothing() {
+    let (site, replicas, routers) = fleet(1).await;
+    send_until_refused(&routers[0], "kill").await;
+    let asked = std::time::Instant::now();
+    let call = fatal("book", "refused").with_tokens(100, 10);
+    let got = call.send(routers[0].callers).await.unwrap();
+    assert!(asked.elapsed() < Duration::from_millis(500));
+    assert_eq!(got.status, 503);
+    assert_eq!(got.body, r#"{"error":"quarantined"}"#);
+    let retry_after: f64 = got.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((3_000.0..=3_600.0).contains(&retry_after), "{retry_after}");
+    let ran = replicas.iter().flat_map(StandInReplica::seen);
+    let mut ran = ran.filter(|seen| seen.header("currantlever-attempt-id") == Some("refused"));
+    assert!(ran.next().is_none());
+    wait_until("the refusal is logged", || async {
+        let requests = routers[0].log_of("request");
+        requests.iter().any(|line| line["request"] == "refused")
+    })
+    .await;
+    let requests = routers[0].log_of("request");
+    let line = requests.iter().find(|line| line["request"] == "refused");
+    let line = line.unwrap();
+    assert_eq!(line["outcome"], "quarantined");
+    assert_eq!(line["spent_tokens"], 0);
+    let quarantined = &routers[0].log_of("request quarantined")[0];
+    assert_eq!(quarantined["fingerprint"], line["fingerprint"]);
+    let servers = quarantined["ended_servers"].as_str().unwrap();
+    assert_eq!(servers.matches("seen by r-0").count(), 3, "{servers}");
+    wait_until("it is written down", || async {
+        site.store.names("quarantined-requests").len() == 1
+    })
+    .await;
+}
+
+/// Guards against forgetting a request that ends servers when all routers that know it are killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantined_request_stays_so_when_all_routers_are_killed() {
+    let (site, replicas, mut routers) = fleet(2).await;
+    send_until_refused(&routers[0], "kill").await;
+    wait_until("it is written down", || async {
+        !site.store.names("quarantined-requests").is_empty()
+    })
+    .await;
+    for router in &mut routers {
+        router.kill();
+    }
+    for router in &mut routers {
+        router.restart();
+        wait_ready(router).await;
+    }
+    wait_until("both have read it", || async {
+        let read = |router: &Router| router.log_of("request quarantined").len() == 2;
+        routers.iter().all(read)
+    })
+    .await;
+    for (number, router) in routers.iter().enumerate() {
+        assert_refused(router, &format!("again-{number}"), &replicas).await;
+    }
+}
+
+/// Guards against routers that hear of ended servers only by way of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_other_routers_refuse_a_request_that_ends_servers_while_the_store_is_down() {
+    let (site, replicas, routers) = fleet(3).await;
+    site.store.go_down();
+    send_until_refused(&routers[0], "kill").await;
+    for (number, router) in routers.iter().enumerate() {
+        wait_until("the router has heard", || async {
+            !router.log_of("request quarantined").is_empty()
+        })
+        .await;
+        assert_refused(router, &format!("again-{number}"), &replicas).await;
+    }
+    assert_eq!(ends(&replicas), ALLOWED_ENDS);
+}
+
+/// Guards against an operator who cannot let a request run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_object_is_removed_from_the_store_may_run_again() {
+    let (site, replicas, routers) = fleet(2).await;
+    send_until_refused(&routers[0], "kill").await;
+    wait_until("it is written down", || async {
+        !site.store.names("quarantined-requests").is_empty()
+    })
+    .await;
+    let name = site.store.names("quarantined-requests").remove(0);
+    wait_until("both routers know the object", || async {
+        let knows = |router: &Router| !router.log_of("request quarantined").is_empty();
+        routers.iter().all(knows)
+    })
+    .await;
+    site.store.remove("quarantined-requests", &name);
+    for (number, router) in routers.iter().enumerate() {
+        wait_until("it may run", || async {
+            !router.log_of("request released").is_empty()
+        })
+        .await;
+        let call = fatal("book", &format!("released-{number}"));
+        assert_eq!(call.send(router.callers).await.unwrap().status, 502);
+    }
+    assert_eq!(ends(&replicas), ALLOWED_ENDS + 2);
+}
+
+/// Guards against more ended servers where a request comes to all routers at the same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn tries_at_several_routers_at_once_end_no_more_servers_than_there_are_tries() {
+    let (_site, replicas, routers) = fleet(4).await;
+    for round in 0..4 {
+        let calls = routers.iter().enumerate().map(|(number, router)| {
+            let call = fatal("look", &format!("look-{round}-{number}"));
+            async move { call.send(router.callers).await.unwrap().status }
+        });
+        futures::future::join_all(calls).await;
+    }
+    // Each router's first try, and none after these are known of.
+    let ended = ends(&replicas);
+    assert!(ended <= 4, "{ended} servers ended");
+}
+
+/// Guards against resuming, again and again, a stream that ends servers after some events.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_servers_after_some_events_is_resumed_at_no_fourth_one() {
+    let (_site, replicas, routers) = fleet(2).await;
+    for number in 0..8 {
+        let call = Call::new("chat", &format!("a-{number}")).with_body(FATAL_LATER);
+        let got = call.send(routers[number % 2].callers).await.unwrap();
+        assert!(!got.is_whole || got.status == 503);
+        let ended = ends(&replicas);
+        assert!(ended <= ALLOWED_ENDS, "{ended} servers ended by {number}");
+    }
+    assert_eq!(ends(&replicas), ALLOWED_ENDS);
+}
+
+/// Guards against refusing requests that were merely on servers when these ended together, above
+/// all those that many callers send.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_many_servers_that_end_at_once_are_served_afterwards() {
+    let (_site, replicas, routers) = fleet(3).await;
+    for round in 0..3 {
+        for replica in &replicas {
+            replica.set(Behaviour::AnswerAfter(Duration::from_millis(300)));
+        }
+        let calls = (0..36).map(|number| {
+            // All callers ask for the same.
+            let call = Call::new("look", &format!("herd-{round}-{number}"));
+            let callers = routers[number % 3].callers;
+            async move { call.send(callers).await.unwrap().status }
+        });
+        let calls = futures::future::join_all(calls);
+        let herd = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            for replica in &replicas[..6] {
+                replica.end();
+            }
+        };
+        let (_, ()) = futures::join!(calls, herd);
+        for replica in &replicas {
+            replica.set(Behaviour::Answer);
+        }
+        for number in 0..9 {
+            let call = Call::new("look", &format!("after-{round}-{number}"));
+            let got = call.send(routers[number % 3].callers).await.unwrap();
+            assert_eq!(got.status, 200, "round {round}, request {number}: {got:?}");
+        }
+        tokio::time::sleep(BACK_AFTER + Duration::from_millis(200)).await;
+    }
+}
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -14,6 +14,8 @@
 
 /// Text in the body of a request that ends each server which begins to run it.
 pub const FATAL: &str = "ends servers";
+/// The same, for a stream: the server makes two events before it ends.
+pub const FATAL_LATER: &str = "ends servers in mid-stream";
 /// Time after which a server that ended is back.
 pub const BACK_AFTER: Duration = Duration::from_secs(2);
 
@@ -90,7 +92,7 @@
             ends: Arc::default(),
             end: Arc::default(),
         };
-        let mut listener = TcpListener::bind(address).await.unwrap();
+        let mut listener = listen(address).await;
         let (behaviour, seen) = (Arc::clone(&replica.behaviour), Arc::clone(&replica.seen));
         let (left, end) = (Arc::clone(&replica.left), Arc::clone(&replica.end));
         let ends = Arc::clone(&replica.ends);
@@ -102,7 +104,7 @@
                 drop(listener);
                 connections.shutdown().await;
                 tokio::time::sleep(BACK_AFTER).await;
-                listener = TcpListener::bind(address).await.unwrap();
+                listener = listen(address).await;
             }
         });
         replica
@@ -136,6 +138,20 @@
     }
 }
 
+/// Listens on an address. A process that is just being started may hold a copy of a socket that
+/// was closed here, until it runs its own program.
+async fn listen(address: SocketAddr) -> TcpListener {
+    let mut listener = TcpListener::bind(address).await;
+    for _ in 0..200 {
+        if listener.is_ok() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        listener = TcpListener::bind(address).await;
+    }
+    listener.unwrap()
+}
+
 /// Serves until the server is to end, and gives back the connections that are open then.
 async fn accept_until_end(
     listener: &TcpListener,
@@ -201,6 +217,9 @@
         let mut behaviour = behaviour.lock().unwrap().clone();
         seen.lock().unwrap().push(request.clone());
         if request.body.starts_with(FATAL.as_bytes()) {
+            if request.body == FATAL_LATER.as_bytes() {
+                start_events(&mut stream, &request, 2).await;
+            }
             end.notify_one();
             std::future::pending::<()>().await;
         }
@@ -301,6 +320,20 @@
     )
 }
 
+/// Sends the first events that the caller lacks.
+async fn start_events(stream: &mut TcpStream, request: &SeenRequest, count: u64) {
+    let header = |name| request.header(name).unwrap_or_default();
+    let after: u64 = header("last-event-id").parse().unwrap_or(0);
+    let mut text = stream_head(header("currantlever-attempt-id"), "");
+    for event in after + 1..=after + count {
+        text.push_str(&chunk(&event_text(event)));
+    }
+    // A router that is gone gets no events.
+    let _ = stream.write_all(text.as_bytes()).await;
+    // They are on their way before the connection breaks.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
 async fn stream_events(
     stream: &mut TcpStream,
     request: &SeenRequest,
