Hold streams to what their requests reserved, and answers of others to bounds

A stream whose event never ended was passed on in pieces for the whole route time; endless whole events were, too; bytes that completed no event counted as life.

Now an event has at most 64 KiB, and a stream as many events as output tokens were reserved plus 16, and 1 KiB for each of those tokens plus 64 KiB (16 MiB where nothing was reserved). Beyond that the caller's answer is broken off at once ('stream_too_long'), the server's connection closed and its failure counted; what is charged stays within the reservation. Silence is counted from the last whole event. Answers of the store have at most 8 MiB, messages between routers 16 MiB (64 before). Heads and whole bodies were bounded already.

--- a/src/exchange/feed_link.rs
+++ b/src/exchange/feed_link.rs
@@ -24,8 +24,8 @@
 use crate::tcp::{connect, notice_silence};
 use crate::util::millis;
 
-/// Largest message: all objects of a kind.
-const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// Largest message: all objects of all kinds.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Longest wait that a router grants another one.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Longest wait for a connection to another router.
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -6,12 +6,13 @@
 
 use async_stream::stream;
 use bytes::Bytes;
+use compact_str::ToCompactString;
 use futures::StreamExt;
 use http::HeaderMap;
 use tokio::time::Instant;
 
 use super::catalog::RouteKind;
-use super::events::EventSplitter;
+use super::events::{EventSplitter, StreamBound, StreamTooLong};
 use super::pools::ChosenReplica;
 use super::request::{BodyStream, BrokenBody, ReplicaAnswer};
 use super::run::{Answered, Run};
@@ -43,13 +44,13 @@
 
 impl Opened {
     /// A stream that goes on after an event.
-    pub(super) fn new(answer: ReplicaAnswer, last_id: Option<u64>) -> Self {
+    pub(super) fn new(answer: ReplicaAnswer, last_id: Option<u64>, bound: StreamBound) -> Self {
         Self {
             status: answer.status,
             headers: answer.headers,
             chosen: None,
             body: answer.body,
-            splitter: EventSplitter::new(last_id),
+            splitter: EventSplitter::new(last_id, bound),
             first: Bytes::new(),
             first_events: 0,
             is_over: false,
@@ -59,7 +60,7 @@
     /// Waits for the first whole event or the end.
     pub(super) async fn read_first(&mut self) -> Result<(), BrokenBody> {
         while let Some(piece) = self.body.next().await {
-            let batch = self.splitter.push(&piece?);
+            let batch = self.splitter.push(&piece?).map_err(too_long)?;
             if !batch.bytes.is_empty() {
                 self.first = batch.bytes;
                 self.first_events = batch.count;
@@ -72,12 +73,20 @@
     }
 }
 
+fn too_long(error: StreamTooLong) -> BrokenBody {
+    BrokenBody {
+        reason: error.to_compact_string(),
+        is_connection_lost: false,
+    }
+}
+
 /// How the part of a stream that one replica made has ended.
 enum PartEnd {
     Whole,
     Broken(BrokenBody),
     Silent,
     TimedOut,
+    TooLong(StreamTooLong),
 }
 
 /// The pieces for the caller. An error means that the stream broke off.
@@ -91,11 +100,13 @@
                 yield Ok(first);
             }
             let silence = silence_limit(&run);
+            // Bytes that complete no event are silence, too.
+            let mut last_event = Instant::now();
             let end = loop {
                 if opened.is_over {
                     break PartEnd::Whole;
                 }
-                let limit = run.deadline.min(Instant::now() + silence);
+                let limit = run.deadline.min(last_event + silence);
                 let piece = match tokio::time::timeout_at(limit, opened.body.next()).await {
                     Ok(Some(Ok(piece))) => piece,
                     Ok(Some(Err(error))) => break PartEnd::Broken(error),
@@ -103,10 +114,14 @@
                     Err(_) if Instant::now() >= run.deadline => break PartEnd::TimedOut,
                     Err(_) => break PartEnd::Silent,
                 };
-                let batch = opened.splitter.push(&piece);
+                let batch = match opened.splitter.push(&piece) {
+                    Ok(batch) => batch,
+                    Err(error) => break PartEnd::TooLong(error),
+                };
                 run.spend_events(batch.count);
                 if !batch.bytes.is_empty() {
                     yield Ok(batch.bytes);
+                    last_event = Instant::now();
                 }
             };
             let replica = opened.chosen.as_ref().map(|chosen| chosen.replica.id.clone());
@@ -134,6 +149,15 @@
                     });
                     return;
                 }
+                PartEnd::TooLong(error) => {
+                    run.record.note_try(replica, error);
+                    run.record.note_outcome("stream_too_long");
+                    if let Some(chosen) = &opened.chosen {
+                        chosen.learn_failure();
+                    }
+                    yield Err(too_long(error));
+                    return;
+                }
                 PartEnd::Broken(error) => error,
                 PartEnd::Silent => BrokenBody {
                     reason: "the replica fell silent".into(),
@@ -142,6 +166,7 @@
             };
             run.record.note_try(replica, &reason);
             let last_id = opened.splitter.last_id();
+            let bound = opened.splitter.bound();
             let chosen = opened.chosen.take();
             // The connection is closed before another replica goes on.
             drop(opened);
@@ -151,7 +176,7 @@
                     run.learn_lost(&chosen).await;
                 }
             }
-            let Some(next) = resume(&mut run, last_id).await else {
+            let Some(next) = resume(&mut run, last_id, bound).await else {
                 run.record.note_outcome("stream_broken");
                 yield Err(reason);
                 return;
@@ -172,7 +197,7 @@
 }
 
 /// Opens the rest of a stream at another replica.
-async fn resume(run: &mut Run, last_id: Option<u64>) -> Option<Opened> {
+async fn resume(run: &mut Run, last_id: Option<u64>, bound: StreamBound) -> Option<Opened> {
     if run.route.kind != RouteKind::ResumableStream {
         return None;
     }
@@ -184,7 +209,7 @@
                 .note_try(chosen.replica.id.as_str(), answer.status);
             continue;
         }
-        let mut opened = Opened::new(answer, Some(last_id));
+        let mut opened = Opened::new(answer, Some(last_id), bound);
         let first = tokio::time::timeout_at(run.deadline, opened.read_first())
             .await
             .ok()?;
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -12,6 +12,7 @@
 
 use super::catalog::{Route, RouteKind, Team};
 use super::engine::Exchange;
+use super::events::StreamBound;
 use super::grants::Reservation;
 use super::pools::{ChosenReplica, ReplicaWish, Search};
 use super::record::RequestRecord;
@@ -176,7 +177,9 @@
                     body,
                 });
             }
-            let mut opened = super::relay::Opened::new(answer, self.request.resume_after);
+            let output_tokens = self.request.tokens.map(|bound| bound.max_output_tokens);
+            let bound = StreamBound::new(output_tokens);
+            let mut opened = super::relay::Opened::new(answer, self.request.resume_after, bound);
             match tokio::time::timeout_at(self.deadline, opened.read_first()).await {
                 Ok(Ok(())) => {
                     chosen.note_first_token();
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
@@ -32,6 +32,8 @@
 /// Time without acknowledgement after which a connection counts as lost. Watches wait in
 /// silence, so probes have to find out.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Largest answer. A page of a listing is about a megabyte.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Idle connections kept.
 const MAX_IDLE: usize = 4;
 
@@ -161,7 +163,8 @@
         let mut sender = self.sender().await?;
         let response = sender.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(no_answer)?;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(no_answer)?;
         let mut idle = lock(&self.idle);
         if idle.len() < MAX_IDLE {
             idle.push(sender);
--- /dev/null
+++ b/tests/entry/endless.rs
@@ -0,0 +1,64 @@
+//! Backend servers whose streams never end.
+
+use std::time::{Duration, Instant};
+
+use super::replica::Behaviour;
+use super::site::{wait_until, Call};
+use super::site_with;
+
+/// Time that the routes have.
+const ROUTE_TIME: Duration = Duration::from_secs(5);
+const OUTPUT_TOKENS: u64 = 40;
+/// Bytes for the reserved tokens, and those that any stream may have.
+const MOST_BYTES: usize = 40 * 1_024 + 64 * 1_024;
+
+/// Guards against passing bytes on, or keeping them, for as long as a server sends some.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_end_is_broken_off_at_what_its_request_reserved() {
+    let endless = [Behaviour::EndlessEvent, Behaviour::EndlessEvents];
+    for behaviour in endless {
+        for route in ["draft", "chat"] {
+            let (site, replicas) = site_with(std::slice::from_ref(&behaviour)).await;
+            let router = site.ready_router("r-1").await;
+            let asked = Instant::now();
+            let call = Call::new(route, "a-1").with_tokens(100, OUTPUT_TOKENS);
+            let got = call.send(router.callers).await.unwrap();
+            assert!(asked.elapsed() < ROUTE_TIME / 2, "{behaviour:?}, {route}");
+            assert!(!got.is_whole || got.status == 502, "{behaviour:?}, {route}");
+            assert!(got.body.len() <= MOST_BYTES, "{} bytes", got.body.len());
+            wait_until("the server's connection is closed", || async {
+                replicas[0].left_count() > 0
+            })
+            .await;
+            wait_until("the request is logged", || async {
+                !router.log_of("request").is_empty()
+            })
+            .await;
+            let line = &router.log_of("request")[0];
+            let number = |name: &str| line[name].as_u64().unwrap();
+            assert!(number("spent_tokens") <= number("reserved_tokens"));
+        }
+    }
+}
+
+/// Guards against bytes that complete no event keeping a stream from going on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_trickles_without_an_event_goes_on_at_another_server() {
+    let pause = Duration::from_millis(1);
+    let good = Behaviour::Stream { events: 8, pause };
+    let (site, replicas) = site_with(&[good.clone(), good]).await;
+    let router = site.ready_router("r-1").await;
+    for number in 0..20 {
+        let call = Call::new("chat", &format!("warm-{number}"));
+        assert_eq!(call.send(router.callers).await.unwrap().status, 200);
+    }
+    replicas[0].set(Behaviour::Trickle(Duration::from_millis(100)));
+    let mut number = 0;
+    while replicas[0].left_count() == 0 {
+        let call = Call::new("chat", &format!("a-{number}"));
+        let got = call.send(router.callers).await.unwrap();
+        assert!(got.is_whole, "request {number}");
+        assert!(number < 40, "the server got no request");
+        number += 1;
+    }
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The entry router as a real process, against a stand-in store and stand-in replicas.
 
 mod ending;
+mod endless;
 mod feed;
 mod leaving;
 mod load;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -44,6 +44,12 @@
     Stream { events: u64, pause: Duration },
     /// A stream that breaks off in the middle of an event.
     BreakStream { after: u64 },
+    /// A stream whose first event never ends.
+    EndlessEvent,
+    /// Whole events without end.
+    EndlessEvents,
+    /// A byte of an event that never ends, again and again.
+    Trickle(Duration),
     /// States that it did not run the request, and asks for quiet in seconds.
     AskQuiet(Duration),
     /// Says in the head of its answer that it leaves.
@@ -289,6 +295,14 @@
         Behaviour::Stream { events, pause } => {
             return stream_events(stream, request, *events, *pause, mark, left).await;
         }
+        Behaviour::EndlessEvent | Behaviour::EndlessEvents | Behaviour::Trickle(_) => {
+            let head = stream_head(id, mark);
+            if stream.write_all(head.as_bytes()).await.is_ok() {
+                send_endlessly(stream, behaviour).await;
+            }
+            *left.lock().unwrap() += 1;
+            return false;
+        }
         Behaviour::BreakStream { after } => {
             let mut text = stream_head(id, mark);
             for event in 1..=*after {
@@ -304,6 +318,27 @@
     stream.write_all(text.as_bytes()).await.is_ok()
 }
 
+/// Sends until the router closes the connection.
+async fn send_endlessly(stream: &mut TcpStream, behaviour: &Behaviour) {
+    let piece = match behaviour {
+        Behaviour::EndlessEvents => event_text(1).repeat(1_000),
+        Behaviour::EndlessEvent => "x".repeat(16_384),
+        _ => {
+            // One whole event, so that the stream has begun.
+            let text = chunk(&event_text(1));
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            "x".to_owned()
+        }
+    };
+    while stream.write_all(chunk(&piece).as_bytes()).await.is_ok() {
+        if let Behaviour::Trickle(pause) = behaviour {
+            tokio::time::sleep(*pause).await;
+        }
+    }
+}
+
 pub fn event_text(event: u64) -> String {
     format!("id: {event}\ndata: piece {event}\n\n")
 }
