Weigh servers that end together half, and measure how often requests are refused wrongly

Cause: where many servers end together, requests meet three ends for a reason of their own. Now an end counts half if two other servers, on which the request was not, ended within 2 s, so it takes six. What the store keeps stays condemned whatever ends.

Ruled out: running suspects one at a time, which does not help where all servers end; looking only at requests without a first event, since streams may end servers in their middle.

--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -1,11 +1,12 @@
 //! Requests that end the backend servers they run on (poison messages).
 //!
 //! Routers tell one another which requests were in progress on servers that ended. Three ended
-//! servers condemn a request. Where suspects run apart from one another, two are enough: a request
+//! servers condemn a request; twice as many where other servers ended at the same time, since then
+//! there is a common cause that has nothing to do with it. Where suspects run apart from one another, two are enough: a request
 //! that ended one as the only suspect there, and that alone explains all its ends. A request that
 //! runs to its end does not end each server that runs it, so that clears it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
 use std::hash::Hasher;
 use std::str::FromStr;
@@ -16,8 +17,18 @@
 
 use super::ids::{IdError, ReplicaId, TeamId};
 
-/// Ended servers from which on a request is quarantined.
-const ENDS_TO_QUARANTINE: usize = 3;
+/// Weight of ended servers from which on a request is quarantined.
+const WEIGHT_TO_QUARANTINE: u32 = 6;
+/// Weight of an ended server.
+const END_WEIGHT: u32 = 2;
+/// Weight of one that ended together with others.
+const COMMON_END_WEIGHT: u32 = 1;
+/// Time before and after an end within which others have a common cause, in milliseconds.
+const COMMON_CAUSE_MS: u64 = 2_000;
+/// Other servers that have to end within that time.
+const COMMON_CAUSE_SERVERS: usize = 2;
+/// Ended servers remembered to find common causes.
+const MAX_SERVERS: usize = 1_024;
 /// The same for a request that was the only suspect on one of them.
 const ENDS_ALONE_TO_QUARANTINE: usize = 2;
 /// Time after a request's last ended server at which it is forgotten, in milliseconds.
@@ -161,6 +172,10 @@
 pub struct Quarantine {
     ends: BTreeMap<Fingerprint, Vec<ServerEnd>>,
     order: VecDeque<Fingerprint>,
+    /// Requests that another router has condemned.
+    condemned: HashSet<Fingerprint>,
+    /// Servers that ended, with the times.
+    servers: VecDeque<(u64, ReplicaId)>,
     completed_ms: HashMap<Fingerprint, u64>,
     completions: VecDeque<(Fingerprint, u64)>,
 }
@@ -186,6 +201,11 @@
     /// assert_eq!(quarantine.suspicion(request, 2_000), Suspicion::Quarantined);
     /// ```
     pub fn record(&mut self, fingerprint: Fingerprint, end: ServerEnd) -> EndNews {
+        self.note_server(&end);
+        self.insert(fingerprint, end)
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint, end: ServerEnd) -> EndNews {
         let completed_ms = self.completed_ms.get(&fingerprint);
         if completed_ms.is_some_and(|at_ms| end.at_ms <= at_ms + COMPLETION_PROOF_MS) {
             return EndNews::Disproved;
@@ -206,10 +226,23 @@
         EndNews::New
     }
 
+    /// Notes that others condemned a request, with the ends of servers that they know. The times of
+    /// these need not be true, so they show no common cause.
+    pub fn condemn(&mut self, fingerprint: Fingerprint, ends: Vec<ServerEnd>) {
+        for end in ends {
+            if self.insert(fingerprint, end) != EndNews::Disproved {
+                self.condemned.insert(fingerprint);
+            }
+        }
+    }
+
     /// Notes that a request ran to its end. Returns true if that clears it of something.
     pub fn note_completed(&mut self, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        self.completed_ms.insert(fingerprint, now_ms);
-        self.completions.push_back((fingerprint, now_ms));
+        let last_ms = self.completed_ms.entry(fingerprint).or_default();
+        // Word of others may come late.
+        *last_ms = now_ms.max(*last_ms);
+        let last_ms = *last_ms;
+        self.completions.push_back((fingerprint, last_ms));
         if self.completions.len() > MAX_COMPLETIONS {
             if let Some((oldest, at_ms)) = self.completions.pop_front() {
                 if self.completed_ms.get(&oldest) == Some(&at_ms) {
@@ -240,7 +273,9 @@
         if ends.is_empty() {
             return Suspicion::Clear;
         }
-        if ends.len() >= ENDS_TO_QUARANTINE {
+        let weights = ends.iter().map(|end| self.weight(end, &ends));
+        let is_condemned = self.condemned.contains(&fingerprint);
+        if is_condemned || weights.sum::<u32>() >= WEIGHT_TO_QUARANTINE {
             return Suspicion::Quarantined;
         }
         let was_alone = ends.iter().any(|end| end.alone);
@@ -258,6 +293,35 @@
         Suspicion::Quarantined
     }
 
+    /// Weight of one end among all those of a request.
+    fn weight(&self, end: &ServerEnd, own: &[&ServerEnd]) -> u32 {
+        let mut others: Vec<&ReplicaId> = Vec::new();
+        for (at_ms, replica) in &self.servers {
+            let is_other = at_ms.abs_diff(end.at_ms) <= COMMON_CAUSE_MS
+                && own.iter().all(|own| own.replica != *replica);
+            if is_other && !others.contains(&replica) {
+                others.push(replica);
+            }
+            if others.len() >= COMMON_CAUSE_SERVERS {
+                return COMMON_END_WEIGHT;
+            }
+        }
+        END_WEIGHT
+    }
+
+    fn note_server(&mut self, end: &ServerEnd) {
+        let is_known = self.servers.iter().any(|(at_ms, replica)| {
+            *replica == end.replica && at_ms.abs_diff(end.at_ms) < SAME_END_MS
+        });
+        if is_known {
+            return;
+        }
+        self.servers.push_back((end.at_ms, end.replica.clone()));
+        if self.servers.len() > MAX_SERVERS {
+            self.servers.pop_front();
+        }
+    }
+
     /// Time for which a quarantined request stays so, in milliseconds.
     #[must_use]
     pub fn quarantined_for_ms(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<u64> {
@@ -305,6 +369,7 @@
 
     fn forget(&mut self, fingerprint: Fingerprint) {
         self.ends.remove(&fingerprint);
+        self.condemned.remove(&fingerprint);
         self.order.retain(|known| *known != fingerprint);
     }
 }
--- a/src/exchange/suspects.rs
+++ b/src/exchange/suspects.rs
@@ -180,13 +180,12 @@
     pub(crate) fn learn_stored(&self, fingerprint: Fingerprint, ends: Vec<ServerEnd>) {
         let now_ms = self.now_ms();
         let mut state = lock(&self.state);
-        for end in ends {
-            let end = ServerEnd {
-                at_ms: now_ms,
-                ..end
-            };
-            self.learn(&mut state, fingerprint, end, Source::Store);
-        }
+        let ends = ends.into_iter().map(|end| ServerEnd {
+            at_ms: now_ms,
+            ..end
+        });
+        state.quarantine.condemn(fingerprint, ends.collect());
+        self.note_quarantined(&mut state, fingerprint, now_ms);
     }
 
     /// Takes in that the store no longer keeps a request.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -209,3 +209,33 @@
     assert!(quarantine.reports(0).count() <= 1_100);
     assert_eq!(quarantine.completed_ms(fingerprint("served-0")), None);
 }
+
+#[test]
+fn servers_that_end_together_weigh_half_against_each_request_there() {
+    let mut quarantine = Quarantine::new();
+    let innocent = fingerprint("innocent");
+    for number in 10..=12 {
+        quarantine.record(fingerprint("other"), end_at(number, 500, "other"));
+    }
+    for number in 1..=5 {
+        quarantine.record(innocent, end_at(number, 600, &format!("try-{number}")));
+        assert_eq!(quarantine.suspicion(innocent, 600), Suspicion::Suspect);
+    }
+    // Six ends are too many, whatever else ends servers.
+    quarantine.record(innocent, end_at(6, 600, "try-6"));
+    assert_eq!(quarantine.suspicion(innocent, 600), Suspicion::Quarantined);
+}
+
+#[test]
+fn what_others_condemned_stays_so_while_servers_end_together() {
+    let mut quarantine = Quarantine::new();
+    let killer = fingerprint("killer");
+    let ends = (1..=3).map(|number| end_at(number, 0, &format!("try-{number}")));
+    quarantine.condemn(killer, ends.collect());
+    for number in 10..=12 {
+        quarantine.record(fingerprint("other"), end_at(number, 500, "other"));
+    }
+    assert_eq!(quarantine.suspicion(killer, 500), Suspicion::Quarantined);
+    assert!(quarantine.note_completed(killer, 600));
+    assert_eq!(quarantine.suspicion(killer, 600), Suspicion::Clear);
+}
