Hold callers to the time that the lists give for a head, and to their deadline for a body

Now a head that is not whole in that time closes its connection, with a log line, and a body that is not whole at the request's deadline (30 s if it names none) is answered 408, which promises that nothing ran. Bytes that are there are read first, so that a process that stood still closes nothing that is whole.

Both tests of tests/entry/limits.rs failed before ('it is closed: Elapsed', 'it is answered: Elapsed').

--- /dev/null
+++ b/src/platform/caller_stream.rs
@@ -0,0 +1,70 @@
+//! A caller's connection that notes when the head of a request begins to come.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::activity::Activity;
+
+/// A caller's connection.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl CallerStream {
+    /// Tells `activity` of the bytes that come.
+    pub(super) const fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.activity.note_bytes();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,11 +15,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use slog::{warn, Logger};
+use slog::{info, warn, Logger};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::activity::Activity;
+use super::caller_stream::CallerStream;
 use super::names;
 use super::transport::remove_connection_headers;
 use crate::core::units::Tokens;
@@ -35,6 +37,9 @@
 const FIRST_MAX_HEAD_BYTES: usize = 16 * 1024;
 const FIRST_MAX_BODY_BYTES: usize = 4 << 20;
 const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const FIRST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time to send a body if the request names no deadline.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Smallest buffer that the HTTP library takes.
 const LEAST_BUFFER_BYTES: usize = 8 * 1024;
 /// Pause after a connection could not be accepted, mostly for want of descriptors.
@@ -122,6 +127,7 @@
             .map_or(FIRST_MAX_HEAD_BYTES, |catalog| {
                 catalog.limits().max_head_bytes
             });
+        let stream = CallerStream::new(stream, Arc::clone(&activity));
         let connection = http1::Builder::new()
             .max_buf_size(max_head_bytes.max(LEAST_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
@@ -132,15 +138,29 @@
             connection.as_mut().graceful_shutdown();
         }
         loop {
-            let idle_timeout = self.idle_timeout();
+            let (idle_timeout, head_timeout) = self.caller_timeouts();
+            let head_end = activity.head_since().map(|since| since + head_timeout);
             let next_look = if activity.is_busy() {
                 Instant::now() + idle_timeout
             } else {
                 activity.idle_since() + idle_timeout
             };
             tokio::select! {
+                // What has come is read before it counts as late.
+                biased;
                 // A caller that breaks its connection off needs no answer.
                 _ = connection.as_mut() => break,
+                () = activity.head_began(), if head_end.is_none() => {}
+                () = sleep_until(head_end), if head_end.is_some() => {
+                    let is_late = activity.head_since().is_some_and(|since| {
+                        since + head_timeout <= Instant::now()
+                    });
+                    if is_late {
+                        info!(self.log, "connection closed: no whole head in time";
+                            "peer" => peer.to_string());
+                        break;
+                    }
+                }
                 _ = closing.changed(), if !is_closing => {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -157,9 +177,13 @@
         self.open.fetch_sub(1, Ordering::Relaxed);
     }
 
-    fn idle_timeout(&self) -> Duration {
+    /// Longest time between two requests, and to send a head.
+    fn caller_timeouts(&self) -> (Duration, Duration) {
         let catalog = self.exchange.catalog();
-        catalog.map_or(FIRST_IDLE_TIMEOUT, |catalog| catalog.limits().idle_timeout)
+        catalog.map_or((FIRST_IDLE_TIMEOUT, FIRST_HEAD_TIMEOUT), |catalog| {
+            let limits = catalog.limits();
+            (limits.idle_timeout, limits.head_timeout)
+        })
     }
 
     async fn respond(
@@ -176,7 +200,12 @@
             .map_or(FIRST_MAX_BODY_BYTES, |catalog| {
                 catalog.limits().max_body_bytes
             });
-        let body = match Limited::new(body, max_body_bytes).collect().await {
+        let body = Limited::new(body, max_body_bytes).collect();
+        let body_timeout = decode_patience(&parts.headers).unwrap_or(BODY_TIMEOUT);
+        let Ok(body) = tokio::time::timeout(body_timeout, body).await else {
+            return plain(StatusCode::REQUEST_TIMEOUT, "body_too_slow");
+        };
+        let body = match body {
             Ok(body) => body.to_bytes(),
             Err(error) if error.is::<LengthLimitError>() => {
                 return plain(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
@@ -194,37 +223,6 @@
     }
 }
 
-/// When a connection was last in use.
-#[derive(Debug)]
-struct Activity {
-    started: Instant,
-    last_ms: AtomicU64,
-    busy: AtomicUsize,
-}
-
-impl Activity {
-    fn new() -> Self {
-        Self {
-            started: Instant::now(),
-            last_ms: AtomicU64::new(0),
-            busy: AtomicUsize::new(0),
-        }
-    }
-
-    fn idle_since(&self) -> Instant {
-        self.started + Duration::from_millis(self.last_ms.load(Ordering::Relaxed))
-    }
-
-    fn is_busy(&self) -> bool {
-        self.busy.load(Ordering::Relaxed) > 0
-    }
-
-    fn touch(&self) {
-        let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.last_ms.store(elapsed_ms, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request until its answer has been passed on or dropped.
 struct Busy {
     ingress: Arc<Ingress>,
@@ -234,15 +232,14 @@
 impl Busy {
     fn new(ingress: Arc<Ingress>, activity: Arc<Activity>) -> Self {
         ingress.busy.fetch_add(1, Ordering::Relaxed);
-        activity.busy.fetch_add(1, Ordering::Relaxed);
+        activity.begin_request();
         Self { ingress, activity }
     }
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.activity.touch();
-        self.activity.busy.fetch_sub(1, Ordering::Relaxed);
+        self.activity.end_request();
         self.ingress.busy.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -259,9 +256,7 @@
     let key = text("authorization")
         .and_then(|value| value.strip_prefix("Token "))
         .map(|key| key.trim().into());
-    let patience = text(names::DEADLINE_MS)
-        .and_then(|value| value.parse::<f64>().ok())
-        .and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
+    let patience = decode_patience(&headers);
     let tokens = text(names::TOKEN_USAGE).and_then(decode_usage);
     let prompt_parts = text(names::PREFIX_PARTS)
         .map(decode_parts)
@@ -289,6 +284,19 @@
     }
 }
 
+/// How long the caller waits, if it says so.
+fn decode_patience(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(names::DEADLINE_MS)?.to_str().ok()?;
+    let patience_ms: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(patience_ms / 1_000.0).ok()
+}
+
+async fn sleep_until(end: Option<Instant>) {
+    if let Some(end) = end {
+        tokio::time::sleep_until(end).await;
+    }
+}
+
 /// Removes what replicas must not see: keys, and headers that only the router sets.
 fn remove_caller_headers(headers: &mut HeaderMap) {
     remove_connection_headers(headers);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,8 @@
 //! It decodes names and formats once into the product's types and does nothing else: decisions,
 //! state and recovery lie in `exchange` and `core`.
 
+mod activity;
+mod caller_stream;
 pub(crate) mod config;
 pub(crate) mod ingress;
 pub(crate) mod names;
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod feed;
 mod leaving;
+mod limits;
 mod load;
 mod replica;
 mod site;
