--- a/src/exchange/suspects.rs
+++ b/src/exchange/suspects.rs
@@ -22,7 +22,9 @@
 use crate::util::{lock, millis};
 
 /// Time for which news are told with hellos.
-const TELL_TIME: Duration = Duration::from_secs(3);
+const TELL_TIME: Duration = Duration::from_secs(1);
+/// Time between two hellos that tell of a request which was quarantined before.
+const REMIND_INTERVAL: Duration = Duration::from_secs(1);
 /// News in one message.
 const MAX_TOLD: usize = 8;
 /// News kept to be told; the oldest are dropped beyond this number.
@@ -78,6 +80,7 @@
     /// Requests known to be quarantined, and since when.
     quarantined: HashMap<Fingerprint, Instant>,
     turn: usize,
+    last_reminder: Option<Instant>,
 }
 
 /// A quarantined request, for the store.
@@ -227,8 +230,8 @@
         requests.collect()
     }
 
-    /// What to tell with the next hello: the newest news, and by turns one end of a quarantined
-    /// request, for routers that missed it and do not reach the store.
+    /// What to tell with the next hello: the newest news, and now and then, by turns, one end of a
+    /// quarantined request, for routers that missed it and do not reach the store.
     pub(crate) fn told(&self) -> Vec<ToldSuspicion> {
         let now_ms = self.now_ms();
         let mut state = lock(&self.state);
@@ -240,6 +243,13 @@
             .take(MAX_TOLD)
             .map(|(_, news)| tell(news, now_ms))
             .collect();
+        let is_reminded = state
+            .last_reminder
+            .is_some_and(|last| last.elapsed() < REMIND_INTERVAL);
+        if is_reminded || state.quarantined.is_empty() {
+            return told;
+        }
+        state.last_reminder = Some(Instant::now());
         state.turn = state.turn.wrapping_add(1);
         let quarantined: Vec<Fingerprint> = state.quarantined.keys().copied().collect();
         let ends: Vec<(Fingerprint, &ServerEnd)> = quarantined
