--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod load;
 mod replica;
+mod rules;
 mod site;
 mod store;
 
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -44,6 +44,16 @@
     Stream { events: u64, pause: Duration },
     /// A stream that breaks off in the middle of an event.
     BreakStream { after: u64 },
+    /// Runs the request and breaks the connection off after a time.
+    ResetAfter(Duration),
+    /// A whole answer that says it is compressed.
+    Encoded,
+    /// The same whole answer twice.
+    Doubled,
+    /// An answer without length, whose connection is reset at its end or not.
+    Unframed { is_reset: bool },
+    /// Answers as soon as the head is there, and reads on.
+    Early,
     /// A stream whose first event never ends.
     EndlessEvent,
     /// Whole events without end.
@@ -73,6 +83,13 @@
         let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim())
     }
+
+    /// Bytes of the body that were not read with the head.
+    fn body_left(&self) -> usize {
+        let length = self.header("content-length");
+        let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+        length.saturating_sub(self.body.len())
+    }
 }
 
 /// A replica listening on a loopback address.
@@ -183,7 +200,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<SeenRequest> {
+async fn read_request(stream: &mut TcpStream, is_early: bool) -> Option<SeenRequest> {
     let mut bytes = Vec::new();
     let head_end = loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
@@ -204,6 +221,9 @@
         .header("content-length")
         .and_then(|length| length.parse().ok())
         .unwrap_or(0);
+    if is_early {
+        return Some(request);
+    }
     while request.body.len() < length {
         let mut buffer = [0; 4096];
         let count = stream.read(&mut buffer).await.ok()?;
@@ -219,7 +239,8 @@
     left: &Mutex<u32>,
     end: &Notify,
 ) {
-    while let Some(request) = read_request(&mut stream).await {
+    let is_early = *behaviour.lock().unwrap() == Behaviour::Early;
+    while let Some(request) = read_request(&mut stream, is_early).await {
         let mut behaviour = behaviour.lock().unwrap().clone();
         seen.lock().unwrap().push(request.clone());
         if request.body.starts_with(FATAL.as_bytes()) {
@@ -262,7 +283,7 @@
     };
     let signature = "Currantlever-Replica-Signature: sig\r\n";
     let text = match behaviour {
-        Behaviour::Answer => whole("200 OK", id, signature),
+        Behaviour::Answer | Behaviour::Early => whole("200 OK", id, signature),
         Behaviour::AnswerAfter(time) => {
             tokio::time::sleep(*time).await;
             whole("200 OK", id, signature)
@@ -292,6 +313,20 @@
             return false;
         }
         Behaviour::RunAndReset => return false,
+        Behaviour::ResetAfter(time) => {
+            tokio::time::sleep(*time).await;
+            return false;
+        }
+        Behaviour::Encoded => whole(
+            "200 OK",
+            id,
+            &format!("{signature}Content-Encoding: gzip\r\n"),
+        ),
+        Behaviour::Doubled => whole("200 OK", id, signature).repeat(2),
+        Behaviour::Unframed { is_reset } => {
+            send_unframed(stream, id, *is_reset).await;
+            return false;
+        }
         Behaviour::Stream { events, pause } => {
             return stream_events(stream, request, *events, *pause, mark, left).await;
         }
@@ -315,7 +350,34 @@
             return false;
         }
     };
-    stream.write_all(text.as_bytes()).await.is_ok()
+    let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
+    if *behaviour == Behaviour::Early {
+        // The rest of the body is read, and the next request after it.
+        let mut left = request.body_left();
+        let mut buffer = [0; 4096];
+        while left > 0 {
+            match stream.read(&mut buffer).await {
+                Ok(count) if count > 0 => left = left.saturating_sub(count),
+                _ => return false,
+            }
+        }
+    }
+    is_sent
+}
+
+/// Sends an answer that ends with its connection.
+async fn send_unframed(stream: &mut TcpStream, id: &str, is_reset: bool) {
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
+         Currantlever-Replica-Signature: sig\r\n\r\n{BODY}"
+    );
+    // A router that is gone gets nothing.
+    let _ = stream.write_all(text.as_bytes()).await;
+    if is_reset {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let socket = socket2::SockRef::from(&*stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
 }
 
 /// Sends until the router closes the connection.
--- /dev/null
+++ b/tests/entry/rules.rs
@@ -0,0 +1,170 @@
+//! Sentences of the platform's pages, one by one, that no other test plays on this way.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::replica::{Behaviour, StandInReplica};
+use super::site::{Call, Router};
+use super::site_with;
+
+/// Earns repeats by requests that are served.
+async fn warm(router: &Router, count: u32) {
+    for number in 0..count {
+        let call = Call::new("look", &format!("warm-{number}"));
+        assert_eq!(call.send(router.callers).await.unwrap().status, 200);
+    }
+}
+
+fn arrivals<'a>(
+    replicas: &'a [StandInReplica],
+    attempt: &'a str,
+) -> impl Iterator<Item = super::replica::SeenRequest> + 'a {
+    let seen = replicas.iter().flat_map(StandInReplica::seen);
+    seen.filter(move |seen| seen.header("currantlever-attempt-id") == Some(attempt))
+}
+
+/// Guards against delivering a body that is not the replica's.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_an_encoding_is_not_delivered() {
+    let (site, replicas) = site_with(&[Behaviour::Encoded]).await;
+    let router = site.ready_router("r-1").await;
+    let got = Call::new("book", "a-1").send(router.callers).await.unwrap();
+    assert_eq!(got.status, 502);
+    assert_eq!(arrivals(&replicas, "a-1").count(), 1);
+}
+
+/// Guards against giving a caller the answer of another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_answer_on_a_connection_goes_to_nobody() {
+    let (site, _replicas) = site_with(&[Behaviour::Doubled]).await;
+    let router = site.ready_router("r-1").await;
+    for number in 0..20 {
+        let attempt = format!("a-{number}");
+        let call = Call::new("look", &attempt);
+        let got = call.send(router.callers).await.unwrap();
+        assert_eq!(got.status, 200);
+        assert_eq!(got.headers["currantlever-attempt-id"], attempt.as_str());
+        assert_eq!(got.body, "the replica's whole answer");
+    }
+}
+
+/// Guards against taking an answer without length for whole when its connection was reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_length_is_whole_at_its_end_and_not_after_a_reset() {
+    for (is_reset, status) in [(false, 200), (true, 502)] {
+        let (site, _replicas) = site_with(&[Behaviour::Unframed { is_reset }]).await;
+        let router = site.ready_router("r-1").await;
+        let got = Call::new("book", "a-1").send(router.callers).await.unwrap();
+        assert_eq!(got.status, status, "reset: {is_reset}");
+    }
+}
+
+/// Guards against bytes of a body where the next request is due.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_answers_before_the_body_gets_all_of_it_and_then_the_next_request() {
+    let (site, replicas) = site_with(&[Behaviour::Early]).await;
+    let router = site.ready_router("r-1").await;
+    let body = "b".repeat(60_000);
+    for number in 0..10 {
+        let call = Call::new("book", &format!("a-{number}")).with_body(&body);
+        assert_eq!(call.send(router.callers).await.unwrap().status, 200);
+    }
+    for seen in replicas[0].seen() {
+        assert!(
+            seen.head.starts_with("POST /book/x?y=1 HTTP/1.1\r\n"),
+            "{}",
+            seen.head
+        );
+    }
+}
+
+/// Guards against another status or body than the replica's own failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replicas_failure_is_passed_on_as_it_is() {
+    let (site, _replicas) = site_with(&[Behaviour::Fail]).await;
+    let router = site.ready_router("r-1").await;
+    for route in ["book", "draft"] {
+        let call = Call::new(route, &format!("a-{route}"));
+        let got = call.send(router.callers).await.unwrap();
+        assert_eq!(got.status, 500, "{route}");
+        assert_eq!(got.headers["currantlever-replica-signature"], "sig");
+        assert_eq!(got.body, "the replica's whole answer");
+    }
+}
+
+/// Guards against more tries of one request than its route allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_reaches_no_more_replicas_than_its_route_allows() {
+    let (site, replicas) = site_with(&vec![Behaviour::Answer; 6]).await;
+    let router = site.ready_router("r-1").await;
+    warm(&router, 60).await;
+    for replica in &replicas {
+        replica.set(Behaviour::RunAndReset);
+    }
+    let got = Call::new("look", "a-1").send(router.callers).await.unwrap();
+    assert_eq!(got.status, 502);
+    assert_eq!(arrivals(&replicas, "a-1").count(), 3);
+}
+
+/// Guards against handing a replica more time than is left after a first try.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_is_handed_the_time_that_is_left() {
+    let (site, replicas) = site_with(&vec![Behaviour::Answer; 2]).await;
+    let router = site.ready_router("r-1").await;
+    warm(&router, 60).await;
+    for replica in &replicas {
+        replica.set(Behaviour::ResetAfter(Duration::from_millis(700)));
+    }
+    let call = Call::new("look", "a-1").with("currantlever-deadline-ms", "4000");
+    call.send(router.callers).await.unwrap();
+    let left_ms = arrivals(&replicas, "a-1").map(|seen| {
+        let left = seen.header("currantlever-deadline-ms").unwrap();
+        left.parse::<u64>().unwrap()
+    });
+    let mut left_ms: Vec<u64> = left_ms.collect();
+    left_ms.sort_unstable();
+    assert_eq!(left_ms.len(), 2);
+    assert!(left_ms[1] <= 4_000 && left_ms[0] <= 3_300, "{left_ms:?}");
+}
+
+/// Guards against requests beyond the operator's limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_and_bodies_beyond_the_limits_are_refused() {
+    let (site, replicas) = site_with(&[Behaviour::Answer]).await;
+    let router = site.ready_router("r-1").await;
+    let long_body = Call::new("look", "body").with_body(&"b".repeat(65_537));
+    assert_eq!(long_body.send(router.callers).await.unwrap().status, 413);
+    let long_head = Call::new("look", "head").with("x-long", &"h".repeat(17_000));
+    assert_eq!(long_head.send(router.callers).await.unwrap().status, 431);
+    let fits = Call::new("look", "fits").with_body(&"b".repeat(65_536));
+    assert_eq!(fits.send(router.callers).await.unwrap().status, 200);
+    assert_eq!(replicas[0].seen().len(), 1);
+}
+
+/// Guards against entries of other writers that take replicas out of service or add some.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_cannot_be_read_name_no_replica_and_leave_the_others() {
+    let (site, replicas) = site_with(&[Behaviour::Answer]).await;
+    let address = replicas[0].address();
+    let strange = [
+        json!([]),
+        json!("text"),
+        json!({"service": 5, "address": address, "phase": "ready"}),
+        json!({"service": "pool", "address": "nowhere", "phase": "ready"}),
+        json!({"service": "pool", "phase": "ready"}),
+        json!({"service": "pool", "address": address, "phase": "sleeping"}),
+    ];
+    for (number, entry) in strange.iter().enumerate() {
+        site.store
+            .put("servers", &format!("strange-{number}"), entry);
+    }
+    let router = site.ready_router("r-1").await;
+    warm(&router, 20).await;
+    let learned = router.log_of("replica learned");
+    assert!(
+        learned.iter().all(|line| line["replica"] == "i-0"),
+        "{learned:?}"
+    );
+    assert_eq!(replicas[0].seen().len(), 20);
+}
