Play heads and whole bodies without end

Heads in one line and in lines, a body without length, and that of a 503 were cut before; now a test says so (a_head_or_a_body_without_end_is_cut_and_told_ at_once, four cases, each under half of the route's time).

--- a/tests/entry/endless.rs
+++ b/tests/entry/endless.rs
@@ -1,4 +1,4 @@
-//! Backend servers whose streams never end.
+//! Backend servers whose answers never end.
 
 use std::time::{Duration, Instant};
 
@@ -62,3 +62,27 @@
         number += 1;
     }
 }
+
+/// Guards against reading a head or a whole body for as long as a server sends one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_or_a_body_without_end_is_cut_and_told_at_once() {
+    let endless = [
+        Behaviour::EndlessLine,
+        Behaviour::EndlessHead,
+        Behaviour::EndlessBody(200),
+        Behaviour::EndlessBody(503),
+    ];
+    for behaviour in endless {
+        let (site, replicas) = site_with(std::slice::from_ref(&behaviour)).await;
+        let router = site.ready_router("r-1").await;
+        let asked = Instant::now();
+        let call = Call::new("book", "a-1");
+        let got = call.send(router.callers).await.unwrap();
+        assert!(asked.elapsed() < ROUTE_TIME / 2, "{behaviour:?}");
+        assert_eq!(got.status, 502, "{behaviour:?}");
+        wait_until("the server's connection is closed", || async {
+            replicas[0].left_count() > 0
+        })
+        .await;
+    }
+}
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -54,6 +54,12 @@
     Unframed { is_reset: bool },
     /// Answers as soon as the head is there, and reads on.
     Early,
+    /// A head whose one line never ends.
+    EndlessLine,
+    /// A head whose lines never end.
+    EndlessHead,
+    /// A whole answer of this status, without length, whose body never ends.
+    EndlessBody(u16),
     /// A stream whose first event never ends.
     EndlessEvent,
     /// Whole events without end.
@@ -330,6 +336,11 @@
         Behaviour::Stream { events, pause } => {
             return stream_events(stream, request, *events, *pause, mark, left).await;
         }
+        Behaviour::EndlessLine | Behaviour::EndlessHead | Behaviour::EndlessBody(_) => {
+            send_endless_answer(stream, id, behaviour).await;
+            *left.lock().unwrap() += 1;
+            return false;
+        }
         Behaviour::EndlessEvent | Behaviour::EndlessEvents | Behaviour::Trickle(_) => {
             let head = stream_head(id, mark);
             if stream.write_all(head.as_bytes()).await.is_ok() {
@@ -365,6 +376,25 @@
     is_sent
 }
 
+/// Sends an answer that never ends, until the router closes the connection.
+async fn send_endless_answer(stream: &mut TcpStream, id: &str, behaviour: &Behaviour) {
+    let mut text = match behaviour {
+        Behaviour::EndlessLine => "HTTP/1.1 200 OK\r\nX-Long: ".to_owned(),
+        Behaviour::EndlessBody(status) => format!(
+            "HTTP/1.1 {status} X\r\nCurrantlever-Attempt-Id: {id}\r\n\
+             Currantlever-Replica-Signature: sig\r\n\r\n"
+        ),
+        _ => "HTTP/1.1 200 OK\r\n".to_owned(),
+    };
+    let piece = match behaviour {
+        Behaviour::EndlessHead => "X-More: more\r\n".repeat(1_000),
+        _ => "x".repeat(16_384),
+    };
+    while stream.write_all(text.as_bytes()).await.is_ok() {
+        text.clone_from(&piece);
+    }
+}
+
 /// Sends an answer that ends with its connection.
 async fn send_unframed(stream: &mut TcpStream, id: &str, is_reset: bool) {
     let text = format!(
