--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -273,9 +273,7 @@
         if ends.is_empty() {
             return Suspicion::Clear;
         }
-        let weights = ends.iter().map(|end| self.weight(end, &ends));
-        let is_condemned = self.condemned.contains(&fingerprint);
-        if is_condemned || weights.sum::<u32>() >= WEIGHT_TO_QUARANTINE {
+        if self.condemned.contains(&fingerprint) || self.is_too_heavy(&ends) {
             return Suspicion::Quarantined;
         }
         let was_alone = ends.iter().any(|end| end.alone);
@@ -293,6 +291,14 @@
         Suspicion::Quarantined
     }
 
+    fn is_too_heavy(&self, ends: &[&ServerEnd]) -> bool {
+        if ends.len() * (END_WEIGHT as usize) < WEIGHT_TO_QUARANTINE as usize {
+            return false;
+        }
+        let weights = ends.iter().map(|end| self.weight(end, ends));
+        weights.sum::<u32>() >= WEIGHT_TO_QUARANTINE
+    }
+
     /// Weight of one end among all those of a request.
     fn weight(&self, end: &ServerEnd, own: &[&ServerEnd]) -> u32 {
         let mut others: Vec<&ReplicaId> = Vec::new();
--- a/src/exchange/suspects.rs
+++ b/src/exchange/suspects.rs
@@ -206,7 +206,7 @@
             let is_known = known.contains(before);
             if !is_known {
                 info!(self.log, "request released"; "fingerprint" => before.to_string(),
-                    "reason" => "its last server ended long ago");
+                    "reason" => "its servers ended long ago, or together with others");
             }
             is_known
         });
