Let tests of outages wait until the store is watched

Trace: a router begins to watch when it has found the fleet, 1.5 s after its start; the test took the store down before that, so no watch could notice. No assertion changes.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -111,6 +111,7 @@
         unknown_route.send(router.callers).await.unwrap().status,
         404
     );
+    site.wait_watched().await;
     site.store.go_down();
     wait_until("the loss is logged", || async {
         router.log_of("store lost").len() >= 2
@@ -395,6 +396,7 @@
         router.log_of("replica learned").len() >= 2
     })
     .await;
+    site.wait_watched().await;
     site.store.go_down();
     wait_until("the loss is logged", || async {
         router.log_of("store lost").len() >= 2
@@ -438,11 +440,7 @@
     assert_eq!(call("a-1").send(router.callers).await.unwrap().status, 200);
     wait_until("a grant was stocked", || async { site.charged() > 20_000 }).await;
     // A router that has just begun to watch lists the kinds first, and would notice the silence.
-    wait_until("lists and replicas are watched", || async {
-        let kinds = ["config", "servers"];
-        kinds.iter().all(|kind| site.store.watches(kind) > 0)
-    })
-    .await;
+    site.wait_watched().await;
     let faults = StoreFaults {
         silent: true,
         ..StoreFaults::default()
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -255,6 +255,16 @@
         router
     }
 
+    /// Waits until routers watch the lists and the replicas, from when on they notice outages. They
+    /// begin when they have found the fleet.
+    pub async fn wait_watched(&self) {
+        wait_until("lists and replicas are watched", || async {
+            let kinds = ["config", "servers"];
+            kinds.iter().all(|kind| self.store.watches(kind) > 0)
+        })
+        .await;
+    }
+
     /// Tokens that each holder of the team's budget was granted and has not given back.
     pub fn held(&self) -> Vec<u64> {
         let ledger = self.store.get("token-ledgers", "all").unwrap_or_default();
