Log the rate limits that replicas state, and which requests met one

The logs could not tell whether a router hears of a limit. Change: Server-Limit is decoded at the border; a line and a gauge when a replica's limit changes, one line for a text that is no limit, and the field limits of the request line for tries at limited replicas. Nothing is decided by it yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod policy;
 pub mod presence;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod retry_budget;
 pub mod retry_share;
 pub mod routing;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,7 @@
     IgnoringSink, ROUTER_KIND,
 };
 use crate::exchange::ledger_sync::LedgerSync;
+use crate::exchange::limits::ReplicaLimits;
 use crate::exchange::members::{Members, RouterEntry, RouterStateSource};
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::exchange::pools::Pools;
@@ -105,9 +106,11 @@
             Arc::clone(&store_health),
         ));
         let members = Arc::new(Members::new(own_entry(&settings)));
+        let limits = Arc::new(ReplicaLimits::new(Arc::clone(&metrics), log.clone()));
         let pools = Arc::new(Pools::new(
             settings.failure_domain.clone(),
             Arc::clone(&members),
+            limits,
             settings.retries.rule(),
             process,
         ));
@@ -115,17 +118,8 @@
         let holder = holder_on_vm(vm_hash, process);
         let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
         let transport = Arc::new(HttpTransport::default());
-        let server_crashes = Arc::new(ServerCrashes::new(
-            Arc::clone(&transport) as _,
-            Arc::clone(&pools),
-            Suspects::new(
-                settings.vm.as_str().into(),
-                Arc::clone(&metrics),
-                log.clone(),
-            ),
-            Arc::clone(&metrics),
-            log.clone(),
-        ));
+        let vm = settings.vm.as_str();
+        let server_crashes = new_server_crashes(vm, &transport, &pools, &metrics, &log);
         let exchange = Arc::new(Exchange::new(
             Arc::clone(&pools),
             Arc::clone(&grants),
@@ -360,6 +354,23 @@
     }
 }
 
+fn new_server_crashes(
+    vm: &str,
+    transport: &Arc<HttpTransport>,
+    pools: &Arc<Pools>,
+    metrics: &Arc<ExchangeMetrics>,
+    log: &Logger,
+) -> Arc<ServerCrashes> {
+    let suspects = Suspects::new(vm.into(), Arc::clone(metrics), log.clone());
+    Arc::new(ServerCrashes::new(
+        Arc::clone(transport) as _,
+        Arc::clone(pools),
+        suspects,
+        Arc::clone(metrics),
+        log.clone(),
+    ))
+}
+
 /// Creates the headroom of this router, which counts its connections to callers and replicas.
 fn new_headroom(
     max_descriptors: u32,
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use crate::core::rate_limit::RateLimit;
+
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
@@ -24,6 +26,7 @@
     lost_connections: IntCounterVec,
     quarantined: IntCounter,
     replicas: IntGaugeVec,
+    rate_limits: GaugeVec,
 }
 
 impl ExchangeMetrics {
@@ -69,6 +72,13 @@
             Opts::new("currantlever_replicas", "Replicas by pool and state"),
             &["pool", "state"],
         )?;
+        let rate_limits = GaugeVec::new(
+            Opts::new(
+                "currantlever_replica_rate_limit",
+                "Requests per second that a replica accepts from all routers",
+            ),
+            &["replica"],
+        )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(repeats.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -77,6 +87,7 @@
         registry.register(Box::new(lost_connections.clone()))?;
         registry.register(Box::new(quarantined.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
+        registry.register(Box::new(rate_limits.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -87,6 +98,7 @@
             lost_connections,
             quarantined,
             replicas,
+            rate_limits,
         })
     }
 
@@ -127,6 +139,18 @@
             .set(to_gauge(all));
     }
 
+    /// Sets or removes the rate limit of a replica.
+    pub(crate) fn set_rate_limit(&self, replica: &str, limit: Option<RateLimit>) {
+        match limit {
+            Some(limit) => {
+                let gauge = self.rate_limits.with_label_values(&[replica]);
+                gauge.set(limit.per_second());
+            }
+            // Fails when no limit was set.
+            None => drop(self.rate_limits.remove_label_values(&[replica])),
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod headroom;
 pub(crate) mod hellos;
 pub(crate) mod ledger_sync;
+pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod metrics;
 pub(crate) mod pooling;
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::catalog::{Catalog, EngineRules};
+use super::limits::{ReplicaKey, ReplicaLimits};
 use super::members::{Members, ReplicaLoadReport};
 use super::request::{ReplicaAddress, ReplicaStatus};
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
@@ -67,6 +68,15 @@
     suspect_requests: u32,
 }
 
+impl Replica {
+    const fn key(&self) -> ReplicaKey {
+        ReplicaKey {
+            replica: self.digest,
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Pool {
     candidates: Vec<ReplicaCandidate>,
@@ -103,6 +113,8 @@
     pool: PoolId,
     /// The replica.
     pub replica: ReplicaAddress,
+    /// Its incarnation.
+    pub key: ReplicaKey,
     /// Time of the choice.
     pub chosen_at: Instant,
     prefill_tokens: u64,
@@ -137,7 +149,7 @@
     }
 
     /// Applies the status that the replica reported and returns what is new in it.
-    pub(crate) fn apply_status(&self, replica_status: ReplicaStatus) -> StatusChange {
+    pub(crate) fn apply_status(&self, replica_status: &ReplicaStatus) -> StatusChange {
         let mut change = StatusChange::default();
         self.pools
             .with_candidate(&self.pool, &self.replica.id, |candidate, now_ms| {
@@ -236,6 +248,7 @@
 pub(crate) struct Pools {
     failure_domain: FailureDomain,
     members: Arc<Members>,
+    limits: Arc<ReplicaLimits>,
     retry_rule: RetryRule,
     started: Instant,
     state: Mutex<State>,
@@ -246,12 +259,14 @@
     pub(crate) fn new(
         failure_domain: FailureDomain,
         members: Arc<Members>,
+        limits: Arc<ReplicaLimits>,
         retry_rule: RetryRule,
         seed: u64,
     ) -> Self {
         Self {
             failure_domain,
             members,
+            limits,
             retry_rule,
             started: Instant::now(),
             state: Mutex::new(State {
@@ -261,6 +276,11 @@
         }
     }
 
+    /// Returns the rate limits that replicas stated.
+    pub(crate) const fn limits(&self) -> &Arc<ReplicaLimits> {
+        &self.limits
+    }
+
     /// Applies the rules of the pools in a catalog.
     pub(crate) fn apply_catalog(&self, catalog: &Catalog) {
         let mut state = lock(&self.state);
@@ -414,6 +434,7 @@
                         connection_limit: (share + in_use) as usize,
                         max_idle: share as usize,
                     },
+                    key: pool.replicas[index].key(),
                     chosen_at: Instant::now(),
                     prefill_tokens,
                     is_suspect: query.is_suspect,
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -12,6 +12,7 @@
 use super::metrics::ExchangeMetrics;
 use super::request::RejectKind;
 use crate::core::quarantine::Fingerprint;
+use crate::core::rate_limit::RateLimit;
 use crate::util::millis;
 
 /// Collects the access log fields of one request. Logged on drop, so also when the caller
@@ -44,6 +45,7 @@
     /// HTTP status sent to the caller.
     pub status: u16,
     tries: CompactString,
+    limits: CompactString,
     try_count: u32,
     events: u64,
     first_event: Option<Duration>,
@@ -74,6 +76,7 @@
             spent_tokens: 0,
             status: 0,
             tries: CompactString::default(),
+            limits: CompactString::default(),
             try_count: 0,
             events: 0,
             first_event: None,
@@ -92,6 +95,25 @@
         self.try_count += 1;
     }
 
+    /// Adds what a replica's rate limit decided.
+    pub(crate) fn add_limit(
+        &mut self,
+        replica: &str,
+        limit: RateLimit,
+        age: Duration,
+        decision: impl std::fmt::Display,
+    ) {
+        if !self.limits.is_empty() {
+            self.limits.push_str("; ");
+        }
+        let age_ms = millis(age);
+        // Writing to a string cannot fail.
+        let _ = write!(
+            self.limits,
+            "{replica} {limit}, {age_ms} ms old: {decision}"
+        );
+    }
+
     /// Counts forwarded events.
     pub(crate) fn add_events(&mut self, count: u64) {
         self.events += count;
@@ -132,6 +154,7 @@
             "rank" => self.rank,
             "config_version" => self.config_version,
             "tries" => self.tries.as_str(),
+            "limits" => self.limits.as_str(),
             "reserved_tokens" => self.reserved_tokens,
             "spent_tokens" => self.spent_tokens,
             "grant_free_tokens" => self.grant.map(|grant| grant.free_tokens.get()),
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::core::ids::ReplicaId;
+use crate::core::rate_limit::RateLimit;
 use crate::core::units::Tokens;
 
 /// One part of a prompt: the unit in which replicas cache prompts.
@@ -125,12 +126,28 @@
 }
 
 /// Status that a replica reports in the head of an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ReplicaStatus {
     /// True if the replica is leaving.
     pub is_leaving: bool,
     /// Back-off that the replica requests: time in which to send it no requests.
     pub backoff: Option<Duration>,
+    /// Rate limit for the requests of all routers together.
+    pub limit: StatedLimit,
+}
+
+/// What an answer states on the replica's rate limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum StatedLimit {
+    /// Nothing: no head was received, or it may not be the replica's own.
+    #[default]
+    Unknown,
+    /// The replica has no limit.
+    None,
+    /// The replica has this limit.
+    Rate(RateLimit),
+    /// The text is not a limit.
+    Unusable(CompactString),
 }
 
 /// Why a try brought no answer.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -18,7 +18,7 @@
 use super::record::RequestRecord;
 use super::request::{
     BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
-    ReplicaAnswer, ReplicaStatus, Reply, ReplyBody, UnsentCause,
+    ReplicaAnswer, Reply, ReplyBody, UnsentCause,
 };
 use super::server_crashes::LostConnection;
 use crate::core::ids::{PoolId, ReplicaId};
@@ -224,6 +224,10 @@
             }
             let chosen = self.choose_replica()?;
             self.tried_replicas.push(chosen.replica.id.clone());
+            if let Some((limit, age)) = self.exchange.pools.limits().note(chosen.key) {
+                self.record
+                    .add_limit(chosen.replica.id.as_str(), limit, age, "sent");
+            }
             let time_left = self.deadline.saturating_duration_since(Instant::now());
             if time_left < MIN_TIME_LEFT {
                 return Err(self.timeout_rejection());
@@ -324,16 +328,19 @@
     /// Applies the status that the replica reported, whatever the result of the request.
     fn apply_status(&self, chosen: &ChosenReplica, sent: &TimedSendResult) {
         let replica_status = match sent {
-            Ok(Ok(answer)) => answer.replica_status,
-            Ok(Err(DispatchError::Unknown { replica_status, .. })) => *replica_status,
+            Ok(Ok(answer)) => &answer.replica_status,
+            Ok(Err(DispatchError::Unknown { replica_status, .. })) => replica_status,
             _ => return,
         };
-        if replica_status == ReplicaStatus::default() {
+        let replica = chosen.replica.id.as_str();
+        let request = self.request.attempt.as_str();
+        let limits = self.exchange.pools.limits();
+        limits.record_answer(chosen.key, replica, &replica_status.limit, request);
+        if !replica_status.is_leaving && replica_status.backoff.is_none() {
             return;
         }
         let change = chosen.apply_status(replica_status);
-        let replica = chosen.replica.id.as_str();
-        let (log, request) = (&self.exchange.log, self.request.attempt.as_str());
+        let log = &self.exchange.log;
         if change.is_leaving {
             info!(log, "replica is leaving, reported in an answer"; "replica" => replica,
                 "request" => request);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub use crate::core::quarantine::{
     CrashRecordOutcome, Fingerprint, Quarantine, ServerCrash, Suspicion, QUARANTINE_RETENTION_MS,
 };
+pub use crate::core::rate_limit::{RateLimit, RateLimitError};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -20,6 +20,8 @@
 pub(crate) const LEAVING: &str = "server-leaving";
 /// Value of `LEAVING` when set.
 pub(crate) const LEAVING_VALUE: &str = "1";
+/// Requests per second that a replica accepts from all routers together; a decimal number.
+pub(crate) const SERVER_LIMIT: &str = "server-limit";
 /// Time after which to retry, in fractional seconds.
 pub(crate) const RETRY_AFTER: &str = "retry-after";
 /// Proof that a body comes from the replica.
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -21,7 +21,7 @@
 use super::names;
 use crate::exchange::request::{
     BodyStream, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress, ReplicaAnswer,
-    ReplicaStatus, ReplicaTransport, UnsentCause,
+    ReplicaStatus, ReplicaTransport, StatedLimit, UnsentCause,
 };
 use crate::tcp::connect;
 use crate::util::lock;
@@ -39,6 +39,8 @@
 const RUN_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(100);
 /// Margin before the keep-alive timeout that a replica sends.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Characters of an unusable header value that are logged.
+const MAX_LOGGED_CHARS: usize = 40;
 /// Most idle connections kept to each replica.
 const MAX_IDLE: usize = 6;
 
@@ -285,8 +287,11 @@
                 });
             }
         };
-        let replica_status = decode_replica_status(&response);
+        let mut replica_status = decode_replica_status(&response);
         if let Err(reason) = check_answer(&dispatch, &response, is_first) {
+            if replica_status.limit == StatedLimit::None {
+                replica_status.limit = StatedLimit::Unknown;
+            }
             let reason = CompactString::const_new(reason);
             return Err(DispatchError::Unknown {
                 reason,
@@ -350,9 +355,17 @@
     ReplicaStatus {
         is_leaving: text(names::LEAVING) == Some(names::LEAVING_VALUE),
         backoff,
+        limit: decode_limit(text(names::SERVER_LIMIT)),
     }
 }
 
+fn decode_limit(text: Option<&str>) -> StatedLimit {
+    text.map_or(StatedLimit::None, |text| match text.parse() {
+        Ok(limit) => StatedLimit::Rate(limit),
+        Err(_) => StatedLimit::Unusable(text.chars().take(MAX_LOGGED_CHARS).collect()),
+    })
+}
+
 impl HttpTransport {
     fn answer(
         &self,
