--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod rate_limits;
 mod replica;
 mod rules;
 mod site;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -69,6 +69,8 @@
     Trickle(Duration),
     /// Answers like [`Self::NotRun`], with a `Retry-After` of this time.
     RequestBackoff(Duration),
+    /// Sends a complete answer that states this text as its rate limit.
+    Limit(&'static str),
     /// Answers like the inner behaviour, with the header that announces its shutdown.
     Leaving(Box<Behaviour>),
 }
@@ -78,6 +80,7 @@
 pub struct ReceivedRequest {
     pub head: String,
     pub body: Vec<u8>,
+    pub at: Instant,
 }
 
 impl ReceivedRequest {
@@ -228,6 +231,7 @@
     let mut request = ReceivedRequest {
         head: String::from_utf8_lossy(&bytes[..head_end]).into_owned(),
         body: bytes[head_end..].to_vec(),
+        at: Instant::now(),
     };
     let length: usize = request
         .header("content-length")
@@ -314,6 +318,7 @@
                 time.as_secs_f64()
             ),
         ),
+        Behaviour::Limit(limit) => full_answer("200 OK", id, &limit_lines(signature, limit)),
         Behaviour::Leaving(_) => panic!("Behaviour::Leaving must not be nested"),
         Behaviour::Misdirected => full_answer("421 Misdirected Request", id, ""),
         Behaviour::WrongId => full_answer("200 OK", "another", signature),
@@ -332,7 +337,7 @@
         Behaviour::ContentEncoded => full_answer(
             "200 OK",
             id,
-            &format!("{signature}Content-Encoding: gzip\r\n"),
+            &with_line(signature, "Content-Encoding: gzip"),
         ),
         Behaviour::DuplicateAnswer => full_answer("200 OK", id, signature).repeat(2),
         Behaviour::CloseDelimited { is_reset } => {
@@ -383,6 +388,14 @@
     is_sent
 }
 
+fn with_line(lines: &str, line: &str) -> String {
+    format!("{lines}{line}\r\n")
+}
+
+fn limit_lines(lines: &str, limit: &str) -> String {
+    with_line(lines, &format!("Server-Limit: {limit}"))
+}
+
 /// Sends an answer that never ends, until the router closes the connection.
 async fn send_endless_answer(stream: &mut TcpStream, id: &str, behaviour: &Behaviour) {
     let mut text = match behaviour {
