Answer 401 and 404 only by lists that are known to be current

Cause: a router that starts reads its lists once, from a listing that may be seconds old, and trusted them as long as any call of its own to the store was answered. Change: unknown routes and keys get 503 with Retry-After unless a router in sync with the store, this one or a polled one, confirmed the lists within 1.5 s. The test of 401 and 404 waits until the lists are confirmed, since a router that has just started may not know; it still asks for exactly 401 and 404.

--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -215,10 +215,10 @@
         reserved.map(Some)
     }
 
-    /// Returns a rejection for an unknown route or key. While the store is failing, a newer
-    /// configuration may exist that knows it, so the rejection is `NotReady` instead.
+    /// Returns a rejection for an unknown route or key. Unless the lists are known to be current, a
+    /// newer configuration may exist that knows it, so the rejection is `NotReady` instead.
     fn not_found_rejection(&self, kind: RejectKind) -> Rejection {
-        if self.store_health.is_unavailable() {
+        if self.store_health.is_unavailable() || !self.store_health.are_lists_current() {
             return not_ready_rejection();
         }
         Rejection::new(kind)
--- a/src/exchange/feed_sync.rs
+++ b/src/exchange/feed_sync.rs
@@ -103,6 +103,9 @@
             self.set_watching(&duty);
             let is_current =
                 self.context.feed.is_current() && !self.context.health.is_call_failing();
+            if is_current && (duty.watches || self.is_stand_in) {
+                self.context.health.record_lists_current();
+            }
             if duty.watches && is_current {
                 self.record_current();
                 // Only the local watchers are polled, for the routers present in the domain.
@@ -200,6 +203,7 @@
                 self.sources.insert(router, source);
                 if answer.is_current {
                     self.skipped.remove(&router);
+                    self.context.health.record_lists_current();
                     self.record_current();
                     self.is_stand_in = false;
                 } else {
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -17,6 +17,9 @@
 const MAX_ANSWER_AGE: Duration = Duration::from_secs(6);
 /// Largest time between failures at two routers that can belong to the same outage.
 const SAME_OUTAGE_WINDOW: Duration = Duration::from_secs(3);
+/// Time for which lists that were current count as such. Routers that watch the store confirm it
+/// several times a second.
+const LISTS_CURRENT_TTL: Duration = Duration::from_millis(1_500);
 /// Largest age of a report from another router. Reports arrive several times a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
@@ -27,6 +30,8 @@
     last_failure: Option<Instant>,
     /// True while this router's own calls show all outages.
     is_watching: bool,
+    /// When the lists were last known to be current.
+    lists_current_at: Option<Instant>,
     /// Reports of other routers, by their addresses.
     reports: HashMap<SocketAddr, PeerReport>,
 }
@@ -108,6 +113,19 @@
         state.reports.insert(router, report);
     }
 
+    /// Records that the lists of this router are current: by its own watches, or by the answer of a
+    /// router whose watches are.
+    pub(crate) fn record_lists_current(&self) {
+        lock(&self.state).lists_current_at = Some(Instant::now());
+    }
+
+    /// Returns true if a newer list would be known by now.
+    pub(crate) fn are_lists_current(&self) -> bool {
+        let state = lock(&self.state);
+        let is_recent = |at: Instant| at.elapsed() < LISTS_CURRENT_TTL;
+        state.lists_current_at.is_some_and(is_recent)
+    }
+
     /// Returns a receiver that is notified when a call is answered after a failed one.
     pub(crate) fn recoveries(&self) -> watch::Receiver<u64> {
         self.recoveries.subscribe()
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -112,6 +112,12 @@
     let router = site.ready_router("r-1").await;
     let unknown_key = Call::new("look", "a-1").with("authorization", "Token nobody");
     let unknown_route = Call::new("nowhere", "a-2");
+    wait_until("the lists are known to be current", || async {
+        let got = unknown_key.send(router.callers_address).await.unwrap();
+        assert!([401, 503].contains(&got.status), "{}", got.status);
+        got.status == 401
+    })
+    .await;
     assert_eq!(
         unknown_key
             .send(router.callers_address)
@@ -149,6 +155,43 @@
     );
 }
 
+/// Guards against a router that has just started and answers 401 or 404 by an old listing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_with_old_lists_gives_503_for_what_only_newer_ones_allow() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    site.store.freeze_stale_listings();
+    let mut newer = lists(2, AMPLE_PAID_TOKENS);
+    let mut route = newer["routes"][0].clone();
+    route["name"] = "added".into();
+    route["path_prefix"] = "/added/".into();
+    newer["routes"].as_array_mut().unwrap().push(route);
+    newer["tenants"][0]["api_keys"]
+        .as_array_mut()
+        .unwrap()
+        .push("added-key".into());
+    site.store.put("config", "main", &newer);
+    let router = site.ready_router("r-1").await;
+    let calls = [
+        Call::new("added", "a-route"),
+        Call::new("look", "a-key").with("authorization", "Token added-key"),
+    ];
+    for call in calls {
+        wait_until("the newer lists are in force", || async {
+            let got = call.send(router.callers_address).await.unwrap();
+            assert!([200, 503].contains(&got.status), "{}", got.status);
+            got.status == 200
+        })
+        .await;
+    }
+    // Unknown ones are answered 404 and 401 once the lists are known to be current.
+    let unknown = Call::new("nowhere", "a-unknown");
+    wait_until("unknown routes are answered 404", || async {
+        let got = unknown.send(router.callers_address).await.unwrap();
+        got.status == 404
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_without_lists_refuses_and_is_not_ready() {
     let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
