--- a/src/core/holder.rs
+++ b/src/core/holder.rs
@@ -142,6 +142,12 @@
         self.pending.as_ref()
     }
 
+    /// Returns the cumulative tokens that the ledger has granted.
+    #[must_use]
+    pub const fn granted_tokens(&self) -> Tokens {
+        self.granted_tokens
+    }
+
     /// Returns the tokens spent on finished requests.
     #[must_use]
     pub const fn spent_tokens(&self) -> Tokens {
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -6,7 +6,7 @@
 //! Invariant: the sum over all rows of `granted_tokens - returned_tokens` never exceeds the
 //! `paid_tokens` that was in force when the newest grant was made.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -14,6 +14,9 @@
 use super::ids::{BudgetId, HolderId};
 use super::units::Tokens;
 
+/// Maximum number of folded holders that an entry remembers.
+const MAX_RECENTLY_FOLDED: usize = 8;
+
 /// Version of the accepted lists; each accepted change increments it by one.
 pub type Generation = u64;
 
@@ -94,10 +97,23 @@
     /// folded, because a holder may return tokens that another one transferred to it.
     #[serde(default, skip_serializing_if = "Tokens::is_zero")]
     pub folded_returned_tokens: Tokens,
+    /// Holders that were folded last, in case more turns out to have been granted to them.
+    #[serde(default, skip_serializing_if = "VecDeque::is_empty")]
+    pub recently_folded: VecDeque<FoldedGrant>,
     /// One row for each router process that holds or ever held a grant of this budget.
     pub rows: BTreeMap<HolderId, GrantRow>,
 }
 
+/// The grant of a folded holder, which is part of `folded_tokens`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FoldedGrant {
+    /// The holder.
+    pub holder: HolderId,
+    /// Cumulative tokens granted to it.
+    pub granted_tokens: Tokens,
+}
+
 /// One holder's grant of one budget.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -241,9 +257,58 @@
         if let Some(row) = self.rows.remove(&holder) {
             self.folded_tokens += row.granted_tokens;
             self.folded_returned_tokens += row.returned_tokens;
+            self.recently_folded.push_back(FoldedGrant {
+                holder,
+                granted_tokens: row.granted_tokens,
+            });
+            if self.recently_folded.len() > MAX_RECENTLY_FOLDED {
+                self.recently_folded.pop_front();
+            }
         }
     }
 
+    /// Raises a holder's grant to what it is known to be, after the ledger has lost writes. Returns
+    /// the tokens added; the prepaid amount does not bound them, as they may be spent.
+    pub fn restore_grant(&mut self, holder: HolderId, granted_tokens: Tokens) -> Tokens {
+        let mut folded = self.recently_folded.iter_mut();
+        if let Some(folded) = folded.find(|folded| folded.holder == holder) {
+            let added_tokens = granted_tokens - folded.granted_tokens;
+            folded.granted_tokens += added_tokens;
+            self.folded_tokens += added_tokens;
+            return added_tokens;
+        }
+        let known = self.rows.get(&holder).map(|row| row.granted_tokens);
+        let added_tokens = granted_tokens - known.unwrap_or_default();
+        if !added_tokens.is_zero() {
+            let row = self.rows.entry(holder).or_default();
+            row.granted_tokens = granted_tokens;
+        }
+        added_tokens
+    }
+
+    /// Charges what holders may have been granted in writes that the ledger has lost: for each one
+    /// whose grant is not known otherwise as much as it last held unspent. Returns the tokens
+    /// charged.
+    ///
+    /// ```
+    /// use currantlever::{BudgetEntry, HolderId, Tokens};
+    /// let mut entry = BudgetEntry::default();
+    /// entry.update_paid(1, Tokens::new(100));
+    /// entry.restore_grant(HolderId::new(1), Tokens::new(30));
+    /// assert_eq!(entry.charge_lost_grants(|_| false), Tokens::new(30));
+    /// assert_eq!(entry.available_tokens(), Tokens::new(40));
+    /// ```
+    pub fn charge_lost_grants<F>(&mut self, is_known: F) -> Tokens
+    where
+        F: Fn(HolderId) -> bool,
+    {
+        let unknown = self.rows.iter().filter(|(holder, _)| !is_known(**holder));
+        let unspent_tokens: Tokens = unknown.map(|(_, row)| row.unspent_tokens()).sum();
+        let charged_tokens = unspent_tokens.min(self.available_tokens());
+        self.folded_tokens += charged_tokens;
+        charged_tokens
+    }
+
     /// Returns the tokens that can still be granted.
     #[must_use]
     pub fn available_tokens(&self) -> Tokens {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -169,6 +169,7 @@
         let new_sync = || {
             LedgerSync::new(
                 Arc::clone(&store),
+                Arc::clone(&store_health),
                 Arc::clone(&grants),
                 Arc::clone(&members),
                 log.clone(),
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -20,6 +20,8 @@
 /// Time after an outage within which expired entries are registered again, as the platform
 /// specifies.
 const REGISTRATION_GRACE: Duration = Duration::from_millis(2_300);
+/// Time in which the entry of a replica that has ended expires.
+const EXPIRY_TIME: Duration = Duration::from_secs(6);
 /// Time for which a departed incarnation is remembered, so that a stale entry does not put it back
 /// in service.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
@@ -31,6 +33,12 @@
     /// Incarnations that reported that they were leaving and whose entries were then removed, with
     /// the time of removal.
     departed: HashMap<ReplicaId, (Incarnation, Instant)>,
+    /// Incarnations whose entries were removed although they had not reported that they were
+    /// leaving, with the time of removal.
+    removed: HashMap<ReplicaId, (Incarnation, Instant)>,
+    /// Entries of such incarnations that a copy of the store has brought back, with the time until
+    /// which they are held back.
+    held_back: HashMap<ReplicaId, (ReplicaEntry, Instant)>,
 }
 
 /// Tracks the replicas' entries of the store.
@@ -74,7 +82,27 @@
             return;
         }
         state.missing.remove(&entry.id);
+        let is_of_copy = state
+            .removed
+            .get(&entry.id)
+            .is_some_and(|(incarnation, since)| {
+                incarnation.born_ms == entry.born_ms
+                    && self.store_health.has_era_changed_since(*since)
+            });
+        if is_of_copy {
+            let end = now + EXPIRY_TIME;
+            let held_back = state.held_back.entry(entry.id.clone());
+            held_back.or_insert_with(|| (entry.clone(), end)).0 = entry.clone();
+            info!(self.log, "entry of a removed replica is back; held back for now";
+                "replica" => entry.id.as_str(), "born_ms" => entry.born_ms);
+            return;
+        }
+        state.removed.remove(&entry.id);
         drop(state);
+        self.update_pools(entry);
+    }
+
+    fn update_pools(&self, entry: &ReplicaEntry) {
         if self.pools.upsert_replica(entry) {
             let born_ms = entry.born_ms;
             self.server_crashes
@@ -88,6 +116,7 @@
     /// Applies the removal of an entry.
     pub(crate) fn apply_removed(&self, id: &ReplicaId, now: Instant) {
         let mut state = lock(&self.state);
+        state.held_back.remove(id);
         if let Some(incarnation) = self.pools.leaving_incarnation(id) {
             state.departed.insert(id.clone(), (incarnation, now));
         } else if let Some(deadline) = registration_deadline(self.store_health.last_outage(), now) {
@@ -96,6 +125,9 @@
             return;
         }
         state.missing.remove(id);
+        if let Some(incarnation) = self.pools.incarnation(id) {
+            state.removed.insert(id.clone(), (incarnation, now));
+        }
         drop(state);
         self.remove_from_pools(id, "entry removed");
     }
@@ -114,6 +146,31 @@
             lock(&self.state).missing.remove(&id);
             self.remove_from_pools(&id, "entry was not registered again in time");
         }
+        for entry in self.take_confirmed(now) {
+            self.update_pools(&entry);
+        }
+    }
+
+    /// Removes and returns the entries that have not expired while they were held back, so their
+    /// replicas live.
+    fn take_confirmed(&self, now: Instant) -> Vec<ReplicaEntry> {
+        let mut state = lock(&self.state);
+        state
+            .removed
+            .retain(|_, (_, since)| now - *since < DEPARTED_RETENTION);
+        let mut confirmed = Vec::new();
+        let State {
+            held_back, removed, ..
+        } = &mut *state;
+        held_back.retain(|id, (entry, end)| {
+            let is_confirmed = *end <= now;
+            if is_confirmed {
+                removed.remove(id);
+                confirmed.push(entry.clone());
+            }
+            !is_confirmed
+        });
+        confirmed
     }
 
     fn remove_from_pools(&self, id: &ReplicaId, reason: &str) {
--- a/src/exchange/feed_link.rs
+++ b/src/exchange/feed_link.rs
@@ -330,6 +330,9 @@
         }
         for (kind, delta) in feed.kinds().iter().zip(answer.deltas) {
             if let Some(delta) = delta {
+                if delta.revision.era() > 0 {
+                    context.health.record_era(delta.revision.era());
+                }
                 kind.apply_delta(delta.try_into()?);
             }
         }
--- a/src/exchange/grant_updates.rs
+++ b/src/exchange/grant_updates.rs
@@ -23,6 +23,22 @@
     decision: GrantDecision,
 }
 
+/// Tokens put back into a ledger that has lost writes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RestoredGrants {
+    /// Tokens that were granted.
+    pub known_tokens: Tokens,
+    /// Tokens that routers which are silent now may have been granted; charged as spent.
+    pub unseen_tokens: Tokens,
+}
+
+impl RestoredGrants {
+    /// Returns true if the ledger lacked nothing.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.known_tokens.is_zero() && self.unseen_tokens.is_zero()
+    }
+}
+
 /// Reason for a ledger update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateReason {
@@ -153,6 +169,54 @@
         planned
     }
 
+    /// Puts back into a copy of the ledger what this router knows to be granted: to itself, and to
+    /// others by their last reports.
+    pub(crate) fn put_back(&self, shard: &mut LedgerShard) -> RestoredGrants {
+        let state = lock(&self.state);
+        let mut restored = RestoredGrants::default();
+        for (budget, team) in &state.teams {
+            let own = (self.holder, team.holder.granted_tokens(), Tokens::ZERO);
+            let reported = state
+                .reported_grants
+                .iter()
+                .filter_map(|(holder, reported)| {
+                    let (granted, unreported) = reported.granted_tokens(team.digest)?;
+                    Some((*holder, granted, unreported))
+                });
+            for (holder, granted_tokens, unreported_tokens) in reported.chain([own]) {
+                let total_tokens = granted_tokens + unreported_tokens;
+                if total_tokens.is_zero() {
+                    continue;
+                }
+                let entry = shard.entries.entry(budget.clone()).or_default();
+                let added_tokens = entry.restore_grant(holder, total_tokens);
+                let unseen_tokens = added_tokens.min(unreported_tokens);
+                restored.unseen_tokens += unseen_tokens;
+                restored.known_tokens += added_tokens - unseen_tokens;
+            }
+        }
+        restored
+    }
+
+    /// Charges in the ledger of an earlier era what routers of which no report is known may have been
+    /// granted in writes that it lacks. Returns the tokens charged.
+    pub(crate) fn charge_lost_grants(&self, shard: &mut LedgerShard) -> Tokens {
+        let state = lock(&self.state);
+        let is_known =
+            |holder| holder == self.holder || state.reported_grants.contains_key(&holder);
+        let entries = shard.entries.values_mut();
+        entries
+            .map(|entry| entry.charge_lost_grants(is_known))
+            .sum()
+    }
+
+    /// Returns true if the ledger has granted tokens to this router.
+    pub(crate) fn has_grants(&self) -> bool {
+        let state = lock(&self.state);
+        let mut teams = state.teams.values();
+        teams.any(|team| !team.holder.granted_tokens().is_zero())
+    }
+
     /// Applies all pending updates to a copy of the ledger. Returns false if it has them all.
     pub(crate) fn apply_to(&self, shard: &mut LedgerShard) -> bool {
         let mut state = lock(&self.state);
@@ -165,6 +229,8 @@
                 continue;
             };
             let entry = shard.entries.entry(budget.clone()).or_default();
+            // The ledger may have lost what it granted.
+            entry.restore_grant(self.holder, team.holder.granted_tokens());
             if let Ok(outcome) = entry.apply(&update) {
                 is_changed |= outcome == UpdateOutcome::Applied;
                 continue;
--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -14,7 +14,7 @@
 
 use super::catalog::Catalog;
 use super::members::LedgerDuty;
-use super::pooling::{HoldingsQuery, PeerGrants, PendingTransfer, QueuedTransfer};
+use super::pooling::{HoldingsQuery, PeerGrants, PendingTransfer, QueuedTransfer, ReportedGrants};
 use super::request::{RejectKind, Rejection};
 use crate::core::cover::{fleet_cover_tokens, RankedDemand, MAX_PARTITION_S};
 use crate::core::holder::Holder;
@@ -185,6 +185,8 @@
     pub(super) ledger_call_since: Option<Instant>,
     /// Grants reported by other routers.
     pub(super) others: HashMap<SocketAddr, PeerGrants>,
+    /// Grants of other routers, to put back what the ledger may lose.
+    pub(super) reported_grants: HashMap<HolderId, ReportedGrants>,
     /// Transfer requests of other routers that wait for a draw on the ledger.
     pub(super) queued_transfers: Vec<QueuedTransfer>,
 }
@@ -296,6 +298,7 @@
                 unreachable_since: None,
                 ledger_call_since: None,
                 others: HashMap::new(),
+                reported_grants: HashMap::new(),
                 queued_transfers: Vec::new(),
             }),
             wake: Notify::new(),
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -16,7 +16,7 @@
 use super::suspects::Suspects;
 use super::transfers::{handle_transfer, PeerMessage};
 use crate::store::feed::{KindFeed, KindSink};
-use crate::store::kinds::{Change, Freshness, KindError, KindObject, KindStore};
+use crate::store::kinds::{Change, Freshness, KindError, KindObject, KindStore, Revision};
 
 /// Kind of the routers' entries.
 pub(crate) const ROUTER_KIND: &str = "routers";
@@ -188,6 +188,8 @@
 
 impl KindSink for IgnoringSink {
     fn apply(&self, _: Change) {}
+
+    fn apply_lost(&self, _: KindObject) {}
 }
 
 /// Registers this router in the store and periodically applies the other routers' entries.
@@ -197,8 +199,14 @@
     feed: Arc<KindFeed>,
     log: Logger,
 ) {
-    let mut registration = None;
+    let mut registration: Option<Registration> = None;
     loop {
+        let revision = feed.revision();
+        if registration.is_some_and(|known| is_entry_lost(&feed, &members, known, revision)) {
+            info!(log, "own entry missing in the store; registering again";
+                "revision" => revision);
+            registration = None;
+        }
         if registration.is_none() {
             registration = register(&*store, &members, &log).await;
         }
@@ -210,7 +218,8 @@
             .iter()
             .filter_map(|object| serde_json::from_str(object.value.get()).ok())
             .collect();
-        members.apply_entries(entries, registration == Some(Registration::Existing));
+        let had_entry = registration.is_some_and(|registration| registration.was_listed);
+        members.apply_entries(entries, had_entry);
         if members.watch_duty().watches {
             remove_timed_out(&*store, &members, &objects, &log).await;
         }
@@ -226,28 +235,46 @@
     }
 }
 
-/// Origin of this router's entry in the store.
+/// This router's entry in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Registration {
-    /// Created by this process.
-    New,
-    /// Created by an earlier process on this VM.
-    Existing,
+struct Registration {
+    /// True if an earlier process on this VM created it.
+    was_listed: bool,
+    /// Revision of the entry.
+    revision: Revision,
+}
+
+/// Returns true if the store returned from a copy without this router's entry.
+fn is_entry_lost(
+    feed: &KindFeed,
+    members: &Members,
+    registration: Registration,
+    revision: Option<Revision>,
+) -> bool {
+    let name = entry_name(members.own().peer_address);
+    revision.is_some_and(|revision| revision.era() > registration.revision.era())
+        && feed.objects().iter().all(|object| object.name != name)
 }
 
 async fn register(store: &dyn KindStore, members: &Members, log: &Logger) -> Option<Registration> {
     let name = entry_name(members.own().peer_address);
     let value = serde_json::value::to_raw_value(members.own()).ok()?;
     let registration = match store.create(ROUTER_KIND, &name, &value).await {
-        Ok(_) => Registration::New,
-        Err(KindError::Conflict(_)) => Registration::Existing,
+        Ok(revision) => Registration {
+            was_listed: false,
+            revision,
+        },
+        Err(KindError::Conflict(object)) => Registration {
+            was_listed: true,
+            revision: object.map(|object| object.revision).unwrap_or_default(),
+        },
         Err(error) => {
             info!(log, "router registration failed"; "reason" => error.to_string());
             return None;
         }
     };
     info!(log, "router registered"; "entry" => name.as_str(),
-        "was_listed" => registration == Registration::Existing);
+        "was_listed" => registration.was_listed, "revision" => registration.revision);
     Some(registration)
 }
 
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -3,22 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use rand::RngExt;
 use serde_json::value::RawValue;
 use slog::{info, warn, Logger};
 use tokio::time::Instant;
 
-use super::grant_updates::UpdateReason;
+use super::grant_updates::{RestoredGrants, UpdateReason};
 use super::grants::Grants;
 use super::members::{LedgerDuty, Members};
 use crate::core::duty::stand_in_interval_ms;
 use crate::core::ledger::LedgerShard;
-use crate::store::kinds::{KindError, KindObject, KindStore, Revision};
+use crate::store::health::StoreHealth;
+use crate::store::kinds::{Freshness, KindError, KindObject, KindStore, Revision};
 
 /// Kind of the ledger's objects.
 const LEDGER_KIND: &str = "token-ledgers";
-/// Name of the ledger object. A single object holds all budgets of a small site.
+/// Name of the ledger object of the first era. A single object holds all budgets of a small site.
 const LEDGER_NAME: &str = "all";
+/// Time after the beginning of an era without draws, in which all holders put back what the store
+/// has lost.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Interval at which the grants are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum interval between ledger writes that no request waits for.
@@ -52,9 +57,14 @@
 #[derive(Debug)]
 pub(crate) struct LedgerSync {
     store: Arc<dyn KindStore>,
+    health: Arc<StoreHealth>,
     grants: Arc<Grants>,
     members: Arc<Members>,
     log: Logger,
+    /// Era of the store that the snapshot belongs to; unknown before the first call.
+    era: Option<u64>,
+    /// End of the time without draws at the beginning of an era.
+    settled_at: Option<Instant>,
     snapshot: LedgerSnapshot,
     last_write: Option<Instant>,
     is_lost: bool,
@@ -67,15 +77,19 @@
     /// Creates a sync without any known ledger state.
     pub(crate) fn new(
         store: Arc<dyn KindStore>,
+        health: Arc<StoreHealth>,
         grants: Arc<Grants>,
         members: Arc<Members>,
         log: Logger,
     ) -> Self {
         Self {
             store,
+            health,
             grants,
             members,
             log,
+            era: None,
+            settled_at: None,
             snapshot: LedgerSnapshot::default(),
             last_write: None,
             is_lost: false,
@@ -98,6 +112,16 @@
                 self.grants.end_interval(interval);
                 last_interval = Instant::now();
             }
+            if self.has_new_era() {
+                self.begin_era().await;
+            }
+            if let Some(settled_at) = self.settled_at {
+                if settled_at > Instant::now() {
+                    continue;
+                }
+                self.settled_at = None;
+                self.end_settling().await;
+            }
             let mut duty = self.members.ledger_duty();
             if !duty.is_distributor {
                 duty.is_distributor = self.stand_in(&duty).await;
@@ -147,6 +171,82 @@
         }
     }
 
+    /// Returns true if the store has returned from an older copy since the last call.
+    fn has_new_era(&mut self) -> bool {
+        let Some(era) = self.health.known_era() else {
+            return false;
+        };
+        self.era.replace(era).is_some_and(|before| before < era)
+    }
+
+    /// Puts back what the store has lost of the ledger, and stops draws until the other holders
+    /// have done so too.
+    async fn begin_era(&mut self) {
+        let settled_at = Instant::now() + SETTLE_TIME;
+        self.settled_at = Some(settled_at);
+        self.snapshot.is_known = false;
+        let mut restored = RestoredGrants::default();
+        if self.is_holder() {
+            // Requests that lack tokens get them from other routers meanwhile.
+            self.grants.record_unreachable();
+            while Instant::now() < settled_at {
+                match self.put_back().await {
+                    Ok(Some(added)) => {
+                        restored = added;
+                        break;
+                    }
+                    Ok(None) => {}
+                    Err(error) => {
+                        self.record_lost(&error);
+                        tokio::time::sleep(FIRST_PAUSE).await;
+                    }
+                }
+            }
+        }
+        warn!(self.log, "store returned from an older copy"; "era" => self.era,
+            "revision" => self.snapshot.revision, "is_put_back" => self.snapshot.is_known,
+            "restored_tokens" => restored.known_tokens.get(),
+            "unseen_tokens" => restored.unseen_tokens.get());
+    }
+
+    /// Reads the ledger that all holders have completed.
+    async fn end_settling(&mut self) {
+        if !self.is_holder() {
+            return;
+        }
+        match self.read().await {
+            Ok(()) => {
+                self.record_reached();
+                self.grants.apply_ledger(&self.snapshot.shard);
+            }
+            Err(error) => self.record_lost(&error),
+        }
+    }
+
+    fn is_holder(&self) -> bool {
+        self.members.ledger_duty().is_distributor || self.grants.has_grants()
+    }
+
+    /// Writes what this router knows to be granted, if the ledger lacks any of it. Returns `None`
+    /// if other routers wrote at the same time.
+    async fn put_back(&mut self) -> Result<Option<RestoredGrants>, KindError> {
+        self.read().await?;
+        let mut next = self.snapshot.shard.clone();
+        let restored = self.grants.put_back(&mut next);
+        if restored.is_empty() {
+            return Ok(Some(restored));
+        }
+        match self.write(&next).await {
+            Ok(revision) => {
+                self.snapshot.shard = next;
+                self.snapshot.revision = Some(revision);
+                Ok(Some(restored))
+            }
+            Err(KindError::Conflict(_) | KindError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Returns true if this router stands in for the distributors, because none of them reaches
     /// the ledger.
     async fn stand_in(&mut self, duty: &LedgerDuty) -> bool {
@@ -192,6 +292,11 @@
             if !self.snapshot.is_known {
                 self.read().await?;
             }
+            if self.era.is_some_and(|era| era < self.health.era()) {
+                // The main loop puts back what is lost before it draws.
+                self.snapshot.is_known = false;
+                return Ok(false);
+            }
             let mut next = self.snapshot.shard.clone();
             if !self.grants.apply_to(&mut next) {
                 self.grants.apply_ledger(&self.snapshot.shard);
@@ -222,12 +327,20 @@
     }
 
     async fn read(&mut self) -> Result<(), KindError> {
-        match self.store.get(LEDGER_KIND, LEDGER_NAME).await {
+        let era = self.health.era();
+        match self.store.get(LEDGER_KIND, &ledger_name(era)).await {
             Ok(object) => self.set_snapshot(&object),
+            Err(KindError::NotFound) if era != self.health.era() => Err(KindError::HistoryGone),
             Err(KindError::NotFound) => {
+                let shard = if era == 0 {
+                    LedgerShard::default()
+                } else {
+                    self.read_earlier_era(era).await?
+                };
                 self.snapshot = LedgerSnapshot {
+                    shard,
+                    revision: None,
                     is_known: true,
-                    ..LedgerSnapshot::default()
                 };
                 Ok(())
             }
@@ -235,13 +348,32 @@
         }
     }
 
+    /// Returns the ledger of the newest era before this one; an empty one if there is none.
+    async fn read_earlier_era(&self, era: u64) -> Result<LedgerShard, KindError> {
+        let listing = self
+            .store
+            .list(LEDGER_KIND, Freshness::Linearizable)
+            .await?;
+        let eras = listing.objects.iter().filter_map(|object| {
+            let object_era = era_of_name(&object.name)?;
+            (object_era < era).then_some((object_era, object))
+        });
+        let Some((earlier_era, object)) = eras.max_by_key(|(era, _)| *era) else {
+            return Ok(LedgerShard::default());
+        };
+        let mut shard = parse_ledger(object)?;
+        let charged_tokens = self.grants.charge_lost_grants(&mut shard);
+        info!(self.log, "ledger of an earlier era found"; "era" => era,
+            "earlier_era" => earlier_era, "unseen_tokens" => charged_tokens.get());
+        Ok(shard)
+    }
+
     fn set_snapshot(&mut self, object: &KindObject) -> Result<(), KindError> {
-        let shard = serde_json::from_str(object.value.get()).map_err(|error| {
-            let reason = compact_str::format_compact!("ledger: {error}");
-            KindError::Decode { reason }
-        })?;
+        if object.revision.era() != self.health.era() {
+            return Err(KindError::HistoryGone);
+        }
         self.snapshot = LedgerSnapshot {
-            shard,
+            shard: parse_ledger(object)?,
             revision: Some(object.revision),
             is_known: true,
         };
@@ -251,14 +383,26 @@
     async fn write(&self, shard: &LedgerShard) -> Result<Revision, KindError> {
         let text = serde_json::to_string(shard).map_err(decode_error)?;
         let value = RawValue::from_string(text).map_err(decode_error)?;
-        match self.snapshot.revision {
+        let era = self.snapshot_era();
+        let name = ledger_name(era);
+        let revision = match self.snapshot.revision {
             Some(revision) => {
                 self.store
-                    .replace(LEDGER_KIND, LEDGER_NAME, &value, revision)
+                    .replace(LEDGER_KIND, &name, &value, revision)
                     .await
             }
-            None => self.store.create(LEDGER_KIND, LEDGER_NAME, &value).await,
+            None => self.store.create(LEDGER_KIND, &name, &value).await,
+        }?;
+        if revision.era() != era {
+            // The write went to the ledger of an era that is over.
+            return Err(KindError::HistoryGone);
         }
+        Ok(revision)
+    }
+
+    fn snapshot_era(&self) -> u64 {
+        let era = self.snapshot.revision.map(Revision::era);
+        era.unwrap_or_else(|| self.health.era())
     }
 
     fn record_reached(&mut self) {
@@ -279,6 +423,30 @@
     }
 }
 
+/// Returns the name of the ledger object of an era. Each era has its own, so that a write by a
+/// router which does not know of a new era cannot meet a ledger with the same revision number.
+fn ledger_name(era: u64) -> CompactString {
+    if era == 0 {
+        return LEDGER_NAME.into();
+    }
+    compact_str::format_compact!("{LEDGER_NAME}-{era}")
+}
+
+fn era_of_name(name: &str) -> Option<u64> {
+    let suffix = name.strip_prefix(LEDGER_NAME)?;
+    if suffix.is_empty() {
+        return Some(0);
+    }
+    suffix.strip_prefix('-')?.parse().ok()
+}
+
+fn parse_ledger(object: &KindObject) -> Result<LedgerShard, KindError> {
+    serde_json::from_str(object.value.get()).map_err(|error| {
+        let reason = compact_str::format_compact!("ledger: {error}");
+        KindError::Decode { reason }
+    })
+}
+
 fn decode_error(error: impl std::fmt::Display) -> KindError {
     KindError::Decode {
         reason: compact_str::format_compact!("{error}"),
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 use crate::core::rate_limit::RateLimit;
@@ -28,6 +28,7 @@
     replicas: IntGaugeVec,
     rate_limits: GaugeVec,
     permits: IntCounterVec,
+    store_era: IntGauge,
 }
 
 impl ExchangeMetrics {
@@ -87,6 +88,11 @@
             ),
             &["result"],
         )?;
+        let store_era = IntGauge::new(
+            "currantlever_store_era",
+            "Era of the store; rises when it returns from an older copy",
+        )?;
+        registry.register(Box::new(store_era.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(repeats.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -109,6 +115,7 @@
             replicas,
             rate_limits,
             permits,
+            store_era,
         })
     }
 
@@ -149,6 +156,11 @@
             .set(to_gauge(all));
     }
 
+    /// Sets the era of the store.
+    pub(crate) fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Counts a requested permit by its result.
     pub(crate) fn count_permit(&self, result: &str) {
         self.permits.with_label_values(&[result]).inc();
--- a/src/exchange/pooling.rs
+++ b/src/exchange/pooling.rs
@@ -24,6 +24,11 @@
 /// Longest time that a transfer request waits for the ledger: the rest of a write in progress, the
 /// pause after it and a further write, both writes with some conflicts.
 const LEDGER_WAIT: Duration = Duration::from_millis(400);
+/// Time for which the last report of a silent router is kept: longer than what a copy of the store
+/// may lack.
+const REPORT_RETENTION: Duration = Duration::from_secs(60);
+/// Time of its demand that a router may have drawn and spent after its last report.
+const UNREPORTED_TIME_S: u64 = 1;
 /// Time for which a router without tokens of a budget gets no further requests for it.
 const EXHAUSTED_PAUSE: Duration = Duration::from_millis(400);
 
@@ -34,21 +39,25 @@
     free_units: u32,
     reserved_units: u32,
     demand_units_per_s: [u32; PRIORITY_RANKS],
+    /// Cumulative tokens that the ledger has granted to the router.
+    granted_tokens: Tokens,
 }
 
 impl HoldingsReport {
-    fn new(budget: u32, holdings: &RouterHoldings) -> Self {
+    fn new(budget: u32, holdings: &RouterHoldings, granted_tokens: Tokens) -> Self {
         let units = |tokens: u64| u32::try_from(tokens / UNIT_TOKENS).unwrap_or(u32::MAX);
         Self {
             budget,
             free_units: units(holdings.free_tokens.get()),
             reserved_units: units(holdings.reserved_tokens.get()),
             demand_units_per_s: holdings.demand_tokens_per_s.map(units),
+            granted_tokens,
         }
     }
 
     fn is_empty(&self) -> bool {
-        self.free_units == 0
+        self.granted_tokens.is_zero()
+            && self.free_units == 0
             && self.reserved_units == 0
             && self.demand_units_per_s.iter().all(|units| *units == 0)
     }
@@ -209,14 +218,70 @@
     }
 }
 
+/// What a router last reported of its grants; kept when the report expires.
+#[derive(Debug)]
+pub(super) struct ReportedGrants {
+    granted: HashMap<u32, GrantedAmount>,
+    valid_until: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GrantedAmount {
+    granted_tokens: Tokens,
+    demand_tokens_per_s: u64,
+}
+
+impl ReportedGrants {
+    fn new(report: &GrantReport, valid_until: Instant) -> Self {
+        let granted = report.holdings.iter();
+        let granted = granted.filter(|report| !report.granted_tokens.is_zero());
+        Self {
+            granted: granted
+                .map(|report| {
+                    let amount = GrantedAmount {
+                        granted_tokens: report.granted_tokens,
+                        demand_tokens_per_s: report.holdings().demand_tokens_per_s.iter().sum(),
+                    };
+                    (report.budget, amount)
+                })
+                .collect(),
+            valid_until,
+        }
+    }
+
+    /// Returns the reported grant of a budget, and what a router that has fallen silent may have
+    /// been granted and spent after its last report.
+    pub(super) fn granted_tokens(&self, budget: u32) -> Option<(Tokens, Tokens)> {
+        let amount = self.granted.get(&budget)?;
+        let is_silent = self.valid_until <= Instant::now();
+        let unreported_s = if is_silent { UNREPORTED_TIME_S } else { 0 };
+        let unreported_tokens = amount.demand_tokens_per_s.saturating_mul(unreported_s);
+        Some((amount.granted_tokens, Tokens::new(unreported_tokens)))
+    }
+}
+
+impl GrantState {
+    /// Keeps a report beyond the life of its router.
+    fn record_reported_grants(&mut self, report: &GrantReport, valid_until: Instant) {
+        let reported = ReportedGrants::new(report, valid_until);
+        if reported.granted.is_empty() {
+            return;
+        }
+        let oldest = Instant::now().checked_sub(REPORT_RETENTION);
+        self.reported_grants
+            .retain(|_, reported| Some(reported.valid_until) > oldest);
+        self.reported_grants.insert(report.holder, reported);
+    }
+}
+
 impl Grants {
     /// Returns this router's report on its grants.
     pub(crate) fn report(&self) -> GrantReport {
         let state = lock(&self.state);
-        let holdings = state
-            .teams
-            .values()
-            .map(|team| HoldingsReport::new(team.digest, &team.holdings()));
+        let holdings = state.teams.values().map(|team| {
+            let granted_tokens = team.holder.granted_tokens();
+            HoldingsReport::new(team.digest, &team.holdings(), granted_tokens)
+        });
         GrantReport {
             holder: self.holder,
             reaches_ledger: state.can_draw(),
@@ -251,6 +316,7 @@
         } else {
             state.others_unreachable_since.get_or_insert(now);
         }
+        state.record_reported_grants(report, now + valid);
     }
 
     /// Waits until transfers may have to be requested or answered.
--- a/src/exchange/quarantine_store.rs
+++ b/src/exchange/quarantine_store.rs
@@ -102,6 +102,12 @@
             }
         }
     }
+
+    fn apply_lost(&self, object: KindObject) {
+        // The request stays quarantined; the writer creates the object again.
+        info!(self.log, "quarantined request missing in the store";
+            "fingerprint" => object.name.as_str(), "revision" => object.revision);
+    }
 }
 
 /// Writes quarantined requests to the store and removes those that were released.
@@ -173,7 +179,7 @@
     }
 
     /// Drops objects that the change feed has delivered, and releases the requests of those that
-    /// were removed before.
+    /// were removed before. Objects written in an earlier era may be lost, and are written again.
     fn drop_confirmed(
         &mut self,
         quarantined: &[QuarantinedRequest],
@@ -188,6 +194,10 @@
             if !is_quarantined || stored.contains_key(fingerprint) {
                 return false;
             }
+            let era = |revision: Option<Revision>| revision.map(Revision::era);
+            if era(feed_revision) > era(*revision) {
+                return false;
+            }
             let is_removed = revision.is_some() && feed_revision >= *revision;
             if is_removed {
                 suspects.release(*fingerprint);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,8 +45,8 @@
     ServiceId, TeamId, VmId,
 };
 pub use crate::core::ledger::{
-    BudgetEntry, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard, SealedHorizons,
-    UpdateOutcome, WitnessSet,
+    BudgetEntry, FoldedGrant, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard,
+    SealedHorizons, UpdateOutcome, WitnessSet,
 };
 pub use crate::core::permits::{PermitBucket, PermitDenial, ISSUER_COUNT};
 pub use crate::core::placement::{
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -24,6 +24,8 @@
 pub(crate) const SERVER_LIMIT: &str = "server-limit";
 /// Time after which to retry, in fractional seconds.
 pub(crate) const RETRY_AFTER: &str = "retry-after";
+/// Era of the store, in all its answers; rises each time that it returns from an older copy.
+pub(crate) const STORE_ERA: &str = "store-era";
 /// Proof that a body comes from the replica.
 pub(crate) const SIGNATURE: &str = "currantlever-replica-signature";
 /// Id of the last event of a stream that its receiver has.
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use super::names;
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::store::health::StoreHealth;
 use crate::store::kinds::{
@@ -40,7 +41,7 @@
 #[derive(Debug, Deserialize)]
 struct WireMetadata {
     name: CompactString,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -54,7 +55,7 @@
 struct WireListing {
     items: Vec<WireObject>,
     has_more: bool,
-    current_rev: Revision,
+    current_rev: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -66,14 +67,14 @@
 #[derive(Debug, Deserialize)]
 struct WireEvents {
     events: Vec<WireEvent>,
-    current_rev: Revision,
+    current_rev: u64,
 }
 
 #[derive(Debug, Serialize)]
 struct WriteMetadata<'a> {
     name: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
-    revision: Option<Revision>,
+    revision: Option<u64>,
     finalizers: [&'a str; 0],
 }
 
@@ -83,12 +84,12 @@
     spec: &'a RawValue,
 }
 
-impl From<WireObject> for KindObject {
-    fn from(wire: WireObject) -> Self {
-        Self {
-            name: wire.metadata.name,
-            revision: wire.metadata.revision,
-            value: wire.spec.unwrap_or_else(|| RawValue::NULL.to_owned()),
+impl WireObject {
+    fn into_object(self, era: u64) -> KindObject {
+        KindObject {
+            name: self.metadata.name,
+            revision: Revision::new(era, self.metadata.revision),
+            value: self.spec.unwrap_or_else(|| RawValue::NULL.to_owned()),
         }
     }
 }
@@ -106,9 +107,18 @@
 
 struct Answer {
     status: StatusCode,
+    /// Era of the store; 0 if the answer states none.
+    era: u64,
     body: Bytes,
 }
 
+impl Answer {
+    /// Decodes the object in the body.
+    fn object(&self) -> Result<KindObject, KindError> {
+        Ok(decode::<WireObject>(&self.body)?.into_object(self.era))
+    }
+}
+
 impl PlatformStore {
     /// Creates a client of the store at an address.
     pub(crate) fn new(
@@ -163,6 +173,12 @@
         let mut sender = self.sender().await?;
         let response = sender.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
+        let era = response.headers().get(names::STORE_ERA);
+        let era = era.and_then(|era| era.to_str().ok()?.trim().parse().ok());
+        if let Some(era) = era {
+            self.health.record_era(era);
+            self.metrics.set_store_era(era);
+        }
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.map_err(no_answer)?;
         let mut idle = lock(&self.idle);
@@ -171,6 +187,7 @@
         }
         Ok(Answer {
             status,
+            era: era.unwrap_or_default(),
             body: body.to_bytes(),
         })
     }
@@ -202,7 +219,7 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-    ) -> Result<Bytes, KindError> {
+    ) -> Result<Answer, KindError> {
         let answer = self.call(method, path, body, CALL_TIMEOUT).await?;
         check_status(answer)
     }
@@ -213,17 +230,12 @@
     status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
 }
 
-/// Returns the body of a successful answer, or the error for its status.
-fn check_status(answer: Answer) -> Result<Bytes, KindError> {
+/// Returns a successful answer, or the error for its status.
+fn check_status(answer: Answer) -> Result<Answer, KindError> {
     match answer.status.as_u16() {
-        200..=299 => Ok(answer.body),
+        200..=299 => Ok(answer),
         404 => Err(KindError::NotFound),
-        409 => {
-            let object = serde_json::from_slice::<WireObject>(&answer.body).ok();
-            Err(KindError::Conflict(
-                object.map(|object| Box::new(object.into())),
-            ))
-        }
+        409 => Err(KindError::Conflict(answer.object().ok().map(Box::new))),
         410 => Err(KindError::HistoryGone),
         status => Err(KindError::Busy { status }),
     }
@@ -252,7 +264,7 @@
     let object = WriteObject {
         metadata: WriteMetadata {
             name,
-            revision,
+            revision: revision.map(Revision::number),
             finalizers: [],
         },
         spec: value,
@@ -278,15 +290,20 @@
                 let _ = write!(path, "{separator}after={}", last.name);
             }
             let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
-            let page: WireListing = decode(&check_status(answer)?)?;
+            let answer = check_status(answer)?;
+            let page: WireListing = decode(&answer.body)?;
+            let era = answer.era;
             // The revision of the first page: the watch repeats changes made between two pages.
             if listing.objects.is_empty() {
-                listing.revision = page.current_rev;
+                listing.revision = Revision::new(era, page.current_rev);
+            } else if listing.revision.era() != era {
+                return Err(KindError::HistoryGone);
             }
             let is_last = !page.has_more || page.items.is_empty();
+            let items = page.items.into_iter();
             listing
                 .objects
-                .extend(page.items.into_iter().map(KindObject::from));
+                .extend(items.map(|item| item.into_object(era)));
             if is_last {
                 return Ok(listing);
             }
@@ -300,28 +317,38 @@
         wait: Duration,
         freshness: Freshness,
     ) -> Result<Changes, KindError> {
-        let mut path = format!("/objects/{kind}?watch={after}&wait_ms={}", wait.as_millis());
+        let mut path = format!(
+            "/objects/{kind}?watch={}&wait_ms={}",
+            after.number(),
+            wait.as_millis()
+        );
         if freshness == Freshness::Stale {
             path.push_str("&serializable=1");
         }
         let answer = self
             .call(Method::GET, &path, None, wait + WATCH_MARGIN)
             .await?;
-        let events: WireEvents = decode(&check_status(answer)?)?;
+        let answer = check_status(answer)?;
+        let era = answer.era;
+        if era != after.era() {
+            // The new era has other changes up to this number.
+            return Err(KindError::HistoryGone);
+        }
+        let events: WireEvents = decode(&answer.body)?;
         let changes = events.events.into_iter().map(|event| Change {
-            object: event.object.into(),
+            object: event.object.into_object(era),
             is_removed: event.removed,
         });
         Ok(Changes {
             changes: changes.collect(),
-            revision: events.current_rev,
+            revision: Revision::new(era, events.current_rev),
         })
     }
 
     async fn get(&self, kind: &str, name: &str) -> Result<KindObject, KindError> {
         let path = format!("/objects/{kind}/{name}");
         let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
-        Ok(decode::<WireObject>(&check_status(answer)?)?.into())
+        check_status(answer)?.object()
     }
 
     async fn create(
@@ -331,10 +358,10 @@
         value: &RawValue,
     ) -> Result<Revision, KindError> {
         let body = object_body(name, value, None)?;
-        let body = self
+        let answer = self
             .write(Method::POST, &format!("/objects/{kind}"), Some(body))
             .await?;
-        Ok(decode::<WireObject>(&body)?.metadata.revision)
+        Ok(answer.object()?.revision)
     }
 
     async fn replace(
@@ -346,12 +373,12 @@
     ) -> Result<Revision, KindError> {
         let body = object_body(name, value, Some(expected))?;
         let path = format!("/objects/{kind}/{name}");
-        let body = self.write(Method::PUT, &path, Some(body)).await?;
-        Ok(decode::<WireObject>(&body)?.metadata.revision)
+        let answer = self.write(Method::PUT, &path, Some(body)).await?;
+        Ok(answer.object()?.revision)
     }
 
     async fn remove(&self, kind: &str, name: &str, expected: Revision) -> Result<(), KindError> {
-        let path = format!("/objects/{kind}/{name}?revision={expected}");
+        let path = format!("/objects/{kind}/{name}?revision={}", expected.number());
         self.write(Method::DELETE, &path, None).await.map(drop)
     }
 }
--- a/src/platform/sinks.rs
+++ b/src/platform/sinks.rs
@@ -52,6 +52,11 @@
             self.apply_object(&change.object);
         }
     }
+
+    fn apply_lost(&self, object: KindObject) {
+        warn!(self.log, "configuration missing in the store; the newest known stays in force";
+            "object" => object.name.as_str(), "revision" => object.revision);
+    }
 }
 
 /// Updates the directory of replicas.
@@ -74,10 +79,15 @@
             }
             _ => {
                 // The entry was removed, or overwritten by one that cannot be decoded.
-                if let Ok(id) = ReplicaId::new(change.object.name) {
-                    self.directory.apply_removed(&id, Instant::now());
-                }
+                self.apply_lost(change.object);
             }
         }
     }
+
+    fn apply_lost(&self, object: KindObject) {
+        // The directory keeps the replica for the time in which it may register again.
+        if let Ok(id) = ReplicaId::new(object.name) {
+            self.directory.apply_removed(&id, Instant::now());
+        }
+    }
 }
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -13,6 +13,10 @@
 pub(crate) trait KindSink: Send + Sync {
     /// Applies a change that was not known before.
     fn apply(&self, change: Change);
+
+    /// Applies that an object is missing since the store returned from an older copy. Nobody has
+    /// removed it, and its writer may write it again.
+    fn apply_lost(&self, object: KindObject);
 }
 
 /// The change feed of one kind.
@@ -98,8 +102,13 @@
         let mut log = lock(&self.log);
         let changes = action(&mut log);
         let has_changes = !changes.is_empty();
+        let era = log.revision().map_or(0, Revision::era);
         for change in changes {
-            self.sink.apply(change);
+            if change.is_removed && change.object.revision.era() < era {
+                self.sink.apply_lost(change.object);
+            } else {
+                self.sink.apply(change);
+            }
         }
         drop(log);
         if has_changes {
--- a/src/store/feed_log.rs
+++ b/src/store/feed_log.rs
@@ -58,7 +58,7 @@
 }
 
 impl Gap {
-    const fn contains(self, revision: Revision) -> bool {
+    fn contains(self, revision: Revision) -> bool {
         self.before < revision && revision < self.after
     }
 }
@@ -149,8 +149,13 @@
     #[must_use]
     pub fn delta_since(&self, known: Option<Revision>) -> Option<FeedDelta> {
         let revision = self.revision?;
+        if known > Some(revision) {
+            return None;
+        }
         let is_covered = |known: &Revision| {
-            *known >= self.complete_after && !self.gaps.iter().any(|gap| gap.contains(*known))
+            known.era() == revision.era()
+                && *known >= self.complete_after
+                && !self.gaps.iter().any(|gap| gap.contains(*known))
         };
         let Some(known) = known.filter(is_covered) else {
             let objects = self.objects.values().cloned().map(|object| LoggedChange {
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -20,6 +20,9 @@
 /// Time for which lists that were current count as such. Routers that watch the store confirm it
 /// several times a second.
 const LISTS_CURRENT_TTL: Duration = Duration::from_millis(1_500);
+/// Time after the beginning of an era in which the operator and the replicas write again what the
+/// store has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(2_300);
 /// Largest age of a report from another router. Reports arrive several times a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
@@ -30,6 +33,10 @@
     last_failure: Option<Instant>,
     /// True while this router's own calls show all outages.
     is_watching: bool,
+    /// Newest known era of the store, and when it became known.
+    era: Option<(u64, Instant)>,
+    /// When an era followed a known one.
+    era_changed_at: Option<Instant>,
     /// When the lists were last known to be current.
     lists_current_at: Option<Instant>,
     /// Reports of other routers, by their addresses.
@@ -113,17 +120,51 @@
         state.reports.insert(router, report);
     }
 
+    /// Records the era of an answer, this router's or another one's. A new era counts as an outage.
+    pub(crate) fn record_era(&self, era: u64) {
+        let mut state = lock(&self.state);
+        let known = state.era;
+        if known.is_some_and(|(known, _)| known >= era) {
+            return;
+        }
+        let now = Instant::now();
+        state.era = Some((era, now));
+        if known.is_some() {
+            state.era_changed_at = Some(now);
+            // Watches of the last era may wait forever.
+            self.recoveries.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Returns the newest known era of the store; none before the first answer that states one.
+    pub(crate) fn known_era(&self) -> Option<u64> {
+        lock(&self.state).era.map(|(era, _)| era)
+    }
+
+    /// Returns the newest known era of the store. A store that states none has one era only.
+    pub(crate) fn era(&self) -> u64 {
+        self.known_era().unwrap_or_default()
+    }
+
+    /// Returns true if the store returned from an older copy after a time.
+    pub(crate) fn has_era_changed_since(&self, time: Instant) -> bool {
+        let era_changed_at = lock(&self.state).era_changed_at;
+        era_changed_at.is_some_and(|at| at > time)
+    }
+
     /// Records that the lists of this router are current: by its own watches, or by the answer of a
     /// router whose watches are.
     pub(crate) fn record_lists_current(&self) {
         lock(&self.state).lists_current_at = Some(Instant::now());
     }
 
-    /// Returns true if a newer list would be known by now.
+    /// Returns true if a newer list would be known by now. Lists of a new era are not current until
+    /// what was lost is written again.
     pub(crate) fn are_lists_current(&self) -> bool {
         let state = lock(&self.state);
         let is_recent = |at: Instant| at.elapsed() < LISTS_CURRENT_TTL;
-        state.lists_current_at.is_some_and(is_recent)
+        let is_settled = |(_, at): (u64, Instant)| at.elapsed() >= REWRITE_TIME;
+        state.lists_current_at.is_some_and(is_recent) && state.era.is_none_or(is_settled)
     }
 
     /// Returns a receiver that is notified when a call is answered after a failed one.
@@ -142,14 +183,26 @@
         !state.is_available() && !state.fresh_reports().any(|report| report.is_available)
     }
 
-    /// Returns when the store was last unreachable, leaving out failures that only this router or
-    /// only one other saw.
+    /// Returns when the store was last unreachable, or returned from an older copy, leaving out
+    /// failures that only this router or only one other saw.
     pub(crate) fn last_outage(&self) -> Option<Instant> {
         let state = lock(&self.state);
-        if state.is_watching || state.fresh_reports().next().is_none() {
-            return state.last_failure;
+        state.last_shared_failure().max(state.era_changed_at)
+    }
+
+    /// Returns the time since a call of this process last failed.
+    pub(crate) fn failure_age(&self) -> Option<Duration> {
+        lock(&self.state).last_failure.map(|at| at.elapsed())
+    }
+}
+
+impl State {
+    /// Returns when calls of several routers last failed.
+    fn last_shared_failure(&self) -> Option<Instant> {
+        if self.is_watching || self.fresh_reports().next().is_none() {
+            return self.last_failure;
         }
-        let newest = state
+        let newest = self
             .fresh_reports()
             .filter_map(|report| report.last_failure)
             .max()?;
@@ -158,12 +211,7 @@
             report.received > newest && report.last_failure.is_none_or(is_earlier_outage)
         };
         // A router that reached the store meanwhile shows that the failure was local to another.
-        let is_local_failure = state.fresh_reports().any(was_unaffected);
+        let is_local_failure = self.fresh_reports().any(was_unaffected);
         (!is_local_failure).then_some(newest)
     }
-
-    /// Returns the time since a call of this process last failed.
-    pub(crate) fn failure_age(&self) -> Option<Duration> {
-        lock(&self.state).last_failure.map(|at| at.elapsed())
-    }
 }
--- a/src/store/kinds.rs
+++ b/src/store/kinds.rs
@@ -5,11 +5,64 @@
 
 use async_trait::async_trait;
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
-/// Revision of the store or of an object; increases with every change.
-pub type Revision = u64;
+/// Revision of the store or of an object.
+///
+/// Its number increases with every change. When the store returns from an older copy, a new era
+/// begins, in which numbers are given out again; so revisions are ordered by era first.
+///
+/// ```
+/// use currantlever::Revision;
+/// assert!(Revision::new(1, 10) > Revision::new(0, 20));
+/// assert_eq!(Revision::new(1, 10).to_string(), "1:10");
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision {
+    era: u64,
+    number: u64,
+}
+
+impl Revision {
+    /// Creates a revision from an era and a number.
+    #[must_use]
+    pub const fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Returns the era, which rises each time that the store returns from an older copy.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.era
+    }
+
+    /// Returns the number, by which the store refers to the revision.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.number
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.era, self.number)
+    }
+}
+
+impl slog::Value for Revision {
+    fn serialize(
+        &self,
+        _: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        serializer.emit_arguments(key, &format_args!("{self}"))
+    }
+}
 
 /// One object as read.
 #[derive(Clone, Debug)]
@@ -85,7 +138,7 @@
     /// The object does not exist.
     #[error("no such object")]
     NotFound,
-    /// The store no longer holds the history to watch from; list again.
+    /// The store no longer holds the history to watch from, or began a new era; list again.
     #[error("the watch history has expired")]
     HistoryGone,
     /// The store rejected the call without effect.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod endless;
+mod eras;
 mod feed;
 mod leaving;
 mod limits;
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -46,10 +46,18 @@
     writes: u64,
     conflicts: u64,
     watches: BTreeMap<String, u64>,
+    /// Era that all answers state, if any.
+    era: Option<u64>,
     /// Objects and revision that serializable listings show, while these are stale.
     stale_copy: Option<(Kinds, u64)>,
 }
 
+/// The state of a store at one time.
+pub struct StoreCopy {
+    revision: u64,
+    by_kind: Kinds,
+}
+
 /// A fake store listening on a loopback address.
 pub struct FakeStore {
     address: SocketAddr,
@@ -114,6 +122,35 @@
         }
     }
 
+    /// States an era in all answers from now on.
+    pub fn begin_eras(&self) {
+        self.objects.lock().unwrap().era = Some(1);
+    }
+
+    /// Returns a copy of the present state.
+    pub fn copy(&self) -> StoreCopy {
+        let objects = self.objects.lock().unwrap();
+        StoreCopy {
+            revision: objects.revision,
+            by_kind: objects.by_kind.clone(),
+        }
+    }
+
+    /// Loses all changes since a copy was made and begins a new era, in which their revisions are
+    /// given out again. Connections are closed.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut objects = self.objects.lock().unwrap();
+        objects.revision = copy.revision;
+        objects.by_kind.clone_from(&copy.by_kind);
+        objects
+            .history
+            .retain(|(revision, ..)| *revision <= copy.revision);
+        let era = objects.era.expect("the store states no era");
+        objects.era = Some(era + 1);
+        drop(objects);
+        self.close_connections();
+    }
+
     pub fn revision(&self) -> u64 {
         self.objects.lock().unwrap().revision
     }
@@ -189,10 +226,17 @@
                 let (objects, changed) = (Arc::clone(&objects), changed.clone());
                 let is_available = is_available.load(Ordering::Relaxed);
                 async move {
-                    if is_available {
-                        return respond(objects, changed, request).await;
+                    let shared = Arc::clone(&objects);
+                    let mut response = if is_available {
+                        respond(objects, changed, request).await?
+                    } else {
+                        answer(503, &json!({}))
+                    };
+                    let era = shared.lock().unwrap().era;
+                    if let Some(era) = era {
+                        response.headers_mut().insert("store-era", era.into());
                     }
-                    Ok(answer(503, &json!({})))
+                    Ok::<_, std::io::Error>(response)
                 }
             });
             let task = tokio::spawn(async move {
@@ -384,6 +428,9 @@
     loop {
         {
             let state = objects.lock().unwrap();
+            if after > state.revision {
+                return answer(410, &json!({}));
+            }
             let stalls_watches_before = state.faults.stalls_watches_before;
             let is_stalled =
                 state.faults.hangs || stalls_watches_before.is_some_and(|before| after < before);
--- a/tests/feed_log.rs
+++ b/tests/feed_log.rs
@@ -8,45 +8,97 @@
 use serde_json::value::RawValue;
 
 /// A model of the store with its whole history.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Store {
-    objects: BTreeMap<u8, KindObject>,
-    history: Vec<(Revision, Change)>,
-    revision: Revision,
+    era: u64,
+    number: u64,
+    objects: BTreeMap<u8, u64>,
+    history: Vec<StoredChange>,
+}
+
+#[derive(Clone, Copy)]
+struct StoredChange {
+    number: u64,
+    name: u8,
+    object_number: u64,
+    is_removed: bool,
 }
 
 impl Store {
     fn put(&mut self, name: u8) {
-        self.revision += 1;
-        let object = object(name, self.revision);
-        self.objects.insert(name, object.clone());
-        let is_removed = false;
-        self.history
-            .push((self.revision, Change { object, is_removed }));
+        self.number += 1;
+        self.objects.insert(name, self.number);
+        self.record(name, self.number, false);
     }
 
     fn remove(&mut self, name: u8) {
-        if let Some(object) = self.objects.remove(&name) {
-            self.revision += 1;
-            let is_removed = true;
-            self.history
-                .push((self.revision, Change { object, is_removed }));
+        if let Some(object_number) = self.objects.remove(&name) {
+            self.number += 1;
+            self.record(name, object_number, true);
         }
     }
 
+    fn record(&mut self, name: u8, object_number: u64, is_removed: bool) {
+        self.history.push(StoredChange {
+            number: self.number,
+            name,
+            object_number,
+            is_removed,
+        });
+    }
+
+    /// Returns from a copy: what was written since is lost, and a new era begins.
+    fn restore(&mut self, copy: &Self) {
+        let era = self.era + 1;
+        *self = Self {
+            era,
+            ..copy.clone()
+        };
+    }
+
+    fn revision(&self) -> Revision {
+        Revision::new(self.era, self.number)
+    }
+
+    fn objects(&self) -> Vec<KindObject> {
+        let objects = self.objects.iter();
+        objects
+            .map(|(name, number)| object(*name, Revision::new(self.era, *number)))
+            .collect()
+    }
+
     fn listing(&self) -> Listing {
         Listing {
-            objects: self.objects.values().cloned().collect(),
-            revision: self.revision,
+            objects: self.objects(),
+            revision: self.revision(),
         }
     }
 
-    fn changes_after(&self, after: Revision) -> Changes {
-        let changes = self.history.iter().filter(|(at, _)| *at > after);
-        Changes {
-            changes: changes.map(|(_, change)| change.clone()).collect(),
-            revision: self.revision,
+    /// Returns the answer to a watch; none for a revision that this era does not have.
+    fn changes_after(&self, after: Revision) -> Option<Changes> {
+        if after.era() != self.era {
+            return None;
         }
+        let changes = self.history.iter().filter(|at| at.number > after.number());
+        let changes = changes.map(|at| Change {
+            object: object(at.name, Revision::new(self.era, at.object_number)),
+            is_removed: at.is_removed,
+        });
+        Some(Changes {
+            changes: changes.collect(),
+            revision: self.revision(),
+        })
+    }
+
+    /// Brings a watcher up to date: by its watch, or by a listing.
+    fn serve(&self, watcher: &mut FeedLog) {
+        let changes = watcher
+            .revision()
+            .and_then(|after| self.changes_after(after));
+        match changes {
+            Some(changes) => watcher.apply_changes(changes),
+            None => watcher.apply_listing(self.listing()),
+        };
     }
 }
 
@@ -54,7 +106,7 @@
     KindObject {
         name: format!("n-{name}").into(),
         revision,
-        value: RawValue::from_string(revision.to_string()).unwrap(),
+        value: RawValue::from_string(revision.number().to_string()).unwrap(),
     }
 }
 
@@ -79,19 +131,28 @@
     Pull(u8),
     /// A watcher sends a delta to the other one.
     Push(u8),
+    /// A copy of the store is made.
+    Copy,
+    /// The store returns from the copy.
+    Restore,
+    /// The answer to a listing from before the copy arrives late.
+    LateList(u8),
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let name = u8::arbitrary(g) % 4;
         let watcher = u8::arbitrary(g) % 2;
-        match u8::arbitrary(g) % 8 {
+        match u8::arbitrary(g) % 12 {
             0 | 1 => Self::Put(name),
             2 => Self::Remove(name),
             3 | 4 => Self::Watch(watcher),
             5 => Self::List(watcher),
-            6 => Self::Pull(watcher),
-            _ => Self::Push(watcher),
+            6 | 7 => Self::Pull(watcher),
+            8 => Self::Push(watcher),
+            9 => Self::Copy,
+            10 => Self::Restore,
+            _ => Self::LateList(watcher),
         }
     }
 }
@@ -125,15 +186,13 @@
         let mut watchers = [FeedLog::new(), FeedLog::new()];
         let mut follower = FeedLog::new();
         let mut replay = Replay::default();
+        let mut copy = store.clone();
         for step in steps {
             match step {
                 Step::Put(name) => store.put(name),
                 Step::Remove(name) => store.remove(name),
                 Step::Watch(watcher) => {
-                    let watcher = &mut watchers[usize::from(watcher)];
-                    if let Some(after) = watcher.revision() {
-                        watcher.apply_changes(store.changes_after(after));
-                    }
+                    store.serve(&mut watchers[usize::from(watcher)]);
                 }
                 Step::List(watcher) => {
                     watchers[usize::from(watcher)].apply_listing(store.listing());
@@ -152,20 +211,22 @@
                         to.apply_delta(delta);
                     }
                 }
+                Step::Copy => copy = store.clone(),
+                Step::Restore => store.restore(&copy),
+                Step::LateList(watcher) => {
+                    watchers[usize::from(watcher)].apply_listing(copy.listing());
+                }
             }
         }
         for watcher in &mut watchers {
-            match watcher.revision() {
-                Some(after) => watcher.apply_changes(store.changes_after(after)),
-                None => watcher.apply_listing(store.listing()),
-            };
+            store.serve(watcher);
             if let Some(delta) = watcher.delta_since(follower.revision()) {
                 replay.apply(&follower.apply_delta(delta));
             }
         }
         let replayed: Vec<(String, Revision)> = replay.0.into_iter().collect();
-        names_and_revisions(follower.objects()) == names_and_revisions(store.objects.values())
-            && replayed == names_and_revisions(store.objects.values())
+        names_and_revisions(follower.objects()) == names_and_revisions(store.objects().iter())
+            && replayed == names_and_revisions(store.objects().iter())
     }
 }
 
@@ -176,19 +237,47 @@
     watcher.apply_listing(store.listing());
     for number in 0..3_000_u32 {
         store.put(u8::try_from(number % 7).unwrap());
-        watcher.apply_changes(store.changes_after(u64::from(number)));
+        watcher.apply_changes(
+            store
+                .changes_after(Revision::new(0, u64::from(number)))
+                .unwrap(),
+        );
     }
     let mut follower = FeedLog::new();
     follower.apply_listing(Listing::default());
     let delta = watcher.delta_since(follower.revision()).unwrap();
     assert!(delta.is_snapshot);
     assert_eq!(follower.apply_delta(delta).len(), 7);
-    let recent = watcher.delta_since(Some(2_990)).unwrap();
+    let recent = watcher.delta_since(Some(Revision::new(0, 2_990))).unwrap();
     assert!(!recent.is_snapshot);
     assert_eq!(recent.changes.len(), 10);
     assert!(watcher.delta_since(follower.revision()).is_none());
 }
 
+/// Guards against mixing the revisions of two eras.
+#[test]
+fn a_follower_of_an_earlier_era_gets_a_snapshot_and_one_of_a_later_era_nothing() {
+    let mut store = Store::default();
+    store.put(1);
+    let copy = store.clone();
+    store.put(2);
+    let mut behind = FeedLog::new();
+    behind.apply_listing(store.listing());
+    store.restore(&copy);
+    store.put(3);
+    let mut watcher = FeedLog::new();
+    watcher.apply_listing(store.listing());
+    assert!(behind.delta_since(watcher.revision()).is_none());
+    let delta = watcher.delta_since(behind.revision()).unwrap();
+    assert!(delta.is_snapshot);
+    let changes = behind.apply_delta(delta);
+    let removed = changes.iter().filter(|change| change.is_removed);
+    assert_eq!(removed.count(), 1);
+    let names = names_and_revisions(behind.objects());
+    let known = |name: &str, number| (name.to_owned(), Revision::new(1, number));
+    assert_eq!(names, [known("n-1", 1), known("n-3", 2)]);
+}
+
 #[test]
 fn a_stale_listing_reverts_nothing() {
     let mut store = Store::default();
@@ -199,5 +288,8 @@
     let mut log = FeedLog::new();
     log.apply_listing(store.listing());
     assert!(log.apply_listing(old).is_empty());
-    assert_eq!(names_and_revisions(log.objects()), [("n-2".to_owned(), 3)]);
+    assert_eq!(
+        names_and_revisions(log.objects()),
+        [("n-2".to_owned(), Revision::new(0, 3))]
+    );
 }
