Split pools, members, run and pooling into files of one job each

Change: moves only, with visibility to match: chosen_replica, replica_search, replica_reports and replica_choice (from pools and run), caller_addresses and permit_issuers (from members), reported_grants (from pooling).

--- a/src/exchange/grants.rs
+++ b/src/exchange/grants.rs
@@ -14,7 +14,8 @@
 
 use super::catalog::Catalog;
 use super::members::LedgerDuty;
-use super::pooling::{HoldingsQuery, PeerGrants, PendingTransfer, QueuedTransfer, ReportedGrants};
+use super::pooling::{HoldingsQuery, PeerGrants, PendingTransfer, QueuedTransfer};
+use super::reported_grants::ReportedGrants;
 use super::request::{RejectKind, Rejection};
 use crate::core::cover::{fleet_cover_tokens, RankedDemand, MAX_PARTITION_S};
 use crate::core::holder::Holder;
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -5,7 +5,6 @@
 //! which report that they are alive and their load at each replica.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,18 +14,15 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use twox_hash::XxHash64;
 
-use super::limits::{LimitReport, ReplicaKey};
+use super::limits::LimitReport;
 use super::pooling::GrantReport;
-use super::pools::ReplicaStatusReport;
+use super::replica_reports::ReplicaStatusReport;
 use super::suspects::SuspicionReport;
 use crate::core::duty::{distributor_count, ledger_order, store_watchers, DutyCandidate};
 use crate::core::ids::FailureDomain;
-use crate::core::permits::ISSUER_COUNT;
 use crate::core::placement::ReplicaLoad;
-use crate::core::presence::{Presence, PresenceTable, RouterState, HEARTBEAT_TIMEOUT_MS};
-use crate::core::subset::{weighted_subset, SubsetCandidate};
+use crate::core::presence::{PresenceTable, RouterState, HEARTBEAT_TIMEOUT_MS};
 use crate::util::{lock, millis, stable_hash};
 
 /// Timeout of a router without hellos, in multiples of its hello interval.
@@ -35,9 +31,7 @@
 /// this one: half a second for the starts, a second for the age of a read.
 const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
 /// Time after the start until every live router with an entry has sent a hello.
-const DISCOVERY_TIME: Duration = Duration::from_secs(3);
-/// Spare capacity assumed for a router that has not reported any, in hundredths.
-const DEFAULT_HEADROOM_PERCENT: u8 = 100;
+pub(super) const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 /// Tokens in one unit of the pending prefill tokens in a hello.
 const PREFILL_UNIT_TOKENS: u64 = 64;
 
@@ -122,11 +116,11 @@
 }
 
 #[derive(Debug)]
-struct Member {
-    entry: RouterEntry,
+pub(super) struct Member {
+    pub(super) entry: RouterEntry,
     /// Cached, since duties are computed many times a second.
-    candidate: DutyCandidate,
-    last_hello: Option<LastHello>,
+    pub(super) candidate: DutyCandidate,
+    pub(super) last_hello: Option<LastHello>,
 }
 
 impl Member {
@@ -147,12 +141,12 @@
 }
 
 #[derive(Debug)]
-struct LastHello {
+pub(super) struct LastHello {
     at: Instant,
     process: u64,
     sequence: u64,
-    is_ready: bool,
-    headroom_percent: u8,
+    pub(super) is_ready: bool,
+    pub(super) headroom_percent: u8,
     interval: Duration,
     loads: Vec<ReplicaLoadReport>,
     /// True once its timeout was handled.
@@ -160,7 +154,7 @@
 }
 
 impl LastHello {
-    fn is_alive(&self) -> bool {
+    pub(super) fn is_alive(&self) -> bool {
         self.at.elapsed() < self.interval * TIMEOUT_HELLOS
     }
 }
@@ -190,25 +184,14 @@
     pub remote: Vec<SocketAddr>,
 }
 
-/// A router that issues permits for a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PermitIssuer {
-    /// Its hello address.
-    pub address: SocketAddr,
-    /// True for this router.
-    pub is_own: bool,
-    /// True unless it timed out.
-    pub is_alive: bool,
-}
-
 /// Returns this router's current status.
 pub(crate) type RouterStateSource = Arc<dyn Fn() -> RouterState + Send + Sync>;
 
 #[derive(Debug, Default)]
-struct Others {
-    members: HashMap<SocketAddr, Member>,
+pub(super) struct Others {
+    pub(super) members: HashMap<SocketAddr, Member>,
     /// Routers of this router's failure domain by hello address.
-    presence: PresenceTable<SocketAddr>,
+    pub(super) presence: PresenceTable<SocketAddr>,
     is_fleet_found: bool,
     loads: HashMap<u32, ReplicaLoad>,
     turn: usize,
@@ -228,10 +211,10 @@
 /// Routers of the fleet that this one knows.
 #[derive(Debug)]
 pub(crate) struct Members {
-    own: RouterEntry,
-    own_candidate: DutyCandidate,
-    started: Instant,
-    others: Mutex<Others>,
+    pub(super) own: RouterEntry,
+    pub(super) own_candidate: DutyCandidate,
+    pub(super) started: Instant,
+    pub(super) others: Mutex<Others>,
 }
 
 impl Members {
@@ -354,32 +337,6 @@
         }
     }
 
-    /// Returns the routers that issue permits for a replica, the first one first. Dead routers keep
-    /// their place while their entries exist, so that all routers compute the same order.
-    pub(crate) fn permit_issuers(&self, key: ReplicaKey) -> Vec<PermitIssuer> {
-        let others = lock(&self.others);
-        let is_starting = self.started.elapsed() < DISCOVERY_TIME;
-        let own = PermitIssuer {
-            address: self.own.peer_address,
-            is_own: true,
-            is_alive: true,
-        };
-        let issuers = others.members.iter().map(|(address, member)| {
-            let last_hello = member.last_hello.as_ref();
-            let issuer = PermitIssuer {
-                address: *address,
-                is_own: false,
-                is_alive: last_hello.map_or(is_starting, LastHello::is_alive),
-            };
-            (issuer_rank(key, &member.candidate), issuer)
-        });
-        let own = (issuer_rank(key, &self.own_candidate), own);
-        let mut ranked: Vec<(u64, PermitIssuer)> = issuers.chain([own]).collect();
-        ranked.sort_unstable_by_key(|(rank, issuer)| (*rank, issuer.address));
-        ranked.truncate(ISSUER_COUNT);
-        ranked.into_iter().map(|(_, issuer)| issuer).collect()
-    }
-
     /// Returns the routers that watch the store for all. This router watches only once the fleet is
     /// known.
     pub(crate) fn watch_duty(&self) -> WatchDuty {
@@ -436,7 +393,7 @@
 
     /// Returns the process's monotonic clock, in milliseconds. It starts at `HEARTBEAT_TIMEOUT_MS`,
     /// so that no presence record predates its zero.
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         millis(self.started.elapsed()) + HEARTBEAT_TIMEOUT_MS
     }
 
@@ -483,79 +440,6 @@
         });
         timed_out.map(|member| member.entry.peer_address).collect()
     }
-
-    /// Returns addresses for a caller in a failure domain. `own_headroom_percent` is `None` while
-    /// this router accepts no requests.
-    ///
-    /// A router that receives no hellos is probably partitioned itself, so it keeps returning
-    /// all routers that it knows.
-    pub(crate) fn addresses_for(
-        &self,
-        domain: &str,
-        own_headroom_percent: Option<u8>,
-    ) -> Vec<SocketAddr> {
-        let others = lock(&self.others);
-        let known: Vec<&Member> = others.members.values().collect();
-        let now_ms = self.now_ms();
-        let is_usable = |member: &&&Member| {
-            let presence = self.presence(&others, member, now_ms);
-            match presence {
-                Presence::Present(state) => state.is_ready,
-                Presence::Gone => false,
-                Presence::Unknown => {
-                    let last_hello = member.last_hello.as_ref();
-                    last_hello
-                        .is_some_and(|last_hello| last_hello.is_alive() && last_hello.is_ready)
-                }
-            }
-        };
-        let alive: Vec<&Member> = known.iter().filter(is_usable).copied().collect();
-        let is_isolated = alive.is_empty() && self.started.elapsed() > DISCOVERY_TIME;
-        let usable = if is_isolated { known } else { alive };
-        let own = own_headroom_percent.map(|headroom| (&self.own, &self.own_candidate, headroom));
-        let usable = usable.iter().map(|member| {
-            let last_hello = member.last_hello.as_ref();
-            let headroom = match self.presence(&others, member, now_ms) {
-                Presence::Present(state) => state.headroom_percent,
-                _ => last_hello.map_or(DEFAULT_HEADROOM_PERCENT, |last_hello| {
-                    last_hello.headroom_percent
-                }),
-            };
-            (&member.entry, &member.candidate, headroom)
-        });
-        let mut listed: Vec<_> = usable.chain(own).collect();
-        listed.sort_unstable_by_key(|(entry, ..)| entry.callers_address);
-        let candidates: Vec<SubsetCandidate> = listed
-            .iter()
-            .map(|(entry, candidate, headroom_percent)| SubsetCandidate {
-                hash: candidate.tie_breaker,
-                failure_domain: entry.failure_domain.clone(),
-                cpu_millis: entry.cpu_millis,
-                headroom_percent: *headroom_percent,
-            })
-            .collect();
-        let subset = weighted_subset(&candidates, domain, self.own_candidate.tie_breaker);
-        let addresses = subset.into_iter().map(|index| listed[index].0);
-        addresses.map(|entry| entry.callers_address).collect()
-    }
-
-    /// Returns the presence of a router. Presence records are complete only for the own failure
-    /// domain.
-    fn presence(&self, others: &Others, member: &Member, now_ms: u64) -> Presence {
-        if member.entry.failure_domain != self.own.failure_domain {
-            return Presence::Unknown;
-        }
-        let router = &member.entry.peer_address;
-        others.presence.presence(router, now_ms)
-    }
-}
-
-/// Returns a rendezvous hash; the lowest one issues permits first.
-fn issuer_rank(key: ReplicaKey, router: &DutyCandidate) -> u64 {
-    let mut hasher = XxHash64::with_seed(u64::from(key.replica));
-    hasher.write_u64(key.born_ms.unwrap_or_default());
-    hasher.write_u64(router.tie_breaker);
-    hasher.finish()
 }
 
 fn subtract(sums: &mut HashMap<u32, ReplicaLoad>, loads: &[ReplicaLoadReport]) {
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -4,7 +4,9 @@
 //! relays the answer and settles the reservation. It is independent of HTTP headers and of the
 //! store's formats, which are behind the traits `ReplicaTransport` and `KindStore`.
 
+pub(crate) mod caller_addresses;
 pub(crate) mod catalog;
+pub(crate) mod chosen_replica;
 pub(crate) mod directory;
 pub(crate) mod engine;
 pub(crate) mod events;
@@ -18,12 +20,17 @@
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod metrics;
+pub(crate) mod permit_issuers;
 pub(crate) mod permits;
 pub(crate) mod pooling;
 pub(crate) mod pools;
 pub(crate) mod quarantine_store;
 pub(crate) mod record;
 pub(crate) mod relay;
+pub(crate) mod replica_choice;
+pub(crate) mod replica_reports;
+pub(crate) mod replica_search;
+pub(crate) mod reported_grants;
 pub(crate) mod request;
 pub(crate) mod run;
 pub(crate) mod server_crashes;
--- a/src/exchange/permits.rs
+++ b/src/exchange/permits.rs
@@ -17,8 +17,9 @@
 use tokio::time::Instant;
 
 use super::limits::{LimitReport, ReplicaKey};
-use super::members::{Members, PermitIssuer};
+use super::members::Members;
 use super::metrics::ExchangeMetrics;
+use super::permit_issuers::PermitIssuer;
 use super::pools::Pools;
 use super::transfers::PeerMessage;
 use crate::core::permits::{PermitBucket, PermitDenial};
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use super::catalog::RouteKind;
+use super::chosen_replica::ChosenReplica;
 use super::events::{EventSplitter, StreamQuota, StreamTooLong};
-use super::pools::ChosenReplica;
 use super::request::{BodyStream, BrokenBody, ReplicaAnswer};
 use super::run::{AnsweredTry, Run};
 
--- /dev/null
+++ b/src/exchange/replica_choice.rs
@@ -0,0 +1,98 @@
+//! Chooses the replica for the next try of a run, with a permit if the replica has a rate limit.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::chosen_replica::ChosenReplica;
+use super::limits::ReplicaKey;
+use super::replica_search::{ReplicaQuery, SearchResult};
+use super::request::{RejectKind, Rejection};
+use super::run::{overload_retry_after, Run};
+use crate::core::ids::ReplicaId;
+
+/// Permits for rate-limited replicas that are requested for one try.
+const MAX_PERMIT_REQUESTS: u32 = 4;
+
+/// Extends a time by up to a half, so that callers do not retry at the same time.
+fn with_jitter(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(1.0..1.5))
+}
+
+impl Run {
+    /// Chooses a replica, with a permit if it has a rate limit.
+    pub(super) async fn choose_replica(&mut self) -> Result<ChosenReplica, Rejection> {
+        let mut permitted = None;
+        let mut requests_left = MAX_PERMIT_REQUESTS;
+        loop {
+            match self.search_replica(permitted, requests_left > 0) {
+                SearchResult::Found(chosen) => return Ok(chosen),
+                SearchResult::NeedsPermit { id, key } => {
+                    requests_left -= 1;
+                    let is_permitted = self.request_permit(&id, key).await;
+                    permitted = is_permitted.then_some(key);
+                }
+                other => return Err(self.search_rejection(&other)),
+            }
+        }
+    }
+
+    fn search_replica(
+        &self,
+        permitted: Option<ReplicaKey>,
+        may_request_permit: bool,
+    ) -> SearchResult {
+        self.exchange.pools.choose(&ReplicaQuery {
+            pool: &self.pool,
+            excluded: &self.tried_replicas,
+            rank: u32::from(self.rank),
+            prompt: self.prompt,
+            is_suspect: self.exchange.suspects.is_suspect(self.fingerprint),
+            permit_rank: self.permit_rank(),
+            permitted,
+            may_request_permit,
+        })
+    }
+
+    /// Returns the rank by which permits are issued: a retry goes before all first tries.
+    const fn permit_rank(&self) -> u8 {
+        if self.sent_count > 0 {
+            0
+        } else {
+            self.rank.saturating_add(1)
+        }
+    }
+
+    /// Requests a permit for a rate-limited replica. Returns false if it was denied.
+    async fn request_permit(&mut self, id: &ReplicaId, key: ReplicaKey) -> bool {
+        let rank = self.permit_rank();
+        let limits = Arc::clone(self.exchange.pools.limits());
+        let note = limits.note(key);
+        let answer = self.exchange.permits.acquire(key, rank).await;
+        if let Err(denial) = answer.decision {
+            limits.record_denial(key, rank, denial);
+        }
+        if let Some(note) = note {
+            self.record.add_limit(id.as_str(), &note, &answer);
+        }
+        answer.decision.is_ok()
+    }
+
+    fn search_rejection(&self, result: &SearchResult) -> Rejection {
+        let (kind, retry_after) = match result {
+            SearchResult::BackingOff(remaining) => (RejectKind::ReplicasQuiet, *remaining),
+            SearchResult::RateLimited(time) => {
+                (RejectKind::ReplicasRateLimited, with_jitter(*time))
+            }
+            SearchResult::NoReplica => (RejectKind::NoReplica, overload_retry_after()),
+            SearchResult::Full | SearchResult::Found(_) | SearchResult::NeedsPermit { .. } => {
+                (RejectKind::Overloaded, overload_retry_after())
+            }
+        };
+        if self.may_have_run {
+            return Rejection::new(RejectKind::AnswerLost);
+        }
+        Rejection::new(kind).with_retry_after(retry_after)
+    }
+}
