--- a/tests/entry/eras.rs
+++ b/tests/entry/eras.rs
@@ -4,6 +4,7 @@
 
 use super::replica::{Behaviour, FakeReplica, POISON_BODY};
 use super::site::{get, lists, wait_ready, wait_until, Call, Router, Site};
+use super::store::StoreFaults;
 use super::{received_count, site_with, AMPLE_PAID_TOKENS};
 
 /// Prompt tokens of a call, which are spent when it is served.
@@ -87,6 +88,69 @@
     );
 }
 
+/// Guards against a write that was sent in one era and takes effect in the next one, where its
+/// revision may belong to another state.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_that_arrives_in_the_next_era_hides_no_grants() {
+    const PREPAID: u64 = 20_000;
+    let (site, _replicas, routers) = site_with_eras(PREPAID, 2, 3).await;
+    let mut served = serve_calls(&routers, "first", 30).await;
+    let copy = site.store.copy();
+    served += serve_calls(&routers, "lost", 40).await;
+    site.store.set_faults(StoreFaults {
+        write_delay_ms: 600,
+        ..StoreFaults::default()
+    });
+    served += serve_calls(&routers, "delayed", 10).await;
+    site.store.restore_keeping_connections(&copy);
+    served += serve_calls(&routers, "during", 20).await;
+    wait_until_era_is_known(&routers, 1).await;
+    site.store.set_faults(StoreFaults::default());
+    for round in 0..20 {
+        served += serve_calls(&routers, &format!("round-{round}"), 30).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert!(served * PROMPT_TOKENS <= PREPAID, "{served} calls served");
+    assert!(
+        served * PROMPT_TOKENS >= PREPAID * 8 / 10,
+        "{served} calls served"
+    );
+}
+
+/// Guards against granting again what routers hold that do not reach the store while it returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn spend_stays_within_the_budget_when_half_of_the_routers_are_cut_off_in_a_restore() {
+    const PREPAID: u64 = 20_000;
+    let (site, _replicas, mut routers) = site_with_eras(PREPAID, 2, 2).await;
+    let (address, link) = site.store.open_link().await;
+    for name in ["cut-0", "cut-1"] {
+        let router = site.router_with_store(name, address);
+        wait_ready(&router).await;
+        routers.push(router);
+    }
+    for router in &routers {
+        wait_until("the routers know one another", || async {
+            router.log_lines("router discovered").len() >= 3
+        })
+        .await;
+    }
+    let copy = site.store.copy();
+    let mut served = serve_calls(&routers, "first", 100).await;
+    link.store(false, std::sync::atomic::Ordering::Relaxed);
+    site.store.restore(&copy);
+    wait_until_era_is_known(&routers[..2], 1).await;
+    for round in 0..5 {
+        served += serve_calls(&routers, &format!("cut-{round}"), 30).await;
+    }
+    link.store(true, std::sync::atomic::Ordering::Relaxed);
+    wait_until_era_is_known(&routers, 1).await;
+    for round in 0..15 {
+        served += serve_calls(&routers, &format!("round-{round}"), 30).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert!(served * PROMPT_TOKENS <= PREPAID, "{served} calls served");
+}
+
 /// Guards against losing the grants of a router that died together with them.
 #[tokio::test(flavor = "multi_thread")]
 async fn spend_stays_within_the_budget_when_a_router_dies_with_the_lost_grants() {
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -139,6 +139,12 @@
     /// Loses all changes since a copy was made and begins a new era, in which their revisions are
     /// given out again. Connections are closed.
     pub fn restore(&self, copy: &StoreCopy) {
+        self.restore_keeping_connections(copy);
+        self.close_connections();
+    }
+
+    /// Like [`Self::restore`], but calls in progress are answered in the new era.
+    pub fn restore_keeping_connections(&self, copy: &StoreCopy) {
         let mut objects = self.objects.lock().unwrap();
         objects.revision = copy.revision;
         objects.by_kind.clone_from(&copy.by_kind);
@@ -147,8 +153,6 @@
             .retain(|(revision, ..)| *revision <= copy.revision);
         let era = objects.era.expect("the store states no era");
         objects.era = Some(era + 1);
-        drop(objects);
-        self.close_connections();
     }
 
     pub fn revision(&self) -> u64 {
