Let the stand-in that answers before the body read no further than the body

Cause: the stand-in, not the router. It read the rest of the body by 4,096 bytes; where the router had already sent the next request on the connection, the last read took the begin of its head with it, and that request was never answered. Evidence: with a pause of 50 ms before the body is read the test failed at once (504), and passes with the read bounded; the pause stays, so the next request always follows first.

--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -16,6 +16,8 @@
 pub const POISON_BODY: &str = "ends servers";
 /// Body of a poison request that crashes the server after two events of a stream.
 pub const POISON_BODY_MID_STREAM: &str = "ends servers in mid-stream";
+/// Time from an answer before the body to the read of the body.
+const BODY_READ_DELAY: Duration = Duration::from_millis(50);
 /// Time from a crash to the restart of the server.
 pub const RESTART_DELAY: Duration = Duration::from_secs(2);
 
@@ -375,12 +377,15 @@
     };
     let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
     if *behaviour == Behaviour::AnswerBeforeBody {
-        // Reads the rest of the body, so that the next request can follow.
+        // The next request may follow in the meantime.
+        tokio::time::sleep(BODY_READ_DELAY).await;
         let mut unread_bytes = request.unread_body_bytes();
         let mut buffer = [0; 4096];
         while unread_bytes > 0 {
-            match stream.read(&mut buffer).await {
-                Ok(count) if count > 0 => unread_bytes = unread_bytes.saturating_sub(count),
+            // Not beyond the body, where the next request may begin.
+            let length = unread_bytes.min(buffer.len());
+            match stream.read(&mut buffer[..length]).await {
+                Ok(count) if count > 0 => unread_bytes -= count,
                 _ => return false,
             }
         }
