Let crashed stand-in servers refuse connections at once

The stand-in closed its listener, but the kernel went on accepting for the copy, so the router's probe found a server that listens, and the loss counted for nothing, as it should. Change: the listener is shut down before it is closed, which ends it for all copies.

--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -140,6 +140,10 @@
                     accept_until_crash(&listener, &crash, &behaviour, &received, &disconnects)
                         .await;
                 crash_count.fetch_add(1, Ordering::SeqCst);
+                // Closing alone is not enough while a child process that another test is just
+                // starting holds a copy of the socket.
+                let socket = socket2::SockRef::from(&listener);
+                socket.shutdown(std::net::Shutdown::Both).unwrap();
                 drop(listener);
                 connections.shutdown().await;
                 tokio::time::sleep(RESTART_DELAY).await;
@@ -377,22 +381,28 @@
     };
     let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
     if *behaviour == Behaviour::AnswerBeforeBody {
-        // The next request may follow in the meantime.
-        tokio::time::sleep(BODY_READ_DELAY).await;
-        let mut unread_bytes = request.unread_body_bytes();
-        let mut buffer = [0; 4096];
-        while unread_bytes > 0 {
-            // Not beyond the body, where the next request may begin.
-            let length = unread_bytes.min(buffer.len());
-            match stream.read(&mut buffer[..length]).await {
-                Ok(count) if count > 0 => unread_bytes -= count,
-                _ => return false,
-            }
-        }
+        return read_rest_of_body(stream, request).await;
     }
     is_sent
 }
 
+/// Reads the rest of a request's body after a pause, in which the next request may follow. Returns
+/// false if the connection ended.
+async fn read_rest_of_body(stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
+    tokio::time::sleep(BODY_READ_DELAY).await;
+    let mut unread_bytes = request.unread_body_bytes();
+    let mut buffer = [0; 4096];
+    while unread_bytes > 0 {
+        // Not beyond the body, where the next request may begin.
+        let length = unread_bytes.min(buffer.len());
+        match stream.read(&mut buffer[..length]).await {
+            Ok(count) if count > 0 => unread_bytes -= count,
+            _ => return false,
+        }
+    }
+    true
+}
+
 fn with_line(lines: &str, line: &str) -> String {
     format!("{lines}{line}\r\n")
 }
