Draw nothing in a new era until the lost grants are put back, however long that takes

What callers would see: a budget overspent: 298 calls of 100 tokens served of 20,000 when the store comes back from a copy in an outage of 2.5 s and the router with the lost grants has died. Cause: routers waited 1.5 s for one another and then drew, also where they had not reached the ledger to put anything back; and a router that started in that time did not wait at all. Change: a router draws only after it has put back what it knows, and a ledger that was created from that of an earlier era is marked as settling until a router that has waited clears the mark. A quarantined request whose revision is not known is no longer written again and again. Evidence: the new test failed before (298 calls) and passes; the ten other tests of eras.rs pass.

--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -80,6 +80,10 @@
 pub struct LedgerShard {
     /// Entry of each budget in the shard that was ever drawn on.
     pub entries: BTreeMap<BudgetId, BudgetEntry>,
+    /// True while holders put back what the store has lost. A router draws only after it has seen
+    /// this for the settling time.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_settling: bool,
 }
 
 /// The ledger entry of one budget.
--- a/src/exchange/ledger_sync.rs
+++ b/src/exchange/ledger_sync.rs
@@ -65,6 +65,10 @@
     era: Option<u64>,
     /// End of the time without draws at the beginning of an era.
     settled_at: Option<Instant>,
+    /// Era in which this router has waited for that time.
+    settled_era: Option<u64>,
+    /// True while this router has not put back what it knows to be granted.
+    needs_put_back: bool,
     snapshot: LedgerSnapshot,
     last_write: Option<Instant>,
     is_lost: bool,
@@ -90,6 +94,8 @@
             log,
             era: None,
             settled_at: None,
+            settled_era: None,
+            needs_put_back: false,
             snapshot: LedgerSnapshot::default(),
             last_write: None,
             is_lost: false,
@@ -112,15 +118,11 @@
                 self.grants.end_interval(interval);
                 last_interval = Instant::now();
             }
-            if self.has_new_era() {
-                self.begin_era().await;
+            if let Some(previous_era) = self.passed_era() {
+                self.begin_era(previous_era);
             }
-            if let Some(settled_at) = self.settled_at {
-                if settled_at > Instant::now() {
-                    continue;
-                }
-                self.settled_at = None;
-                self.end_settling().await;
+            if self.is_settling().await {
+                continue;
             }
             let mut duty = self.members.ledger_duty();
             if !duty.is_distributor {
@@ -171,42 +173,59 @@
         }
     }
 
-    /// Returns true if the store has returned from an older copy since the last call.
-    fn has_new_era(&mut self) -> bool {
-        let Some(era) = self.health.known_era() else {
-            return false;
-        };
-        self.era.replace(era).is_some_and(|before| before < era)
+    /// Returns the era before the store returned from an older copy, if it did since the last call.
+    fn passed_era(&mut self) -> Option<u64> {
+        let era = self.health.known_era()?;
+        self.era.replace(era).filter(|before| *before < era)
     }
 
-    /// Puts back what the store has lost of the ledger, and stops draws until the other holders
-    /// have done so too.
-    async fn begin_era(&mut self) {
-        let settled_at = Instant::now() + SETTLE_TIME;
-        self.settled_at = Some(settled_at);
+    /// Stops draws until all holders have put back what the store has lost.
+    fn begin_era(&mut self, previous_era: u64) {
+        warn!(self.log, "store returned from an older copy"; "era" => self.era,
+            "previous_era" => previous_era, "revision" => self.snapshot.revision);
         self.snapshot.is_known = false;
-        let mut restored = RestoredGrants::default();
-        if self.is_holder() {
+        self.needs_put_back = self.is_holder();
+        if self.needs_put_back {
             // Requests that lack tokens get them from other routers meanwhile.
             self.grants.record_unreachable();
-            while Instant::now() < settled_at {
-                match self.put_back().await {
-                    Ok(Some(added)) => {
-                        restored = added;
-                        break;
-                    }
-                    Ok(None) => {}
-                    Err(error) => {
-                        self.record_lost(&error);
-                        tokio::time::sleep(FIRST_PAUSE).await;
-                    }
+        }
+        self.settled_at = None;
+        self.start_settling();
+    }
+
+    fn start_settling(&mut self) {
+        let settled_at = Instant::now() + SETTLE_TIME;
+        self.settled_at.get_or_insert(settled_at);
+    }
+
+    /// Returns true while this router must not draw. Puts back what it knows to be granted.
+    async fn is_settling(&mut self) -> bool {
+        let Some(settled_at) = self.settled_at else {
+            return false;
+        };
+        if self.needs_put_back {
+            match self.put_back().await {
+                Ok(Some(restored)) => {
+                    self.needs_put_back = false;
+                    info!(self.log, "grants put back into the ledger"; "era" => self.era,
+                        "revision" => self.snapshot.revision,
+                        "restored_tokens" => restored.known_tokens.get(),
+                        "unseen_tokens" => restored.unseen_tokens.get());
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    self.record_lost(&error);
+                    tokio::time::sleep(FIRST_PAUSE).await;
                 }
             }
         }
-        warn!(self.log, "store returned from an older copy"; "era" => self.era,
-            "revision" => self.snapshot.revision, "is_put_back" => self.snapshot.is_known,
-            "restored_tokens" => restored.known_tokens.get(),
-            "unseen_tokens" => restored.unseen_tokens.get());
+        if self.needs_put_back || settled_at > Instant::now() {
+            return true;
+        }
+        self.settled_at = None;
+        self.settled_era = self.era;
+        self.end_settling().await;
+        false
     }
 
     /// Reads the ledger that all holders have completed.
@@ -297,7 +316,13 @@
                 self.snapshot.is_known = false;
                 return Ok(false);
             }
+            if self.snapshot.shard.is_settling && self.settled_era != Some(self.health.era()) {
+                self.snapshot.is_known = false;
+                self.start_settling();
+                return Ok(false);
+            }
             let mut next = self.snapshot.shard.clone();
+            next.is_settling = false;
             if !self.grants.apply_to(&mut next) {
                 self.grants.apply_ledger(&self.snapshot.shard);
                 return Ok(true);
@@ -362,6 +387,7 @@
             return Ok(LedgerShard::default());
         };
         let mut shard = parse_ledger(object)?;
+        shard.is_settling = true;
         let charged_tokens = self.grants.charge_lost_grants(&mut shard);
         info!(self.log, "ledger of an earlier era found"; "era" => era,
             "earlier_era" => earlier_era, "unseen_tokens" => charged_tokens.get());
--- a/src/exchange/quarantine_store.rs
+++ b/src/exchange/quarantine_store.rs
@@ -194,8 +194,10 @@
             if !is_quarantined || stored.contains_key(fingerprint) {
                 return false;
             }
-            let era = |revision: Option<Revision>| revision.map(Revision::era);
-            if era(feed_revision) > era(*revision) {
+            let is_of_earlier_era = feed_revision
+                .zip(*revision)
+                .is_some_and(|(feed, written)| feed.era() > written.era());
+            if is_of_earlier_era {
                 return false;
             }
             let is_removed = revision.is_some() && feed_revision >= *revision;
--- a/tests/entry/eras.rs
+++ b/tests/entry/eras.rs
@@ -172,6 +172,29 @@
     assert!(served * PROMPT_TOKENS <= PREPAID, "{served} calls served");
 }
 
+/// Guards against drawing before the lost grants are put back, when the store refuses all calls for
+/// longer than the routers wait for one another.
+#[tokio::test(flavor = "multi_thread")]
+async fn spend_stays_within_the_budget_when_the_store_returns_from_a_copy_in_an_outage() {
+    const PREPAID: u64 = 20_000;
+    let (site, _replicas, mut routers) = site_with_eras(PREPAID, 2, 3).await;
+    let copy = site.store.copy();
+    let mut served = serve_calls(&routers[..1], "first", 100).await;
+    assert!(served >= 90, "{served} of 100 before the restore");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    routers[0].kill();
+    site.store.start_outage();
+    site.store.restore(&copy);
+    wait_until_era_is_known(&routers[1..], 1).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    site.store.set_faults(StoreFaults::default());
+    for round in 0..20 {
+        served += serve_calls(&routers[1..], &format!("round-{round}"), 30).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert!(served * PROMPT_TOKENS <= PREPAID, "{served} calls served");
+}
+
 /// Guards against a fleet that knows nothing of the lost grants, since all routers died with them.
 #[tokio::test(flavor = "multi_thread")]
 async fn spend_stays_within_the_budget_when_all_routers_die_with_the_lost_grants() {
