Log how the end of a forwarded stream was known

The log said 'whole' for streams whose server had crashed, and did not tell an end that the server stated (a length, a last chunk) from a closed connection. Bodies of answers now have a type that carries it (AnswerBody, BodyEnd); the access log names it. A connection that ended an answer is explicitly not reused (the library closed it anyway).

--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -13,7 +13,7 @@
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
 use super::events::{EventSplitter, StreamQuota, StreamTooLong};
-use super::request::{BodyStream, BrokenBody, ReplicaAnswer};
+use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
 use super::run::{AnsweredTry, Run};
 
 /// Minimum time without an event after which a resumable stream is resumed elsewhere.
@@ -26,11 +26,11 @@
     pub(super) status: u16,
     pub(super) headers: HeaderMap,
     pub(super) chosen: Option<ChosenReplica>,
-    body: BodyStream,
+    body: AnswerBody,
     splitter: EventSplitter,
     first_bytes: Bytes,
     first_events: u64,
-    is_finished: bool,
+    end: Option<BodyEnd>,
 }
 
 impl fmt::Debug for OpenStream {
@@ -52,7 +52,7 @@
             splitter: EventSplitter::new(last_id, quota),
             first_bytes: Bytes::new(),
             first_events: 0,
-            is_finished: false,
+            end: None,
         }
     }
 
@@ -62,17 +62,22 @@
     ///
     /// Fails when the body breaks off or exceeds its quota.
     pub(super) async fn read_first_event(&mut self) -> Result<(), BrokenBody> {
-        while let Some(chunk) = self.body.next().await {
-            let batch = self.splitter.push(&chunk?).map_err(too_long_error)?;
+        loop {
+            let chunk = match self.body.next().await? {
+                BodyPart::Data(chunk) => chunk,
+                BodyPart::End(end) => {
+                    self.first_bytes = self.splitter.take_remainder();
+                    self.end = Some(end);
+                    return Ok(());
+                }
+            };
+            let batch = self.splitter.push(&chunk).map_err(too_long_error)?;
             if !batch.bytes.is_empty() {
                 self.first_bytes = batch.bytes;
                 self.first_events = batch.count;
                 return Ok(());
             }
         }
-        self.first_bytes = self.splitter.take_remainder();
-        self.is_finished = true;
-        Ok(())
     }
 }
 
@@ -85,7 +90,7 @@
 
 /// How the segment of a stream that one replica generated has ended.
 enum SegmentEnd {
-    Complete,
+    Complete(BodyEnd),
     Broken(BrokenBody),
     Stalled,
     TimedOut,
@@ -106,16 +111,16 @@
             // Bytes that complete no event do not reset the timeout.
             let mut last_event = Instant::now();
             let end = loop {
-                if open_stream.is_finished {
-                    break SegmentEnd::Complete;
+                if let Some(end) = open_stream.end {
+                    break SegmentEnd::Complete(end);
                 }
                 let read_deadline = run.deadline.min(last_event + stall_timeout);
                 let chunk = match tokio::time::timeout_at(read_deadline, open_stream.body.next())
                     .await
                 {
-                    Ok(Some(Ok(chunk))) => chunk,
-                    Ok(Some(Err(error))) => break SegmentEnd::Broken(error),
-                    Ok(None) => break SegmentEnd::Complete,
+                    Ok(Ok(BodyPart::Data(chunk))) => chunk,
+                    Ok(Ok(BodyPart::End(end))) => break SegmentEnd::Complete(end),
+                    Ok(Err(error)) => break SegmentEnd::Broken(error),
                     Err(_) if Instant::now() >= run.deadline => break SegmentEnd::TimedOut,
                     Err(_) => break SegmentEnd::Stalled,
                 };
@@ -132,7 +137,7 @@
             let replica = open_stream.chosen.as_ref().map(|chosen| chosen.replica.id.clone());
             let replica = replica.as_ref().map_or("", |id| id.as_str());
             let reason = match end {
-                SegmentEnd::Complete => {
+                SegmentEnd::Complete(body_end) => {
                     let remainder = open_stream.splitter.take_remainder();
                     if !remainder.is_empty() {
                         yield Ok(remainder);
@@ -141,7 +146,8 @@
                         chosen.record_success();
                     }
                     run.record_completion(open_stream.status);
-                    run.record.add_try(replica, "whole");
+                    run.record
+                        .add_try(replica, format_args!("whole, {body_end}"));
                     run.record.set_outcome("answered");
                     return;
                 }
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures::stream::BoxStream;
+use futures::StreamExt;
 use http::{HeaderMap, Method};
 use strum::Display;
 use thiserror::Error;
@@ -186,6 +187,51 @@
 /// Chunks of a body as they are received.
 pub(crate) type BodyStream = BoxStream<'static, Result<Bytes, BrokenBody>>;
 
+/// How the end of an answer is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub(crate) enum BodyEnd {
+    /// The server stated it, by a length or a last chunk.
+    #[strum(serialize = "end stated")]
+    Stated,
+    /// The server closed the connection, which it may also have done before the end.
+    #[strum(serialize = "end not stated, connection closed")]
+    ConnectionClosed,
+}
+
+/// The next part of an answer's body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum BodyPart {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The end of the body.
+    End(BodyEnd),
+}
+
+/// Body of a replica's answer.
+pub(crate) struct AnswerBody {
+    chunks: BodyStream,
+    end: BodyEnd,
+}
+
+impl AnswerBody {
+    /// Creates a body whose end, if it is reached, is known in the given way.
+    pub(crate) const fn new(chunks: BodyStream, end: BodyEnd) -> Self {
+        Self { chunks, end }
+    }
+
+    /// Waits for the next part.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off.
+    pub(crate) async fn next(&mut self) -> Result<BodyPart, BrokenBody> {
+        match self.chunks.next().await {
+            Some(chunk) => chunk.map(BodyPart::Data),
+            None => Ok(BodyPart::End(self.end)),
+        }
+    }
+}
+
 /// A replica's answer to one try, verified to belong to the request.
 pub(crate) struct ReplicaAnswer {
     /// HTTP status.
@@ -199,7 +245,7 @@
     /// Status that the replica reports.
     pub replica_status: ReplicaStatus,
     /// Body.
-    pub body: BodyStream,
+    pub body: AnswerBody,
 }
 
 impl fmt::Debug for ReplicaAnswer {
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
 use rand::RngExt;
 use slog::info;
 use tokio::time::error::Elapsed;
@@ -17,8 +16,8 @@
 use super::grants::Reservation;
 use super::record::RequestRecord;
 use super::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind, Rejection,
-    ReplicaAnswer, Reply, ReplyBody, UnsentCause,
+    AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
+    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, UnsentCause,
 };
 use super::server_crashes::LostConnection;
 use crate::core::ids::{PoolId, ReplicaId};
@@ -124,10 +123,9 @@
     async fn serve_buffered(&mut self) -> Result<ServedAnswer, Rejection> {
         loop {
             let AnsweredTry { mut answer, chosen } = self.next_answer(None).await?;
-            let body = std::mem::replace(&mut answer.body, futures::stream::empty().boxed());
-            let deadline = self.deadline;
-            match tokio::time::timeout_at(deadline, read_body(body)).await {
-                Ok(Ok(body)) => {
+            let body = read_body(&mut answer.body);
+            match tokio::time::timeout_at(self.deadline, body).await {
+                Ok(Ok((body, _))) => {
                     if answer.status >= 500 && self.route.kind == RouteKind::Idempotent {
                         chosen.record_failure();
                         self.record
@@ -165,14 +163,16 @@
     /// Sends the request to replicas until the first event of a stream is received.
     async fn serve_stream(&mut self) -> Result<ServedAnswer, Rejection> {
         loop {
-            let AnsweredTry { answer, mut chosen } =
-                self.next_answer(self.request.resume_after).await?;
+            let AnsweredTry {
+                mut answer,
+                mut chosen,
+            } = self.next_answer(self.request.resume_after).await?;
             if !(200..300).contains(&answer.status) {
-                let body = read_body(answer.body).await;
+                let body = read_body(&mut answer.body).await;
                 chosen.record_failure();
                 self.record
                     .add_try(chosen.replica.id.as_str(), answer.status);
-                let body = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
+                let (body, _) = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
                 return Ok(ServedAnswer::Buffered {
                     status: answer.status,
                     headers: answer.headers,
@@ -431,11 +431,14 @@
     Stream(Box<super::relay::OpenStream>),
 }
 
-/// Reads a complete body into memory.
-async fn read_body(mut body: BodyStream) -> Result<Bytes, BrokenBody> {
+/// Reads a body into memory until its end.
+async fn read_body(body: &mut AnswerBody) -> Result<(Bytes, BodyEnd), BrokenBody> {
     let mut buffer = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        buffer.extend_from_slice(&chunk?);
+    loop {
+        match body.next().await? {
+            BodyPart::Data(chunk) => buffer.extend_from_slice(&chunk),
+            BodyPart::End(end) => return Ok((buffer.freeze(), end)),
+        }
         if buffer.len() > MAX_BUFFERED_BYTES {
             return Err(BrokenBody {
                 reason: "longer than what is held".into(),
@@ -443,11 +446,10 @@
             });
         }
     }
-    Ok(buffer.freeze())
 }
 
 /// Reads and drops the rest of a body, so that its connection can be reused.
-async fn discard_body(body: BodyStream) {
+async fn discard_body(mut body: AnswerBody) {
     // After a timeout only the connection is lost.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_body(body)).await;
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_body(&mut body)).await;
 }
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -9,10 +9,11 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
+use futures::stream::BoxStream;
 use futures::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
@@ -20,8 +21,8 @@
 
 use super::names;
 use crate::exchange::request::{
-    BodyStream, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress, ReplicaAnswer,
-    ReplicaStatus, ReplicaTransport, StatedLimit, UnsentCause,
+    AnswerBody, BodyEnd, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress,
+    ReplicaAnswer, ReplicaStatus, ReplicaTransport, StatedLimit, UnsentCause,
 };
 use crate::tcp::connect;
 use crate::util::lock;
@@ -375,7 +376,8 @@
         max_idle: usize,
     ) -> ReplicaAnswer {
         let (parts, body) = response.into_parts();
-        let reuse_limit = reuse_limit(&parts.headers);
+        let end = body_end(&parts.headers, &body);
+        let reuse_limit = reuse_limit(&parts.headers).filter(|_| end == BodyEnd::Stated);
         let is_not_run = parts.headers.contains_key(names::NOT_EXECUTED);
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         let mut headers = parts.headers;
@@ -386,17 +388,33 @@
             is_not_run: is_not_run || is_misdirected,
             is_misdirected,
             replica_status,
-            body: read_body(
-                body,
-                connection,
-                reuse_limit,
-                Arc::clone(&self.idle),
-                max_idle,
+            body: AnswerBody::new(
+                read_body(
+                    body,
+                    connection,
+                    reuse_limit,
+                    Arc::clone(&self.idle),
+                    max_idle,
+                ),
+                end,
             ),
         }
     }
 }
 
+/// Returns how the end of a body will be known: by its framing, if it has any.
+fn body_end(headers: &HeaderMap, body: &Incoming) -> BodyEnd {
+    let is_chunked = headers
+        .get("transfer-encoding")
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("chunked"));
+    if is_chunked || body.size_hint().exact().is_some() {
+        BodyEnd::Stated
+    } else {
+        BodyEnd::ConnectionClosed
+    }
+}
+
 /// Returns the idle time within which the connection may be reused; none if it must be closed.
 fn reuse_limit(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
@@ -421,7 +439,7 @@
     reuse_limit: Option<Duration>,
     idle: Arc<IdleConnections>,
     max_idle: usize,
-) -> BodyStream {
+) -> BoxStream<'static, Result<Bytes, BrokenBody>> {
     let pieces = stream! {
         while let Some(frame) = body.frame().await {
             match frame {
