--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -12,6 +12,7 @@
 mod rules;
 mod site;
 mod store;
+mod unstated_end;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -54,6 +54,12 @@
     DuplicateAnswer,
     /// Sends an answer that ends with its connection, which is then reset or closed.
     CloseDelimited { is_reset: bool },
+    /// Sends an answer with neither a length nor chunks, and closes the connection or crashes.
+    Unframed {
+        content_type: &'static str,
+        body: String,
+        crashes: bool,
+    },
     /// Answers after the head of the request, then reads the body.
     AnswerBeforeBody,
     /// Sends a head with a line that never ends.
@@ -277,6 +283,10 @@
             (behaviour, leaving_line) = (*inner, LEAVING_LINE);
         }
         if !answer(&mut stream, &request, &behaviour, leaving_line, disconnects).await {
+            if matches!(behaviour, Behaviour::Unframed { crashes: true, .. }) {
+                crash.notify_one();
+                std::future::pending::<()>().await;
+            }
             return;
         }
     }
@@ -350,6 +360,19 @@
             send_close_delimited(stream, id, *is_reset).await;
             return false;
         }
+        Behaviour::Unframed {
+            content_type, body, ..
+        } => {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n{signature}\
+                 Content-Type: {content_type}\r\n\r\n{body}"
+            );
+            // Ignores the error when the router has closed the connection.
+            let _ = stream.write_all(text.as_bytes()).await;
+            // Lets the bytes arrive before the connection closes.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            return false;
+        }
         Behaviour::Stream { events, pause } => {
             return stream_events(stream, request, *events, *pause, leaving_line, disconnects)
                 .await;
