Take the close of a connection for the end of an answer only from a server that lives on

Callers got streams that had been broken off, some with half of an event, with a regular end.

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP library reports any close as a regular end. The relay forwarded what was left of an event and stated the end; whole bodies were given a length. Ruled out: a broken answer that the callers' side ends regularly (the log said 'whole').

Now the type of a body says how its end is known. An unstated end inside an event is broken off; elsewhere the server is probed, as after any lost connection: it lives on, then the answer is whole, as HTTP has it; it refuses connections, then it crashed, which counts for the quarantine, and the answer is broken off (resumed from the last whole event where the route allows); it cannot be reached, then the answer is broken off too. Events are split at \n, \r\n and \r; comments and empty lines are neither events nor signs of life; a byte order mark is skipped. A broken stream to a caller of HTTP/1.0, which knows no other end, ends with a reset.

--- a/src/exchange/events.rs
+++ b/src/exchange/events.rs
@@ -16,6 +16,9 @@
 /// Bytes allowed in a stream whose request reserved no tokens.
 const MAX_UNRESERVED_BYTES: u64 = 16 * 1024 * 1024;
 
+/// May precede the first line of a stream.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// A stream exceeds what its request reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(crate) enum StreamTooLong {
@@ -82,6 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
+    lines: LineScanner,
     last_id: Option<u64>,
     quota: StreamQuota,
 }
@@ -91,6 +95,7 @@
     pub(crate) fn new(last_id: Option<u64>, quota: StreamQuota) -> Self {
         Self {
             buffer: BytesMut::new(),
+            lines: LineScanner::new(),
             last_id,
             quota,
         }
@@ -106,25 +111,30 @@
         self.last_id
     }
 
-    /// Appends bytes and returns the events that they complete.
+    /// Appends bytes and returns the events that they complete. Blocks of comments and empty lines
+    /// are returned too, but not counted as events.
     ///
     /// # Errors
     ///
     /// Fails when the stream exceeds its quota.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<EventBatch, StreamTooLong> {
-        let searched = self.buffer.len().saturating_sub(3);
+        let scanned = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         let mut count = 0;
-        let mut start = searched;
-        while let Some(next) = find_event_end(&self.buffer[start.max(end)..]) {
-            let event_end = start.max(end) + next;
-            if let Some(id) = event_id(&self.buffer[end..event_end]) {
-                self.last_id = Some(id);
+        for index in scanned..self.buffer.len() {
+            match self.lines.push(self.buffer[index]) {
+                LineEvent::EmptyLine => {
+                    let block = &self.buffer[end..=index];
+                    if let Some(id) = event_id(block) {
+                        self.last_id = Some(id);
+                    }
+                    count += u64::from(has_field(block));
+                    end = index + 1;
+                }
+                LineEvent::EndOfCrLf if end == index => end = index + 1,
+                LineEvent::EndOfCrLf | LineEvent::Other => {}
             }
-            count += 1;
-            end = event_end;
-            start = event_end;
         }
         if self.buffer.len() - end > MAX_EVENT_BYTES {
             return Err(StreamTooLong::Event);
@@ -137,28 +147,71 @@
         Ok(batch)
     }
 
+    /// Returns true if the bytes received last belong to an event that is not complete.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        has_field(&self.buffer)
+    }
+
     /// Returns the bytes after the last complete event.
     pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
 }
 
-/// Returns the end of the first event, which is after an empty line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut index = 0;
-    while let Some(found) = bytes[index..].iter().position(|byte| *byte == b'\n') {
-        let line_end = index + found + 1;
-        match &bytes[line_end..] {
-            [b'\n', ..] => return Some(line_end + 1),
-            [b'\r', b'\n', ..] => return Some(line_end + 2),
-            _ => index = line_end,
+/// What a byte means for the lines of a stream, which end with `\n`, `\r\n` or `\r`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LineEvent {
+    /// It ends an empty line.
+    EmptyLine,
+    /// It is the `\n` after the `\r` that ended a line.
+    EndOfCrLf,
+    /// It belongs to a line or ends one that is not empty.
+    Other,
+}
+
+/// Finds empty lines in a stream of bytes.
+#[derive(Debug)]
+struct LineScanner {
+    is_at_line_start: bool,
+    is_after_cr: bool,
+}
+
+impl LineScanner {
+    const fn new() -> Self {
+        Self {
+            is_at_line_start: true,
+            is_after_cr: false,
+        }
+    }
+
+    fn push(&mut self, byte: u8) -> LineEvent {
+        let was_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
+        if was_after_cr && byte == b'\n' {
+            return LineEvent::EndOfCrLf;
+        }
+        let is_line_end = matches!(byte, b'\r' | b'\n');
+        let was_at_line_start = std::mem::replace(&mut self.is_at_line_start, is_line_end);
+        if is_line_end && was_at_line_start {
+            LineEvent::EmptyLine
+        } else {
+            LineEvent::Other
         }
     }
-    None
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    event.split(|byte| *byte == b'\n').find_map(|line| {
+/// Returns the lines that are neither empty nor comments.
+fn field_lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = block.split(|byte| matches!(byte, b'\r' | b'\n'));
+    let lines = lines.map(|line| line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line));
+    lines.filter(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
+fn has_field(block: &[u8]) -> bool {
+    field_lines(block).next().is_some()
+}
+
+fn event_id(block: &[u8]) -> Option<u64> {
+    field_lines(block).find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_stream::stream;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compact_str::ToCompactString;
 use futures::StreamExt;
 use http::HeaderMap;
@@ -62,22 +62,33 @@
     ///
     /// Fails when the body breaks off or exceeds its quota.
     pub(super) async fn read_first_event(&mut self) -> Result<(), BrokenBody> {
-        loop {
-            let chunk = match self.body.next().await? {
-                BodyPart::Data(chunk) => chunk,
-                BodyPart::End(end) => {
-                    self.first_bytes = self.splitter.take_remainder();
-                    self.end = Some(end);
-                    return Ok(());
+        let mut first_bytes = BytesMut::new();
+        while self.first_events == 0 && self.end.is_none() {
+            match self.body.next().await? {
+                BodyPart::Data(chunk) => {
+                    let batch = self.splitter.push(&chunk).map_err(too_long_error)?;
+                    first_bytes.extend_from_slice(&batch.bytes);
+                    self.first_events = batch.count;
                 }
-            };
-            let batch = self.splitter.push(&chunk).map_err(too_long_error)?;
-            if !batch.bytes.is_empty() {
-                self.first_bytes = batch.bytes;
-                self.first_events = batch.count;
-                return Ok(());
+                BodyPart::End(end) => self.end = Some(end),
             }
         }
+        self.first_bytes = first_bytes.freeze();
+        if self.first_events == 0 {
+            self.check_event_end()?;
+        }
+        Ok(())
+    }
+
+    /// Checks that a stream did not end inside an event, unless the server stated that end.
+    fn check_event_end(&self) -> Result<(), BrokenBody> {
+        if self.end == Some(BodyEnd::ConnectionClosed) && self.splitter.is_inside_event() {
+            return Err(BrokenBody {
+                reason: "the connection was closed inside an event".into(),
+                is_connection_lost: true,
+            });
+        }
+        Ok(())
     }
 }
 
@@ -88,6 +99,13 @@
     }
 }
 
+fn timed_out_error() -> BrokenBody {
+    BrokenBody {
+        reason: "the route's time is over".into(),
+        is_connection_lost: false,
+    }
+}
+
 /// How the segment of a stream that one replica generated has ended.
 enum SegmentEnd {
     Complete(BodyEnd),
@@ -112,6 +130,14 @@
             let mut last_event = Instant::now();
             let end = loop {
                 if let Some(end) = open_stream.end {
+                    if let Err(error) = open_stream.check_event_end() {
+                        break SegmentEnd::Broken(error);
+                    }
+                    if let Some(chosen) = &open_stream.chosen {
+                        if let Err(error) = run.check_end(end, chosen).await {
+                            break SegmentEnd::Broken(error);
+                        }
+                    }
                     break SegmentEnd::Complete(end);
                 }
                 let read_deadline = run.deadline.min(last_event + stall_timeout);
@@ -119,7 +145,10 @@
                     .await
                 {
                     Ok(Ok(BodyPart::Data(chunk))) => chunk,
-                    Ok(Ok(BodyPart::End(end))) => break SegmentEnd::Complete(end),
+                    Ok(Ok(BodyPart::End(end))) => {
+                        open_stream.end = Some(end);
+                        continue;
+                    }
                     Ok(Err(error)) => break SegmentEnd::Broken(error),
                     Err(_) if Instant::now() >= run.deadline => break SegmentEnd::TimedOut,
                     Err(_) => break SegmentEnd::Stalled,
@@ -129,9 +158,11 @@
                     Err(error) => break SegmentEnd::TooLong(error),
                 };
                 run.spend_events(batch.count);
+                if batch.count > 0 {
+                    last_event = Instant::now();
+                }
                 if !batch.bytes.is_empty() {
                     yield Ok(batch.bytes);
-                    last_event = Instant::now();
                 }
             };
             let replica = open_stream.chosen.as_ref().map(|chosen| chosen.replica.id.clone());
@@ -145,19 +176,13 @@
                     if let Some(chosen) = &open_stream.chosen {
                         chosen.record_success();
                     }
-                    run.record_completion(open_stream.status);
-                    run.record
-                        .add_try(replica, format_args!("whole, {body_end}"));
-                    run.record.set_outcome("answered");
+                    run.record_whole_stream(open_stream.status, replica, body_end);
                     return;
                 }
                 SegmentEnd::TimedOut => {
                     run.record.add_try(replica, "route's time over in mid-stream");
                     run.record.set_outcome("stream_timed_out");
-                    yield Err(BrokenBody {
-                        reason: "the route's time is over".into(),
-                        is_connection_lost: false,
-                    });
+                    yield Err(timed_out_error());
                     return;
                 }
                 SegmentEnd::TooLong(error) => {
@@ -175,17 +200,13 @@
                     is_connection_lost: true,
                 },
             };
-            run.record.add_try(replica, &reason);
             let last_id = open_stream.splitter.last_id();
             let quota = open_stream.splitter.quota();
             let chosen = open_stream.chosen.take();
             // Closes the connection before the stream is resumed at another replica.
             drop(open_stream);
             if let Some(chosen) = chosen {
-                chosen.record_failure();
-                if reason.is_connection_lost {
-                    run.investigate_lost_connection(&chosen).await;
-                }
+                run.record_broken(&chosen, &reason).await;
             }
             let Some(resumed) = resume(&mut run, last_id, quota).await else {
                 run.record.set_outcome("stream_broken");
@@ -226,11 +247,7 @@
             .await
             .ok()?;
         if let Err(error) = first_event {
-            run.record.add_try(chosen.replica.id.as_str(), &error);
-            chosen.record_failure();
-            if error.is_connection_lost {
-                run.investigate_lost_connection(&chosen).await;
-            }
+            run.record_broken(&chosen, &error).await;
             continue;
         }
         chosen.record_first_token();
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use rand::RngExt;
 use slog::info;
+use tokio::task::JoinHandle;
 use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
@@ -19,7 +20,7 @@
     AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
     RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, UnsentCause,
 };
-use super::server_crashes::LostConnection;
+use super::server_crashes::{LostConnection, ServerState};
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::PromptInfo;
 use crate::core::quarantine::Fingerprint;
@@ -123,9 +124,9 @@
     async fn serve_buffered(&mut self) -> Result<ServedAnswer, Rejection> {
         loop {
             let AnsweredTry { mut answer, chosen } = self.next_answer(None).await?;
-            let body = read_body(&mut answer.body);
+            let body = self.read_body(&mut answer.body, &chosen);
             match tokio::time::timeout_at(self.deadline, body).await {
-                Ok(Ok((body, _))) => {
+                Ok(Ok(body)) => {
                     if answer.status >= 500 && self.route.kind == RouteKind::Idempotent {
                         chosen.record_failure();
                         self.record
@@ -146,11 +147,7 @@
                     });
                 }
                 Ok(Err(error)) => {
-                    chosen.record_failure();
-                    self.record.add_try(chosen.replica.id.as_str(), &error);
-                    if error.is_connection_lost {
-                        self.investigate_lost_connection(&chosen).await;
-                    }
+                    self.record_broken(&chosen, &error).await;
                     if !self.route.kind.may_retry() || !self.take_retry() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
@@ -168,11 +165,11 @@
                 mut chosen,
             } = self.next_answer(self.request.resume_after).await?;
             if !(200..300).contains(&answer.status) {
-                let body = read_body(&mut answer.body).await;
+                let body = self.read_body(&mut answer.body, &chosen).await;
                 chosen.record_failure();
                 self.record
                     .add_try(chosen.replica.id.as_str(), answer.status);
-                let (body, _) = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
+                let body = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
                 return Ok(ServedAnswer::Buffered {
                     status: answer.status,
                     headers: answer.headers,
@@ -190,11 +187,7 @@
                     return Ok(ServedAnswer::Stream(Box::new(open_stream)));
                 }
                 Ok(Err(error)) => {
-                    chosen.record_failure();
-                    self.record.add_try(chosen.replica.id.as_str(), &error);
-                    if error.is_connection_lost {
-                        self.investigate_lost_connection(&chosen).await;
-                    }
+                    self.record_broken(&chosen, &error).await;
                     if !self.route.kind.may_retry() || !self.take_retry() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
@@ -333,21 +326,82 @@
     /// Starts to find out whether a replica crashed with this request in progress. A retryable
     /// request waits briefly for the result.
     pub(super) async fn investigate_lost_connection(&self, chosen: &ChosenReplica) {
-        let investigation = self.exchange.server_crashes.investigate(LostConnection {
-            fingerprint: self.fingerprint,
-            request: self.request.attempt.clone(),
-            replica: chosen.replica.clone(),
-            ran: chosen.chosen_at.elapsed(),
-        });
+        let investigation = self.start_investigation(chosen);
         if self.route.kind.may_retry() {
             // The spawned task records evidence that appears after this timeout.
             let finding = tokio::time::timeout(INVESTIGATION_TIMEOUT, investigation).await;
-            if matches!(finding, Ok(Ok(true))) {
+            if matches!(finding, Ok(Ok(ServerState::Crashed))) {
                 tokio::time::sleep(PEER_REPORT_DELAY).await;
             }
         }
     }
 
+    /// Checks that an answer is whole whose end was received. A server that closed the connection
+    /// without stating the end sent the whole answer if it is still there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server crashed or cannot be reached.
+    pub(super) async fn check_end(
+        &self,
+        end: BodyEnd,
+        chosen: &ChosenReplica,
+    ) -> Result<(), BrokenBody> {
+        if end == BodyEnd::Stated {
+            return Ok(());
+        }
+        let investigation = self.start_investigation(chosen);
+        let state = match tokio::time::timeout_at(self.deadline, investigation).await {
+            Ok(Ok(state)) => state,
+            Ok(Err(_)) | Err(_) => ServerState::Unknown,
+        };
+        let reason = match state {
+            ServerState::Listening => return Ok(()),
+            ServerState::Crashed => "end not stated, and the server crashed",
+            ServerState::Unknown => "end not stated, and the server cannot be reached",
+        };
+        if state == ServerState::Crashed && self.route.kind.may_retry() {
+            tokio::time::sleep(PEER_REPORT_DELAY).await;
+        }
+        Err(BrokenBody {
+            reason: reason.into(),
+            is_connection_lost: false,
+        })
+    }
+
+    fn start_investigation(&self, chosen: &ChosenReplica) -> JoinHandle<ServerState> {
+        self.exchange.server_crashes.investigate(LostConnection {
+            fingerprint: self.fingerprint,
+            request: self.request.attempt.clone(),
+            replica: chosen.replica.clone(),
+            ran: chosen.chosen_at.elapsed(),
+        })
+    }
+
+    /// Reads a body into memory until its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off or is too long.
+    async fn read_body(
+        &self,
+        body: &mut AnswerBody,
+        chosen: &ChosenReplica,
+    ) -> Result<Bytes, BrokenBody> {
+        let (bytes, end) = read_until_end(body).await?;
+        self.check_end(end, chosen).await?;
+        Ok(bytes)
+    }
+
+    /// Records that an answer broke off, and whether its server crashed.
+    pub(super) async fn record_broken(&mut self, chosen: &ChosenReplica, error: &BrokenBody) {
+        chosen.record_failure();
+        self.record.add_try(chosen.replica.id.as_str(), error);
+        if error.is_connection_lost {
+            self.investigate_lost_connection(chosen).await;
+        }
+    }
+
     /// Records that the request ran to completion. Only success counts: a failure status may come
     /// from a server that did not run it.
     pub(super) fn record_completion(&self, status: u16) {
@@ -356,6 +410,13 @@
         }
     }
 
+    /// Records that a stream was forwarded whole.
+    pub(super) fn record_whole_stream(&mut self, status: u16, replica: &str, end: BodyEnd) {
+        self.record_completion(status);
+        self.record.add_try(replica, format_args!("whole, {end}"));
+        self.record.set_outcome("answered");
+    }
+
     /// Takes one retry from the retry budget. Returns false if no further try is allowed.
     fn take_retry(&mut self) -> bool {
         self.sent_count < self.route.max_tries
@@ -432,7 +493,7 @@
 }
 
 /// Reads a body into memory until its end.
-async fn read_body(body: &mut AnswerBody) -> Result<(Bytes, BodyEnd), BrokenBody> {
+async fn read_until_end(body: &mut AnswerBody) -> Result<(Bytes, BodyEnd), BrokenBody> {
     let mut buffer = BytesMut::new();
     loop {
         match body.next().await? {
@@ -451,5 +512,5 @@
 /// Reads and drops the rest of a body, so that its connection can be reused.
 async fn discard_body(mut body: AnswerBody) {
     // After a timeout only the connection is lost.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_body(&mut body)).await;
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_until_end(&mut body)).await;
 }
--- a/src/exchange/server_crashes.rs
+++ b/src/exchange/server_crashes.rs
@@ -53,6 +53,17 @@
     EntryRemoved,
 }
 
+/// What a probe of a server shows after a connection to it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServerState {
+    /// It still accepts connections.
+    Listening,
+    /// It crashed.
+    Crashed,
+    /// It cannot be reached, or has left.
+    Unknown,
+}
+
 /// A lost connection whose cause is not known yet.
 #[derive(Debug)]
 struct UnresolvedLoss {
@@ -103,32 +114,34 @@
         &self.suspects
     }
 
-    /// Probes a server after a connection to it was lost. The task returns true if the probe shows
-    /// that it crashed. Later evidence is recorded as well. Lost connections to leaving servers are
-    /// ignored.
-    pub(crate) fn investigate(self: &Arc<Self>, lost: LostConnection) -> JoinHandle<bool> {
+    /// Probes a server after a connection to it was lost, and records a crash that the probe shows.
+    /// Later evidence is recorded as well. The end of a server that had reported that it was
+    /// leaving is no crash.
+    pub(crate) fn investigate(self: &Arc<Self>, lost: LostConnection) -> JoinHandle<ServerState> {
         let crashes = Arc::clone(self);
         tokio::spawn(async move {
-            let Some(loss_id) = crashes.track(lost.clone()) else {
-                return false;
-            };
+            let loss_id = crashes.track(lost.clone());
             match crashes.transport.probe(lost.replica.address).await {
                 ProbeResult::Refused => {
+                    let Some(loss_id) = loss_id else {
+                        return ServerState::Unknown;
+                    };
                     crashes.pools.mark_crashed(&lost.replica.id);
                     crashes.resolve_losses(CrashEvidence::Refused, |unresolved| {
                         unresolved.loss_id == loss_id
-                    })
+                    });
+                    ServerState::Crashed
                 }
                 ProbeResult::Accepted => {
                     debug!(crashes.log, "connection lost, but the server still accepts connections";
                         "replica" => lost.replica.id.as_str(), "request" => lost.request.as_str());
                     lock(&crashes.state)
                         .unresolved
-                        .retain(|unresolved| unresolved.loss_id != loss_id);
+                        .retain(|unresolved| Some(unresolved.loss_id) != loss_id);
                     crashes.metrics.count_lost_connection("server_listens");
-                    false
+                    ServerState::Listening
                 }
-                ProbeResult::NoAnswer => false,
+                ProbeResult::NoAnswer => ServerState::Unknown,
             }
         })
     }
@@ -171,9 +184,8 @@
         Some(loss_id)
     }
 
-    /// Records the crashes of servers for all matching lost connections. Returns true if any
-    /// matches.
-    fn resolve_losses<F>(&self, evidence: CrashEvidence, is_match: F) -> bool
+    /// Records the crashes of servers for all matching lost connections.
+    fn resolve_losses<F>(&self, evidence: CrashEvidence, is_match: F)
     where
         F: Fn(&UnresolvedLoss) -> bool,
     {
@@ -193,6 +205,5 @@
                 "request" => lost.request.as_str(),
                 "fingerprint" => lost.fingerprint.to_string());
         }
-        !resolved.is_empty()
     }
 }
--- a/src/platform/activity.rs
+++ b/src/platform/activity.rs
@@ -1,6 +1,6 @@
 //! Activity of a caller's connection, for its idle and head timeouts.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -19,6 +19,7 @@
     in_progress: AtomicUsize,
     head_since_ms: AtomicU64,
     head_started: Notify,
+    must_reset: AtomicBool,
 }
 
 impl Activity {
@@ -30,6 +31,7 @@
             in_progress: AtomicUsize::new(0),
             head_since_ms: AtomicU64::new(NO_TIME),
             head_started: Notify::new(),
+            must_reset: AtomicBool::new(false),
         }
     }
 
@@ -74,6 +76,17 @@
         self.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Records that the connection must be reset, since its regular end would state the end of an
+    /// answer that broke off.
+    pub(super) fn require_reset(&self) {
+        self.must_reset.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns true if the connection must be reset.
+    pub(super) fn must_reset(&self) -> bool {
+        self.must_reset.load(Ordering::Relaxed)
+    }
+
     fn now_ms(&self) -> u64 {
         millis(self.started.elapsed())
     }
--- a/src/platform/caller_stream.rs
+++ b/src/platform/caller_stream.rs
@@ -4,7 +4,9 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -24,6 +26,15 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.activity.must_reset() {
+            // Without the option the connection is only closed.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -65,6 +76,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.activity.must_reset() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -194,6 +194,7 @@
     ) -> Response<ResponseBody> {
         let guard = RequestGuard::new(Arc::clone(self), activity);
         let arrived = Instant::now();
+        let version = request.version();
         let (parts, body) = request.into_parts();
         let max_body_bytes = self
             .exchange
@@ -215,7 +216,7 @@
         };
         let request = decode_request(parts, body, arrived);
         let reply = self.exchange.serve(request).await;
-        let mut response = encode_reply(reply, guard);
+        let mut response = encode_reply(reply, guard, version);
         if self.is_leaving.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert("connection", close);
@@ -338,7 +339,7 @@
     parts.collect()
 }
 
-fn encode_reply(reply: Reply, guard: RequestGuard) -> Response<ResponseBody> {
+fn encode_reply(reply: Reply, guard: RequestGuard, version: Version) -> Response<ResponseBody> {
     match reply {
         Reply::Rejected(rejection) => encode_rejection(&rejection),
         Reply::Answer {
@@ -351,7 +352,10 @@
                 ReplyBody::Streamed(pieces) => {
                     let frames = pieces.map(move |piece| {
                         // The request stays in progress until the body is dropped.
-                        let _ = &guard;
+                        let guard = &guard;
+                        if piece.is_err() && version < Version::HTTP_11 {
+                            guard.activity.require_reset();
+                        }
                         piece.map(Frame::data)
                     });
                     StreamBody::new(frames).boxed_unsync()
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -357,20 +357,17 @@
         ),
         Behaviour::DuplicateAnswer => full_answer("200 OK", id, signature).repeat(2),
         Behaviour::CloseDelimited { is_reset } => {
-            send_close_delimited(stream, id, *is_reset).await;
+            send_unframed(stream, id, "text/plain", ANSWER_BODY).await;
+            if *is_reset {
+                let socket = socket2::SockRef::from(&*stream);
+                socket.set_linger(Some(Duration::ZERO)).unwrap();
+            }
             return false;
         }
         Behaviour::Unframed {
             content_type, body, ..
         } => {
-            let text = format!(
-                "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n{signature}\
-                 Content-Type: {content_type}\r\n\r\n{body}"
-            );
-            // Ignores the error when the router has closed the connection.
-            let _ = stream.write_all(text.as_bytes()).await;
-            // Lets the bytes arrive before the connection closes.
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            send_unframed(stream, id, content_type, body).await;
             return false;
         }
         Behaviour::Stream { events, pause } => {
@@ -391,14 +388,7 @@
             return false;
         }
         Behaviour::BreakStream { after } => {
-            let mut text = stream_head(id, leaving_line);
-            for event in 1..=*after {
-                text.push_str(&chunk(&event_text(event)));
-            }
-            text.push_str(&chunk("id: 99\ndata: br"));
-            let _ = stream.write_all(text.as_bytes()).await;
-            let _ = stream.flush().await;
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            send_broken_stream(stream, &stream_head(id, leaving_line), *after).await;
             return false;
         }
     };
@@ -454,18 +444,27 @@
 }
 
 /// Sends an answer without a length, which ends when the connection closes.
-async fn send_close_delimited(stream: &mut TcpStream, id: &str, is_reset: bool) {
+async fn send_unframed(stream: &mut TcpStream, id: &str, content_type: &str, body: &str) {
     let text = format!(
         "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
-         Currantlever-Replica-Signature: sig\r\n\r\n{ANSWER_BODY}"
+         Currantlever-Replica-Signature: sig\r\nContent-Type: {content_type}\r\n\r\n{body}"
     );
     // Ignores the error when the router has closed the connection.
     let _ = stream.write_all(text.as_bytes()).await;
-    if is_reset {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let socket = socket2::SockRef::from(&*stream);
-        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    // Lets the bytes arrive before the connection closes.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+/// Sends some whole events and a part of the next one.
+async fn send_broken_stream(stream: &mut TcpStream, head: &str, events: u64) {
+    let mut text = head.to_owned();
+    for event in 1..=events {
+        text.push_str(&chunk(&event_text(event)));
     }
+    text.push_str(&chunk("id: 99\ndata: br"));
+    let _ = stream.write_all(text.as_bytes()).await;
+    let _ = stream.flush().await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
 }
 
 /// Sends events or parts of one until the router closes the connection.
