--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -16,6 +16,10 @@
 pub const POISON_BODY: &str = "ends servers";
 /// Body of a poison request that crashes the server after two events of a stream.
 pub const POISON_BODY_MID_STREAM: &str = "ends servers in mid-stream";
+/// Prompt part that crashes the server that begins to answer a request with it.
+pub const POISON_PART: &str = "bad0";
+/// Time from the head of an answer to a request with that part to the crash of the server.
+const FIRST_TOKEN_DELAY: Duration = Duration::from_millis(30);
 /// Time from an answer before the body to the read of the body.
 const BODY_READ_DELAY: Duration = Duration::from_millis(50);
 /// Time from a crash to the restart of the server.
@@ -102,6 +106,16 @@
         found.map(|(_, value)| value.trim())
     }
 
+    /// Returns true if a part of the prompt other than the last one crashes servers.
+    pub fn has_poison_part(&self) -> bool {
+        let parts = self.header("currantlever-prefix-hash").unwrap_or_default();
+        let mut parts: Vec<&str> = parts.split(',').collect();
+        parts.pop();
+        parts
+            .iter()
+            .any(|part| part.starts_with(&format!("{POISON_PART}:")))
+    }
+
     /// Returns the number of body bytes that were not read together with the head.
     fn unread_body_bytes(&self) -> usize {
         let length = self.header("content-length");
@@ -278,6 +292,12 @@
             crash.notify_one();
             std::future::pending::<()>().await;
         }
+        if request.has_poison_part() {
+            send_first_events(&mut stream, &request, 0).await;
+            tokio::time::sleep(FIRST_TOKEN_DELAY).await;
+            crash.notify_one();
+            std::future::pending::<()>().await;
+        }
         let mut leaving_line = "";
         if let Behaviour::Leaving(inner) = behaviour {
             (behaviour, leaving_line) = (*inner, LEAVING_LINE);
