--- a/src/core/part_quarantine.rs
+++ b/src/core/part_quarantine.rs
@@ -22,7 +22,7 @@
 /// Weight of a crash at about the same time as those of other servers without the part.
 const CORRELATED_CRASH_WEIGHT: u32 = 1;
 /// Time before and after a crash within which other crashes may share its cause, in milliseconds.
-const CORRELATION_WINDOW_MS: u64 = 2_000;
+const CORRELATION_WINDOW_MS: u64 = 500;
 /// Other servers that must crash within that time to suggest a common cause.
 const MIN_CORRELATED_SERVERS: usize = 2;
 /// Time within which several crashes count as one, in milliseconds.
@@ -37,8 +37,10 @@
 const RELEASE_MS: u64 = 10_000;
 /// Interval between two records of first tokens with the same part, in milliseconds.
 const COMPLETION_INTERVAL_MS: u64 = 500;
-/// Upper bound on accused parts; beyond it, the one accused least recently is evicted.
-const MAX_PARTS: usize = 1_024;
+/// Upper bound on accused parts; beyond it, the one with the fewest crashes is evicted.
+const MAX_PARTS: usize = 4_096;
+/// Upper bound on the parts of one request that a crash accuses.
+pub(crate) const MAX_ACCUSED_PARTS: usize = 64;
 /// Upper bound on recorded crashes of one part.
 const MAX_CRASHES_PER_PART: usize = 16;
 /// Upper bound on recorded server crashes for the detection of common causes.
@@ -83,7 +85,7 @@
 /// Result of recording a crash.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartCrashOutcome {
-    /// Parts for which the crash is new.
+    /// Parts for which the crash is new, in the order of the prompt.
     pub accused: Vec<PartId>,
     /// Parts that a first token has cleared, with its time in milliseconds.
     pub cleared: Vec<(PartId, u64)>,
@@ -143,17 +145,30 @@
     pub fn record_crash(&mut self, parts: &[PartId], crash: &ServerCrash) -> PartCrashOutcome {
         let mut outcome = PartCrashOutcome::default();
         self.record_server(crash);
+        let mut suspects = Vec::new();
         for part in parts {
-            if let Some(completed_ms) = self.cleared_ms(*part, crash) {
-                outcome.cleared.push((*part, completed_ms));
-            } else if self.insert(*part, crash) {
-                outcome.accused.push(*part);
+            match self.cleared_ms(*part, crash) {
+                Some(completed_ms) => outcome.cleared.push((*part, completed_ms)),
+                None => suspects.push(*part),
             }
         }
+        // Parts with more crashes come first, so that new ones evict none of them.
+        let mut by_crashes = suspects.clone();
+        by_crashes.sort_by_key(|part| std::cmp::Reverse(self.crash_count(*part)));
+        by_crashes.truncate(MAX_ACCUSED_PARTS);
+        by_crashes.retain(|part| self.insert(*part, crash));
+        suspects.retain(|part| by_crashes.contains(part));
+        outcome.accused = suspects;
         outcome.quarantined = self.quarantine_heaviest(parts, crash.at_ms);
         outcome
     }
 
+    fn crash_count(&self, part: PartId) -> usize {
+        self.parts
+            .get(&part)
+            .map_or(0, |record| record.crashes.len())
+    }
+
     /// Returns the time of the first token that clears a part of a crash, if there is one.
     fn cleared_ms(&self, part: PartId, crash: &ServerCrash) -> Option<u64> {
         let completed_ms = self.completed_ms.get(&part).copied();
@@ -372,8 +387,8 @@
         }
     }
 
-    /// Evicts a part if the table is full: of those not quarantined the one accused least recently,
-    /// or else of all.
+    /// Evicts a part if the table is full: of those not quarantined, or else of all, the one with
+    /// the fewest crashes that was accused least recently.
     fn evict_if_full(&mut self) {
         if self.parts.len() < MAX_PARTS {
             return;
@@ -382,7 +397,10 @@
         let oldest = self
             .parts
             .iter()
-            .min_by_key(|(part, record)| (self.quarantined.contains(part), last_ms(record)))
+            .min_by_key(|(part, record)| {
+                let is_quarantined = self.quarantined.contains(part);
+                (is_quarantined, record.crashes.len(), last_ms(record))
+            })
             .map(|(part, _)| *part);
         if let Some(oldest) = oldest {
             self.remove(oldest);
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -136,9 +136,9 @@
     suspects: Arc<Suspects>,
 ) {
     loop {
-        let reports = suspects.parts().next_reports().await;
-        let receivers = members.some_receivers(HELLOS_PER_ROUND, &mut rand::rng());
-        PeerMessage::Parts(reports).send_all(&socket, &receivers);
+        let batch = suspects.parts().next_reports().await;
+        let receivers = members.some_receivers(batch.fanout, &mut rand::rng());
+        PeerMessage::Parts(batch.reports).send_all(&socket, &receivers);
         tokio::time::sleep(REPORT_INTERVAL).await;
     }
 }
--- a/src/exchange/suspect_parts.rs
+++ b/src/exchange/suspect_parts.rs
@@ -16,7 +16,7 @@
 use super::metrics::ExchangeMetrics;
 use super::server_crashes::LostConnection;
 use crate::core::ids::ReplicaId;
-use crate::core::part_quarantine::{PartId, PartQuarantine};
+use crate::core::part_quarantine::{PartId, PartQuarantine, MAX_ACCUSED_PARTS};
 use crate::core::quarantine::{ServerCrash, Suspicion, QUARANTINE_RETENTION_MS};
 use crate::util::{lock, millis};
 
@@ -25,8 +25,12 @@
 const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in which a first token with the same part is reported once.
 const CLEARED_REPORT_INTERVAL_MS: u64 = 500;
-/// Maximum number of parts in one report, and in all reports of a message.
-const MAX_PARTS_PER_REPORT: usize = 64;
+/// Number of routers that this router sends its own reports to.
+const FANOUT: usize = 12;
+/// Number of routers that this router forwards the reports of others to.
+const FORWARD_FANOUT: usize = 4;
+/// Maximum number of parts in all reports of a message, and in one report.
+const MAX_PARTS_PER_MESSAGE: usize = MAX_ACCUSED_PARTS;
 /// Maximum number of unsent reports; the oldest are dropped first.
 const MAX_UNSENT_REPORTS: usize = 512;
 /// Maximum number of reports in one message.
@@ -89,10 +93,27 @@
     }
 }
 
+/// A report to send to other routers.
+#[derive(Clone, Debug)]
+struct UnsentReport {
+    report: PendingReport,
+    /// True if another router reported it.
+    is_forwarded: bool,
+}
+
+/// Reports for one message.
+#[derive(Debug)]
+pub(crate) struct PartReportBatch {
+    /// The reports.
+    pub reports: Vec<PartReport>,
+    /// Maximum number of routers to send them to.
+    pub fanout: usize,
+}
+
 #[derive(Debug, Default)]
 struct State {
     quarantine: PartQuarantine,
-    unsent_reports: VecDeque<PendingReport>,
+    unsent_reports: VecDeque<UnsentReport>,
     /// Parts whose first token was reported, with the time of the report in milliseconds.
     reported_cleared: HashMap<PartId, u64>,
     /// Parts known to be quarantined, with the time at which that became known.
@@ -197,7 +218,7 @@
                     observer,
                     age_ms,
                 } => {
-                    parts.truncate(MAX_PARTS_PER_REPORT);
+                    parts.truncate(MAX_PARTS_PER_MESSAGE);
                     let crash = ServerCrash::new(replica, now_ms.saturating_sub(age_ms))
                         .with_source(request, observer);
                     self.apply_crash(&mut state, &parts, &crash);
@@ -255,11 +276,10 @@
     }
 
     /// Waits for reports to send and returns them.
-    pub(crate) async fn next_reports(&self) -> Vec<PartReport> {
+    pub(crate) async fn next_reports(&self) -> PartReportBatch {
         loop {
-            let reports = self.take_reports();
-            if !reports.is_empty() {
-                return reports;
+            if let Some(batch) = self.take_reports() {
+                return batch;
             }
             let notified = self.has_unsent_reports.notified();
             if tokio::time::timeout(REMINDER_INTERVAL, notified)
@@ -271,23 +291,27 @@
         }
     }
 
-    fn take_reports(&self) -> Vec<PartReport> {
+    /// Takes the oldest reports that go to the same number of routers and fit into one message.
+    fn take_reports(&self) -> Option<PartReportBatch> {
         let now_ms = self.now_ms();
         let unsent = &mut lock(&self.state).unsent_reports;
-        let mut parts_left = MAX_PARTS_PER_REPORT;
-        let mut reports = Vec::new();
-        while reports.len() < MAX_REPORTS_PER_MESSAGE {
-            let fits = |report: &PendingReport| report.part_count() <= parts_left;
-            if !unsent.front().is_some_and(fits) {
-                break;
-            }
-            let Some(report) = unsent.pop_front() else {
-                break;
-            };
-            parts_left -= report.part_count();
-            reports.push(report.into_message(now_ms));
-        }
-        reports
+        let is_forwarded = unsent.front()?.is_forwarded;
+        let mut part_count = 0;
+        let count = unsent
+            .iter()
+            .take(MAX_REPORTS_PER_MESSAGE)
+            .take_while(|unsent| {
+                part_count += unsent.report.part_count();
+                unsent.is_forwarded == is_forwarded && part_count <= MAX_PARTS_PER_MESSAGE
+            })
+            .count();
+        let reports = unsent.drain(..count.max(1));
+        Some(PartReportBatch {
+            reports: reports
+                .map(|unsent| unsent.report.into_message(now_ms))
+                .collect(),
+            fanout: if is_forwarded { FORWARD_FANOUT } else { FANOUT },
+        })
     }
 
     /// Queues the crashes of one quarantined part, in round-robin order.
@@ -303,16 +327,16 @@
         let crashes = state.quarantine.crashes(part, now_ms).cloned();
         let crashes: Vec<ServerCrash> = crashes.collect();
         for crash in crashes {
-            self.queue(&mut state, PendingReport::Accused(vec![part], crash));
+            self.queue(&mut state, PendingReport::Accused(vec![part], crash), false);
         }
     }
 
     fn apply_crash(&self, state: &mut State, parts: &[PartId], crash: &ServerCrash) {
         let outcome = state.quarantine.record_crash(parts, crash);
         if !outcome.accused.is_empty() {
-            let mut accused = outcome.accused;
-            accused.truncate(MAX_PARTS_PER_REPORT);
-            self.queue(state, PendingReport::Accused(accused, crash.clone()));
+            let is_forwarded = crash.observer != self.vm;
+            let report = PendingReport::Accused(outcome.accused, crash.clone());
+            self.queue(state, report, is_forwarded);
         }
         for (part, at_ms) in outcome.cleared {
             if crash.observer != self.vm {
@@ -341,12 +365,15 @@
             .reported_cleared
             .retain(|_, reported_ms| is_recent(reported_ms));
         if state.reported_cleared.insert(part, now_ms).is_none() {
-            self.queue(state, PendingReport::Cleared(part, at_ms));
+            self.queue(state, PendingReport::Cleared(part, at_ms), false);
         }
     }
 
-    fn queue(&self, state: &mut State, report: PendingReport) {
-        state.unsent_reports.push_back(report);
+    fn queue(&self, state: &mut State, report: PendingReport, is_forwarded: bool) {
+        state.unsent_reports.push_back(UnsentReport {
+            report,
+            is_forwarded,
+        });
         if state.unsent_reports.len() > MAX_UNSENT_REPORTS {
             state.unsent_reports.pop_front();
         }
