Answer at the deadline where the body of a stream route's failure stalls

A caller of a stream route waited without limit when a backend server answered with a failure and fell silent in its body.

Cause: the body of a failure is buffered there, and that read had no timeout; the one of other routes had. Now it ends with the request's deadline, 504.

Before: the test waits its 3 s for a deadline of 700 ms on draft.

--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -169,11 +169,14 @@
                 mut chosen,
             } = self.next_answer(self.request.resume_after).await?;
             if !(200..300).contains(&answer.status) {
-                let body = self.read_body(&mut answer.body, &chosen).await;
+                let body = self.read_body(&mut answer.body, &chosen);
+                let body = tokio::time::timeout_at(self.deadline, body).await;
                 chosen.record_failure();
                 self.record
                     .add_try(chosen.replica.id.as_str(), answer.status);
-                let body = body.map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
+                let body = body
+                    .map_err(|_| Rejection::new(RejectKind::TimedOut))?
+                    .map_err(|_| Rejection::new(RejectKind::AnswerLost))?;
                 return Ok(ServedAnswer::Buffered {
                     status: answer.status,
                     headers: answer.headers,
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -46,6 +46,8 @@
     Unsigned,
     /// Sends half of the body and closes the connection.
     Truncated,
+    /// Answers with status 500 and half of the body, and falls silent.
+    StalledFailure,
     /// Streams the events after the one named in `Last-Event-ID`.
     Stream { events: u64, pause: Duration },
     /// Streams some events and closes the connection in the middle of the next one.
@@ -359,10 +361,14 @@
         Behaviour::Misdirected => full_answer("421 Misdirected Request", id, ""),
         Behaviour::WrongId => full_answer("200 OK", "another", signature),
         Behaviour::Unsigned => full_answer("200 OK", id, ""),
-        Behaviour::Truncated => {
-            let mut text = full_answer("200 OK", id, signature);
-            text.truncate(text.len() - ANSWER_BODY.len() / 2);
-            let _ = stream.write_all(text.as_bytes()).await;
+        Behaviour::Truncated | Behaviour::StalledFailure => {
+            let is_stalled = *behaviour == Behaviour::StalledFailure;
+            let text = full_answer(if is_stalled { "500 X" } else { "200 OK" }, id, signature);
+            let half = &text.as_bytes()[..text.len() - ANSWER_BODY.len() / 2];
+            let _ = stream.write_all(half).await;
+            if is_stalled {
+                std::future::pending::<()>().await;
+            }
             return false;
         }
         Behaviour::RunAndReset => return false,
--- a/tests/entry/rules.rs
+++ b/tests/entry/rules.rs
@@ -99,6 +99,21 @@
     }
 }
 
+/// Guards against a caller that waits beyond its deadline for the rest of a failure, which is
+/// buffered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_that_stalls_is_answered_504_at_the_deadline() {
+    for route in ["book", "draft", "chat"] {
+        let (site, _replicas) = site_with(&[Behaviour::StalledFailure]).await;
+        let router = site.ready_router("r-1").await;
+        let call = Call::new(route, "a-1").with("currantlever-deadline-ms", "700");
+        let answer =
+            tokio::time::timeout(Duration::from_secs(3), call.send(router.callers_address));
+        let got = answer.await.expect("the caller waits beyond its deadline");
+        assert_eq!(got.unwrap().status, 504, "{route}");
+    }
+}
+
 /// Guards against more tries of a request than its route allows.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_reaches_no_more_replicas_than_its_route_allows() {
