--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use rand::RngExt;
 use slog::info;
-use tokio::task::JoinHandle;
 use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
@@ -20,7 +19,6 @@
     AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
     RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, UnsentCause,
 };
-use super::server_crashes::{LostConnection, ServerState};
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::part_quarantine::PartId;
 use crate::core::placement::PromptInfo;
@@ -39,11 +37,6 @@
 /// Jitter added to `OVERLOAD_RETRY_AFTER`, in milliseconds, so that callers do not retry at the
 /// same time.
 const OVERLOAD_JITTER_MS: u64 = 800;
-/// Timeout for finding out whether a replica crashed, before the request is retried elsewhere.
-const INVESTIGATION_TIMEOUT: Duration = Duration::from_millis(50);
-/// Delay of a retry after a server crashed, so that other routers' reports of servers that crashed
-/// while running the same request arrive first.
-const PEER_REPORT_DELAY: Duration = Duration::from_millis(30);
 /// Minimum time before the deadline that makes another try worthwhile.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -336,76 +329,6 @@
         }
     }
 
-    /// Starts to find out whether a replica crashed with this request in progress. A retryable
-    /// request waits briefly for the result.
-    pub(super) async fn investigate_lost_connection(&self, chosen: &ChosenReplica) {
-        let investigation = self.start_investigation(chosen);
-        if self.route.kind.may_retry() {
-            // The spawned task records evidence that appears after this timeout.
-            let finding = tokio::time::timeout(INVESTIGATION_TIMEOUT, investigation).await;
-            if matches!(finding, Ok(Ok(ServerState::Crashed))) {
-                tokio::time::sleep(PEER_REPORT_DELAY).await;
-            }
-        }
-    }
-
-    /// Checks that an answer is whole whose end was received. A server that closed the connection
-    /// without stating the end sent the whole answer if it is still there.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the server crashed or cannot be reached.
-    pub(super) async fn check_end(
-        &self,
-        end: BodyEnd,
-        chosen: &ChosenReplica,
-    ) -> Result<(), BrokenBody> {
-        if end == BodyEnd::Stated {
-            return Ok(());
-        }
-        let investigation = self.start_investigation(chosen);
-        let state = match tokio::time::timeout_at(self.deadline, investigation).await {
-            Ok(Ok(state)) => state,
-            Ok(Err(_)) | Err(_) => ServerState::Unknown,
-        };
-        let reason = match state {
-            ServerState::Listening => return Ok(()),
-            ServerState::Crashed => "end not stated, and the server crashed",
-            ServerState::Unknown => "end not stated, and the server cannot be reached",
-        };
-        if state == ServerState::Crashed && self.route.kind.may_retry() {
-            tokio::time::sleep(PEER_REPORT_DELAY).await;
-        }
-        Err(BrokenBody {
-            reason: reason.into(),
-            is_connection_lost: false,
-        })
-    }
-
-    fn start_investigation(&self, chosen: &ChosenReplica) -> JoinHandle<ServerState> {
-        self.exchange.server_crashes.investigate(LostConnection {
-            fingerprint: self.fingerprint,
-            request: self.request.attempt.clone(),
-            replica: chosen.replica.clone(),
-            ran: chosen.chosen_at.elapsed(),
-            waiting_parts: if self.has_first_token {
-                Arc::default()
-            } else {
-                Arc::clone(&self.parts)
-            },
-        })
-    }
-
-    /// Records that a replica sent the first event of a stream.
-    pub(super) fn record_first_token(&mut self, chosen: &mut ChosenReplica) {
-        chosen.record_first_token();
-        if !self.has_first_token {
-            self.has_first_token = true;
-            let suspects = &self.exchange.suspects;
-            suspects.parts().record_first_token(&self.parts);
-        }
-    }
-
     /// Reads a body into memory until its end.
     ///
     /// # Errors
@@ -421,15 +344,6 @@
         Ok(bytes)
     }
 
-    /// Records that an answer broke off, and whether its server crashed.
-    pub(super) async fn record_broken(&mut self, chosen: &ChosenReplica, error: &BrokenBody) {
-        chosen.record_failure();
-        self.record.add_try(chosen.replica.id.as_str(), error);
-        if error.is_connection_lost {
-            self.investigate_lost_connection(chosen).await;
-        }
-    }
-
     /// Records that the request ran to completion. Only success counts: a failure status may come
     /// from a server that did not run it.
     pub(super) fn record_completion(&self, status: u16) {
