Take a crash that another router dates differently for the same one

Routers that read a quarantined part from the store date its crashes by their own start. Reminders of one were new crashes to the others, which forwarded them to four each, for as long as the part was quarantined.

Now a crash is known by server and attempt as well as by server and time, and a quarantined part takes no further ones once its record is full.

--- a/src/core/part_quarantine.rs
+++ b/src/core/part_quarantine.rs
@@ -105,6 +105,17 @@
         };
         self.crashes.iter().any(is_same)
     }
+
+    /// Returns true if the crash is recorded. Routers that read it from the store date it
+    /// differently, but an attempt runs on a server once.
+    fn has_recorded(&self, crash: &ServerCrash) -> bool {
+        let is_same_attempt = |recorded: &ServerCrash| {
+            !crash.request.is_empty()
+                && recorded.replica == crash.replica
+                && recorded.request == crash.request
+        };
+        self.has_crash(&crash.replica, crash.at_ms) || self.crashes.iter().any(is_same_attempt)
+    }
 }
 
 /// Server crashes known to one router, by the prompt parts in progress there.
@@ -180,8 +191,10 @@
         if !self.parts.contains_key(&part) {
             self.evict_if_full();
         }
+        let is_quarantined = self.quarantined.contains(&part);
         let record = self.parts.entry(part).or_default();
-        if record.has_crash(&crash.replica, crash.at_ms) {
+        let is_full = record.crashes.len() >= MAX_CRASHES_PER_PART;
+        if record.has_recorded(crash) || (is_quarantined && is_full) {
             return false;
         }
         record
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -141,3 +141,24 @@
     }
     assert_eq!(quarantine.quarantined(50_000), [BAD]);
 }
+
+/// Guards against routers that read a quarantined part from the store at different times and take
+/// one another's reminders for new crashes, which they forward without end.
+#[test]
+fn a_crash_that_another_router_dates_differently_is_not_new() {
+    let mut quarantine = PartQuarantine::new();
+    let stored = |at_ms| crash(0, at_ms).with_source("attempt".into(), "r-1".into());
+    let outcome = quarantine.record_crash(&[BAD], &stored(1_000));
+    assert_eq!(outcome.accused, [BAD]);
+    let outcome = quarantine.record_crash(&[BAD], &stored(50_000));
+    assert!(outcome.accused.is_empty());
+    for number in 1..30 {
+        quarantine.record_crash(&[BAD], &crash(number, 60_000 + number * 1_000));
+    }
+    assert_eq!(quarantine.quarantined(90_000), [BAD]);
+    for number in 0..60 {
+        let outcome =
+            quarantine.record_crash(&[BAD], &crash(100 + number, 90_000 + number * 1_000));
+        assert!(outcome.accused.is_empty(), "crash {number}");
+    }
+}
