Repeat the reports on quarantined parts to four routers, not twelve

By calculation, five crashes of some 60 bytes to twelve routers once a second are 3.6 KB/s for each router, of the 12 KB/s for all control, for as long as a part is quarantined. Routers read it from the store; the repetition is for those that do not reach it. prompt_parts.rs passes (with the store down, too); bytes were not measured.

--- a/src/exchange/suspect_parts.rs
+++ b/src/exchange/suspect_parts.rs
@@ -27,7 +27,7 @@
 const CLEARED_REPORT_INTERVAL_MS: u64 = 500;
 /// Number of routers that this router sends its own reports to.
 const FANOUT: usize = 12;
-/// Number of routers that this router forwards the reports of others to.
+/// Number of routers that this router forwards the reports of others to, and repeats reports to.
 const FORWARD_FANOUT: usize = 4;
 /// Maximum number of parts in all reports of a message, and in one report.
 const MAX_PARTS_PER_MESSAGE: usize = MAX_ACCUSED_PARTS;
@@ -97,8 +97,8 @@
 #[derive(Clone, Debug)]
 struct UnsentReport {
     report: PendingReport,
-    /// True if another router reported it.
-    is_forwarded: bool,
+    /// Number of routers to send it to.
+    fanout: usize,
 }
 
 /// Reports for one message.
@@ -106,7 +106,7 @@
 pub(crate) struct PartReportBatch {
     /// The reports.
     pub reports: Vec<PartReport>,
-    /// Maximum number of routers to send them to.
+    /// Number of routers to send them to.
     pub fanout: usize,
 }
 
@@ -295,14 +295,14 @@
     fn take_reports(&self) -> Option<PartReportBatch> {
         let now_ms = self.now_ms();
         let unsent = &mut lock(&self.state).unsent_reports;
-        let is_forwarded = unsent.front()?.is_forwarded;
+        let fanout = unsent.front()?.fanout;
         let mut part_count = 0;
         let count = unsent
             .iter()
             .take(MAX_REPORTS_PER_MESSAGE)
             .take_while(|unsent| {
                 part_count += unsent.report.part_count();
-                unsent.is_forwarded == is_forwarded && part_count <= MAX_PARTS_PER_MESSAGE
+                unsent.fanout == fanout && part_count <= MAX_PARTS_PER_MESSAGE
             })
             .count();
         let reports = unsent.drain(..count.max(1));
@@ -310,7 +310,7 @@
             reports: reports
                 .map(|unsent| unsent.report.into_message(now_ms))
                 .collect(),
-            fanout: if is_forwarded { FORWARD_FANOUT } else { FANOUT },
+            fanout,
         })
     }
 
@@ -327,16 +327,18 @@
         let crashes = state.quarantine.crashes(part, now_ms).cloned();
         let crashes: Vec<ServerCrash> = crashes.collect();
         for crash in crashes {
-            self.queue(&mut state, PendingReport::Accused(vec![part], crash), false);
+            let report = PendingReport::Accused(vec![part], crash);
+            self.queue(&mut state, report, FORWARD_FANOUT);
         }
     }
 
     fn apply_crash(&self, state: &mut State, parts: &[PartId], crash: &ServerCrash) {
         let outcome = state.quarantine.record_crash(parts, crash);
         if !outcome.accused.is_empty() {
-            let is_forwarded = crash.observer != self.vm;
+            let is_own = crash.observer == self.vm;
+            let fanout = if is_own { FANOUT } else { FORWARD_FANOUT };
             let report = PendingReport::Accused(outcome.accused, crash.clone());
-            self.queue(state, report, is_forwarded);
+            self.queue(state, report, fanout);
         }
         for (part, at_ms) in outcome.cleared {
             if crash.observer != self.vm {
@@ -365,15 +367,14 @@
             .reported_cleared
             .retain(|_, reported_ms| is_recent(reported_ms));
         if state.reported_cleared.insert(part, now_ms).is_none() {
-            self.queue(state, PendingReport::Cleared(part, at_ms), false);
+            self.queue(state, PendingReport::Cleared(part, at_ms), FANOUT);
         }
     }
 
-    fn queue(&self, state: &mut State, report: PendingReport, is_forwarded: bool) {
-        state.unsent_reports.push_back(UnsentReport {
-            report,
-            is_forwarded,
-        });
+    fn queue(&self, state: &mut State, report: PendingReport, fanout: usize) {
+        state
+            .unsent_reports
+            .push_back(UnsentReport { report, fanout });
         if state.unsent_reports.len() > MAX_UNSENT_REPORTS {
             state.unsent_reports.pop_front();
         }
