--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -36,7 +36,7 @@
 /// Bits of a holder id that hold the incarnation number.
 const INCARNATION_MASK: u64 = 0xff;
 
-fn check_name(text: &str) -> Result<(), IdError> {
+fn check_length(text: &str) -> Result<(), IdError> {
     if text.is_empty() {
         return Err(IdError::Empty);
     }
@@ -45,6 +45,11 @@
             length_bytes: text.len(),
         });
     }
+    Ok(())
+}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    check_length(text)?;
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || ".:_-".contains(c);
     match text.chars().find(|c| !is_allowed(*c)) {
         Some(found) => Err(IdError::Character { found }),
@@ -139,6 +144,72 @@
     /// One replica in a pool.
     ReplicaId
 );
+/// Version of the software that a replica runs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct ReplicaVersion(CompactString);
+
+impl ReplicaVersion {
+    /// Validates a version. Unlike a name it may contain any character.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is empty or too long.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use currantlever::ReplicaVersion;
+    ///
+    /// let version = ReplicaVersion::new("2.1+cuda")?;
+    /// assert_eq!(version.as_str(), "2.1+cuda");
+    /// assert!(ReplicaVersion::new("").is_err());
+    /// # Ok::<(), currantlever::IdError>(())
+    /// ```
+    pub fn new<T>(text: T) -> Result<Self, IdError>
+    where
+        T: Into<CompactString>,
+    {
+        let text = text.into();
+        check_length(&text)?;
+        Ok(Self(text))
+    }
+
+    /// Returns the version as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ReplicaVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl FromStr for ReplicaVersion {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::new(text)
+    }
+}
+
+impl TryFrom<CompactString> for ReplicaVersion {
+    type Error = IdError;
+
+    fn try_from(text: CompactString) -> Result<Self, Self::Error> {
+        Self::new(text)
+    }
+}
+
+impl From<ReplicaVersion> for CompactString {
+    fn from(version: ReplicaVersion) -> Self {
+        version.0
+    }
+}
+
 name_type!(
     /// A failure domain.
     FailureDomain
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::core::holdings::{FleetHoldings, RouterHoldings};
 pub use crate::core::ids::{
     BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
-    ServiceId, TeamId, VmId,
+    ReplicaVersion, ServiceId, TeamId, VmId,
 };
 pub use crate::core::ledger::{
     BudgetEntry, FoldedGrant, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard,
