--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,8 +41,8 @@
 pub use crate::core::holder::{Holder, ReserveError, UpdateParams};
 pub use crate::core::holdings::{FleetHoldings, RouterHoldings};
 pub use crate::core::ids::{
-    BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, RequestId,
-    ReplicaVersion, ServiceId, TeamId, VmId,
+    BudgetId, FailureDomain, HolderId, IdError, ModelId, PlanId, PoolId, ReplicaId, ReplicaVersion,
+    RequestId, ServiceId, TeamId, VmId,
 };
 pub use crate::core::ledger::{
     BudgetEntry, FoldedGrant, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard,
