Remember what began a stream: table of origins and choice of their keepers

A stream may go on only at the software version that began it, and its caller may take it up at a router that has not seen it. The table keeps replica, version and time of the first event for longer than a stream lives, within a bound; two versions for one stream leave neither valid. The keepers are ranked by rendezvous hashing over the routers' entries, one of each failure domain first.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,10 @@
     BudgetEntry, FoldedGrant, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard,
     SealedHorizons, UpdateOutcome, WitnessSet,
 };
+pub use crate::core::origin_keepers::{
+    keeper_order, keepers, sources, FIRST_SOURCE_COUNT, KEEPER_COUNT, MAX_DIRECT_SOURCES,
+    SOURCE_COUNT, SPARE_KEEPER_COUNT,
+};
 pub use crate::core::part_quarantine::{PartCrashOutcome, PartId, PartQuarantine};
 pub use crate::core::permits::{PermitBucket, PermitDenial, ISSUER_COUNT};
 pub use crate::core::placement::{
@@ -65,6 +69,10 @@
 pub use crate::core::routing::{
     PoolState, ReplicaState, RoutingPolicy, RoutingPolicyName, RoutingRequest,
 };
+pub use crate::core::stream_origin::{
+    KnownOrigin, OriginOutcome, OriginTable, StreamId, StreamOrigin, MAX_ORIGINS,
+    ORIGIN_RETENTION_MS,
+};
 pub use crate::core::subset::{weighted_subset, SubsetCandidate, MAX_ADDRESSES};
 pub use crate::core::suspect_reservations::{ReservationOutcome, SuspectReservations, SuspectRun};
 pub use crate::core::units::Tokens;
