Keep what began a stream at other routers, and find it there

The router that gets the first event of a stream tells three others by datagram before it forwards the event; any router finds it by the same rendezvous hash, in 150 ms at most. Two versions under one attempt leave neither valid, and nothing found is stated as such, with the routers asked and answered.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,7 @@
 use crate::exchange::pools::Pools;
 use crate::exchange::quarantine_store::{QuarantineSink, QuarantineWriter, QUARANTINE_KIND};
 use crate::exchange::server_crashes::ServerCrashes;
+use crate::exchange::stream_origins::StreamOrigins;
 use crate::exchange::suspects::Suspects;
 use crate::exchange::transfers::send_transfers;
 use crate::platform::ingress::Ingress;
@@ -123,6 +124,7 @@
             Arc::clone(&metrics),
             log.clone(),
         ));
+        let origins = new_origins(&members, &socket, &metrics, &log);
         let parts = ExchangeParts {
             pools: Arc::clone(&pools),
             grants: Arc::clone(&grants),
@@ -162,6 +164,7 @@
             headroom: &headroom,
             suspects: server_crashes.suspects(),
             permits: &permits,
+            origins: &origins,
             transport: &transport,
             log: &log,
         }
@@ -245,6 +248,7 @@
     headroom: &'a Arc<Headroom>,
     suspects: &'a Arc<Suspects>,
     permits: &'a Arc<Permits>,
+    origins: &'a Arc<StreamOrigins>,
     transport: &'a Arc<HttpTransport>,
     log: &'a Logger,
 }
@@ -263,6 +267,7 @@
             headroom: Arc::clone(self.headroom),
             suspects: Arc::clone(self.suspects),
             permits: Arc::clone(self.permits),
+            origins: Arc::clone(self.origins),
             log: log(),
         };
         let send_socket = Arc::clone(&socket);
@@ -279,6 +284,7 @@
             members(),
             suspects(),
         ));
+        tokio::spawn(Arc::clone(self.origins).send_repeats());
         tokio::spawn(send_transfers(Arc::clone(&socket), grants()));
         tokio::spawn(receive_datagrams(socket, context));
         tokio::spawn(sync_entries(store(), members(), routers, log()));
@@ -381,6 +387,21 @@
     ))
 }
 
+fn new_origins(
+    members: &Arc<Members>,
+    socket: &Arc<UdpSocket>,
+    metrics: &Arc<ExchangeMetrics>,
+    log: &Logger,
+) -> Arc<StreamOrigins> {
+    Arc::new(StreamOrigins::new(
+        Arc::clone(members),
+        Arc::clone(socket),
+        Arc::clone(metrics),
+        Arc::new(|_| None),
+        log.clone(),
+    ))
+}
+
 fn new_server_crashes(
     vm: &str,
     transport: &Arc<HttpTransport>,
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -13,6 +13,7 @@
 use super::members::{entry_name, Hello, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS};
 use super::permits::Permits;
 use super::pools::Pools;
+use super::stream_origins::StreamOrigins;
 use super::suspects::Suspects;
 use super::transfers::{handle_transfer, PeerMessage};
 use crate::store::feed::{KindFeed, KindSink};
@@ -48,6 +49,8 @@
     pub suspects: Arc<Suspects>,
     /// Permits for rate-limited replicas.
     pub permits: Arc<Permits>,
+    /// Origins of streams.
+    pub origins: Arc<StreamOrigins>,
     /// Log of membership changes and receive errors.
     pub log: Logger,
 }
@@ -167,6 +170,16 @@
                     Ok(PeerMessage::PermitReply(reply)) => {
                         context.permits.apply_reply(router, &reply);
                     }
+                    Ok(PeerMessage::StreamOrigin(report)) => {
+                        context.origins.handle_report(router, &report);
+                    }
+                    Ok(PeerMessage::OriginAck(ack)) => context.origins.apply_ack(router, ack),
+                    Ok(PeerMessage::OriginQuery(query)) => {
+                        context.origins.handle_query(router, &query);
+                    }
+                    Ok(PeerMessage::OriginReply(reply)) => {
+                        context.origins.apply_reply(router, reply);
+                    }
                     Ok(message) => handle_transfer(&socket, router, message, &context.grants, log),
                     // Sent by another version of this program or by another program.
                     Err(error) => debug!(log, "datagram cannot be decoded";
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -29,6 +29,8 @@
     replicas: IntGaugeVec,
     rate_limits: GaugeVec,
     permits: IntCounterVec,
+    stream_origins: IntCounterVec,
+    origin_searches: IntCounterVec,
     store_era: IntGauge,
 }
 
@@ -86,12 +88,23 @@
             ),
             &["replica"],
         )?;
-        let permits = IntCounterVec::new(
-            Opts::new(
-                "currantlever_permits",
-                "Permits requested for rate-limited replicas, by result",
-            ),
-            &["result"],
+        let permits = new_counters(
+            &registry,
+            "currantlever_permits",
+            "Permits requested for rate-limited replicas, by result",
+            "result",
+        )?;
+        let stream_origins = new_counters(
+            &registry,
+            "currantlever_stream_origins",
+            "Records of what began streams, by what happened to them",
+            "event",
+        )?;
+        let origin_searches = new_counters(
+            &registry,
+            "currantlever_origin_searches",
+            "Searches for what began a stream, by result",
+            "result",
         )?;
         let store_era = IntGauge::new(
             "currantlever_store_era",
@@ -108,7 +121,6 @@
         registry.register(Box::new(quarantined_parts.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
         registry.register(Box::new(rate_limits.clone()))?;
-        registry.register(Box::new(permits.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -122,6 +134,8 @@
             replicas,
             rate_limits,
             permits,
+            stream_origins,
+            origin_searches,
             store_era,
         })
     }
@@ -178,6 +192,16 @@
         self.permits.with_label_values(&[result]).inc();
     }
 
+    /// Counts what happened to a record of what began a stream.
+    pub(crate) fn count_stream_origin(&self, event: &str) {
+        self.stream_origins.with_label_values(&[event]).inc();
+    }
+
+    /// Counts a search for what began a stream by its result.
+    pub(crate) fn count_origin_search(&self, result: &str) {
+        self.origin_searches.with_label_values(&[result]).inc();
+    }
+
     /// Sets or removes the rate limit of a replica.
     pub(crate) fn set_rate_limit(&self, replica: &str, limit: Option<RateLimit>) {
         match limit {
@@ -198,3 +222,15 @@
         text
     }
 }
+
+/// Creates and registers counters that differ in one label.
+fn new_counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntCounterVec, prometheus::Error> {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -11,6 +11,7 @@
 use super::grants::Grants;
 use super::limits::LimitReport;
 use super::members::Hello;
+use super::origin_messages::{OriginAck, OriginQuery, OriginReply, OriginReport};
 use super::permits::{PermitReply, PermitRequest};
 use super::pooling::{TransferReply, TransferRequest};
 use super::suspect_parts::PartReport;
@@ -38,6 +39,14 @@
     PermitReply(PermitReply),
     /// Parts of prompts that are suspected of crashing servers.
     Parts(Vec<PartReport>),
+    /// Replica and version of the first event of a stream.
+    StreamOrigin(OriginReport),
+    /// Acknowledgement of what began a stream.
+    OriginAck(OriginAck),
+    /// Query for what began a stream.
+    OriginQuery(OriginQuery),
+    /// Reply to such a query.
+    OriginReply(OriginReply),
 }
 
 impl PeerMessage {
@@ -88,7 +97,11 @@
         | PeerMessage::Parts(_)
         | PeerMessage::Limit(_)
         | PeerMessage::PermitRequest(_)
-        | PeerMessage::PermitReply(_) => {}
+        | PeerMessage::PermitReply(_)
+        | PeerMessage::StreamOrigin(_)
+        | PeerMessage::OriginAck(_)
+        | PeerMessage::OriginQuery(_)
+        | PeerMessage::OriginReply(_) => {}
         PeerMessage::TransferRequest(request) => {
             if let Some(reply) = grants.handle_request(router, request) {
                 PeerMessage::TransferReply(reply).send(socket, router);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod rules;
 mod site;
 mod store;
+mod stream_origins;
 mod unstated_end;
 
 use std::sync::atomic::Ordering;
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -55,6 +55,7 @@
     pub registry_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub metrics_address: SocketAddr,
+    pub peer_address: SocketAddr,
     settings: PathBuf,
     log: Arc<Mutex<Vec<Value>>>,
 }
@@ -87,11 +88,12 @@
             loopback(free_port()),
         );
         let metrics_address = loopback(free_port());
+        let peer_address = loopback(free_port());
         let settings = json!({
             "vm": name, "failure_domain": "a",
             "callers_listen": callers_address, "registry_listen": registry_address,
             "ready_listen": ready_address,
-            "metrics_listen": metrics_address, "peer_listen": loopback(free_port()),
+            "metrics_listen": metrics_address, "peer_listen": peer_address,
             "store_address": store, "cpu_cores": cpu_cores, "grace_s": 8.0,
             "max_descriptors": MAX_DESCRIPTORS,
             "retries": {"ratio": 0.2, "slack": 58, "window_s": 10},
@@ -105,6 +107,7 @@
             registry_address,
             ready_address,
             metrics_address,
+            peer_address,
             settings: path,
             log,
         }
