Resume streams only at the software version that began them

Callers saw streams with events of two software versions of a pool's replicas, in one answer and over their tries.

Cause: the version in a replica's entry was dropped, and a stream went on at any replica of the pool.

A stream now goes on only with a ResumePoint, which does not exist without the version of the replica that brought the first event, and the choice of a replica skips those that are not known to have it. The version belongs to the incarnation: it is uncertain if the replica states another one by the time of the resume, or if the incarnation was known to have ended before the first event. Then the stream is cut, as when resuming fails. A stream that a caller takes up goes on if all replicas of the route's only pool have had one version for as long as a stream can live, by lists that were current for that long; else it is refused before anything is reserved or sent.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,4 +27,5 @@
 pub mod subset;
 pub mod suspect_reservations;
 pub mod units;
+pub mod version_history;
 pub mod witness;
--- a/src/exchange/catalog.rs
+++ b/src/exchange/catalog.rs
@@ -70,6 +70,13 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// Returns true if a pool serves requests of the route.
+    pub(crate) fn has_pool(&self, id: &PoolId) -> bool {
+        self.pools.iter().any(|pool| pool.pool == *id)
+    }
+}
+
 /// A team and its budget.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Team {
@@ -170,6 +177,11 @@
             .find_map(|end| routes.get(&path[..end]))
     }
 
+    /// Returns all routes.
+    pub(crate) fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flat_map(HashMap::values)
+    }
+
     /// Returns the team that an API key belongs to.
     pub(crate) fn find_team(&self, key: &str) -> Option<&Arc<Team>> {
         self.teams_by_key.get(key)
--- a/src/exchange/chosen_replica.rs
+++ b/src/exchange/chosen_replica.rs
@@ -7,7 +7,7 @@
 use super::limits::ReplicaKey;
 use super::pools::Pools;
 use super::request::{ReplicaAddress, ReplicaStatus};
-use crate::core::ids::PoolId;
+use crate::core::ids::{PoolId, ReplicaVersion};
 use crate::core::placement::ReplicaCandidate;
 use crate::util::millis;
 
@@ -20,6 +20,10 @@
     pub replica: ReplicaAddress,
     /// Its incarnation.
     pub key: ReplicaKey,
+    /// Version of its software, by its entry at the time of the choice.
+    pub version: Option<ReplicaVersion>,
+    /// When that version became known.
+    pub version_since: Instant,
     /// Time of the choice.
     pub chosen_at: Instant,
     pub(super) prefill_tokens: u64,
@@ -72,6 +76,12 @@
         change
     }
 
+    /// Records that the replica's address refuses connections: its incarnation has ended.
+    pub(crate) fn record_refused(&self) {
+        self.record_unreachable();
+        self.pools.mark_ended(&self.pool, self.key);
+    }
+
     /// Records that the replica accepts no connections.
     pub(crate) fn record_unreachable(&self) {
         self.pools.with_candidate(
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -13,7 +13,7 @@
 
 use super::pools::{Incarnation, Pools, ReplicaEntry};
 use super::server_crashes::ServerCrashes;
-use crate::core::ids::ReplicaId;
+use crate::core::ids::{ReplicaId, ReplicaVersion};
 use crate::store::health::StoreHealth;
 use crate::util::lock;
 
@@ -109,7 +109,8 @@
                 .apply_entry(&entry.id, Incarnation { born_ms });
             info!(self.log, "replica added or updated"; "replica" => entry.id.as_str(),
                 "pool" => entry.pool.as_str(), "address" => entry.address.to_string(),
-                "draining" => entry.is_draining, "born_ms" => entry.born_ms);
+                "draining" => entry.is_draining, "born_ms" => entry.born_ms,
+                "version" => entry.version.as_ref().map(ReplicaVersion::as_str));
         }
     }
 
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: authentication, routing and token reservation.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -15,9 +15,12 @@
 use super::permits::Permits;
 use super::pools::Pools;
 use super::record::RequestRecord;
-use super::request::{ExchangeRequest, RejectKind, Rejection, ReplicaTransport, Reply};
+use super::request::{
+    ExchangeRequest, RejectKind, Rejection, ReplicaTransport, Reply, ResumePoint,
+};
 use super::run::Run;
 use super::server_crashes::ServerCrashes;
+use super::stream_routes::StreamRoutes;
 use super::suspects::Suspects;
 use crate::core::ids::PoolId;
 use crate::core::part_quarantine::PartId;
@@ -25,7 +28,7 @@
 use crate::core::quarantine::Fingerprint;
 use crate::core::units::Tokens;
 use crate::store::health::StoreHealth;
-use crate::util::stable_hash;
+use crate::util::{lock, stable_hash};
 
 /// `Retry-After` when no configuration is known or the route has no pool.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -38,7 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     catalog: ArcSwapOption<Catalog>,
-    store_health: Arc<StoreHealth>,
+    pub(super) stream_routes: Mutex<StreamRoutes>,
+    pub(super) store_health: Arc<StoreHealth>,
     is_closed: AtomicBool,
     pub(super) pools: Arc<Pools>,
     grants: Arc<Grants>,
@@ -74,6 +78,7 @@
     pub(crate) fn new(parts: ExchangeParts, log: Logger) -> Self {
         Self {
             catalog: ArcSwapOption::empty(),
+            stream_routes: Mutex::default(),
             store_health: parts.store_health,
             is_closed: AtomicBool::new(false),
             pools: parts.pools,
@@ -102,6 +107,7 @@
             return false;
         }
         self.pools.apply_catalog(&catalog);
+        lock(&self.stream_routes).apply_catalog(&catalog, Instant::now());
         self.grants.apply_catalog(&catalog);
         self.catalog.store(Some(Arc::new(catalog)));
         true
@@ -177,7 +183,14 @@
             .and_then(|team| team.priority)
             .unwrap_or(route.priority);
         record.rank = rank;
-        let Some(pool) = pick_weighted_pool(&route) else {
+        let resume = match &request.resume {
+            Some(resume) if route.kind.is_stream() => {
+                Some(self.resolve_origin(resume, &route, record).await?)
+            }
+            _ => None,
+        };
+        let resume_pool = resume.as_ref().map(|resume| resume.origin.pool.clone());
+        let Some(pool) = resume_pool.or_else(|| pick_weighted_pool(&route)) else {
             return Err(not_ready_rejection());
         };
         record.pool = pool.as_str().into();
@@ -188,6 +201,7 @@
             .await?;
         Ok(AdmittedRequest {
             request,
+            resume,
             fingerprint,
             parts,
             route,
@@ -253,6 +267,7 @@
 /// A request that was admitted and may be sent to a replica.
 struct AdmittedRequest {
     request: ExchangeRequest,
+    resume: Option<ResumePoint>,
     fingerprint: Fingerprint,
     parts: Arc<[PartId]>,
     route: Arc<Route>,
@@ -272,6 +287,8 @@
             fingerprint: self.fingerprint,
             parts: self.parts,
             has_first_token: false,
+            resume: self.resume,
+            origin: None,
             request: self.request,
             route: self.route,
             pool: self.pool,
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -12,9 +12,10 @@
 use super::catalog::{Catalog, EngineRules};
 use super::limits::{ReplicaKey, ReplicaLimits};
 use super::members::Members;
-use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::core::ids::{FailureDomain, PoolId, ReplicaId, ReplicaVersion};
 use crate::core::placement::{PromptMix, ReplicaCandidate};
 use crate::core::retry_share::{RetryRule, RetryShare};
+use crate::core::version_history::VersionHistory;
 use crate::util::{lock, millis, short_digest};
 
 /// Slots assumed for a replica whose entry does not state a number.
@@ -37,6 +38,8 @@
     pub is_draining: bool,
     /// Start of this incarnation, in milliseconds since the Unix epoch.
     pub born_ms: Option<u64>,
+    /// Version of its software; `None` if the entry states no usable one.
+    pub version: Option<ReplicaVersion>,
 }
 
 /// One incarnation of a replica: the time from a start of its process to the end.
@@ -51,6 +54,13 @@
     pub(super) address: SocketAddr,
     pub(super) digest: u32,
     pub(super) born_ms: Option<u64>,
+    /// Version of its software, if known.
+    pub(super) version: Option<ReplicaVersion>,
+    /// When the version became known.
+    pub(super) version_since: Instant,
+    /// True if this incarnation is known to have ended. The version of the next one is not known
+    /// before its entry, though it may answer already.
+    pub(super) has_crashed: bool,
     /// True if it reported to this router, in an answer, that it is leaving.
     pub(super) has_reported_leaving: bool,
     /// Suspect requests of this router in progress there.
@@ -74,6 +84,8 @@
     pub(super) engine: Option<EngineRules>,
     pub(super) retries: Option<RetryShare>,
     pub(super) mix: PromptMix,
+    /// Versions of its replicas since the start of the process.
+    pub(super) versions: VersionHistory,
 }
 
 impl Pool {
@@ -83,9 +95,23 @@
             .position(|candidate| candidate.id == *id)
     }
 
-    fn remove_at(&mut self, index: usize) {
+    fn remove_at(&mut self, index: usize, now_ms: u64) {
         self.candidates.swap_remove(index);
-        self.replicas.swap_remove(index);
+        let replica = self.replicas.swap_remove(index);
+        self.versions.remove(replica.version.as_ref(), now_ms);
+    }
+
+    /// Sets a replica's version. Returns false if it has that version already.
+    fn set_version(&mut self, index: usize, version: Option<&ReplicaVersion>, now_ms: u64) -> bool {
+        let replica = &mut self.replicas[index];
+        if replica.version.as_ref() == version {
+            return false;
+        }
+        self.versions.remove(replica.version.as_ref(), now_ms);
+        self.versions.add(version);
+        replica.version = version.cloned();
+        replica.version_since = Instant::now();
+        true
     }
 }
 
@@ -144,8 +170,9 @@
     }
 
     /// Adds a replica or updates it from its entry. Returns true if the replica is new, has a new
-    /// incarnation, moved to another pool, or began to leave.
+    /// incarnation or version, moved to another pool, or began to leave.
     pub(crate) fn upsert_replica(&self, entry: &ReplicaEntry) -> bool {
+        let now_ms = self.now_ms();
         let mut state = lock(&self.state);
         let state = &mut *state;
         let moved = state
@@ -154,11 +181,13 @@
             .filter(|(id, _)| **id != entry.pool)
             .find_map(|(_, pool)| pool.index_of(&entry.id).map(|index| (pool, index)));
         let mut is_leaving = entry.is_draining;
+        let mut has_crashed = false;
         if let Some((pool, index)) = moved {
             // A leaving replica never returns to service in the same incarnation.
             let is_same = pool.replicas[index].born_ms == entry.born_ms;
             is_leaving |= is_same && pool.candidates[index].is_leaving;
-            pool.remove_at(index);
+            has_crashed = is_same && pool.replicas[index].has_crashed;
+            pool.remove_at(index, now_ms);
         }
         let pool = state.pools.entry(entry.pool.clone()).or_default();
         let slots = entry.slots.unwrap_or(DEFAULT_SLOTS);
@@ -169,18 +198,23 @@
                 let is_changed = entry.is_draining && !candidate.is_leaving;
                 candidate.is_leaving |= entry.is_draining;
                 candidate.slots = slots;
-                return is_changed;
+                let has_new_version = pool.set_version(index, entry.version.as_ref(), now_ms);
+                return is_changed || has_new_version;
             }
-            pool.remove_at(index);
+            pool.remove_at(index, now_ms);
         }
         let mut candidate =
             ReplicaCandidate::new(entry.id.clone(), entry.failure_domain.clone(), slots);
         candidate.is_leaving = is_leaving;
         pool.candidates.push(candidate);
+        pool.versions.add(entry.version.as_ref());
         pool.replicas.push(Replica {
             address: entry.address,
             digest: short_digest(entry.id.as_str()),
             born_ms: entry.born_ms,
+            version: entry.version.clone(),
+            version_since: Instant::now(),
+            has_crashed,
             has_reported_leaving: false,
             suspect_requests: 0,
         });
@@ -194,6 +228,7 @@
         for pool in state.pools.values_mut() {
             if let Some(index) = pool.index_of(id) {
                 pool.candidates[index].record_unreachable(now_ms);
+                pool.replicas[index].has_crashed = true;
             }
         }
     }
@@ -221,6 +256,7 @@
 
     /// Removes a replica. Returns true if it was known.
     pub(crate) fn remove_replica(&self, id: &ReplicaId) -> bool {
+        let now_ms = self.now_ms();
         let mut state = lock(&self.state);
         let known = state
             .pools
@@ -229,7 +265,7 @@
         let Some((pool, index)) = known else {
             return false;
         };
-        pool.remove_at(index);
+        pool.remove_at(index, now_ms);
         true
     }
 
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -13,10 +13,22 @@
 use super::metrics::ExchangeMetrics;
 use super::permits::PermitAnswer;
 use super::request::RejectKind;
+use crate::core::ids::ReplicaVersion;
 use crate::core::part_quarantine::PartId;
 use crate::core::quarantine::Fingerprint;
 use crate::util::millis;
 
+/// The version of a stream, and how it is known.
+#[derive(Clone, Debug)]
+pub(crate) struct OriginNote {
+    /// Version of the replica that began the stream.
+    pub version: ReplicaVersion,
+    /// What states it.
+    pub source: CompactString,
+    /// Since when it has been known.
+    pub known_at: Option<Instant>,
+}
+
 /// Collects the access log fields of one request. Logged on drop, so also when the caller
 /// disconnects.
 #[derive(Debug)]
@@ -48,6 +60,11 @@
     pub spent_tokens: u64,
     /// HTTP status sent to the caller.
     pub status: u16,
+    /// Attempt id of the caller's try that began the stream which this request takes up.
+    pub resumes: Option<CompactString>,
+    /// Version of the stream.
+    pub origin: Option<OriginNote>,
+    refused_resume: Option<&'static str>,
     tries: CompactString,
     limits: CompactString,
     try_count: u32,
@@ -80,6 +97,9 @@
             reserved_tokens: 0,
             spent_tokens: 0,
             status: 0,
+            resumes: None,
+            origin: None,
+            refused_resume: None,
             tries: CompactString::default(),
             limits: CompactString::default(),
             try_count: 0,
@@ -100,6 +120,11 @@
         self.try_count += 1;
     }
 
+    /// Sets why a broken stream may not go on at another replica.
+    pub(crate) fn set_refused_resume(&mut self, reason: &'static str) {
+        self.refused_resume = Some(reason);
+    }
+
     /// Adds the decision on a permit for a rate-limited replica.
     pub(crate) fn add_limit(&mut self, replica: &str, note: &LimitNote, answer: &PermitAnswer) {
         if !self.limits.is_empty() {
@@ -149,6 +174,8 @@
         let elapsed = self.arrived.elapsed();
         let outcome = self.outcome.take();
         let outcome = outcome.as_deref().unwrap_or("caller_left");
+        let origin = self.origin.as_ref();
+        let version_known_at = origin.and_then(|origin| origin.known_at);
         self.metrics
             .record_request(outcome, elapsed, self.try_count);
         info!(self.log, "request";
@@ -164,6 +191,11 @@
             "config_version" => self.config_version,
             "tries" => self.tries.as_str(),
             "limits" => self.limits.as_str(),
+            "resumes" => self.resumes.as_deref(),
+            "stream_version" => origin.map(|origin| origin.version.as_str()),
+            "version_source" => origin.map(|origin| origin.source.as_str()),
+            "version_age_ms" => version_known_at.map(|at| millis(at.elapsed())),
+            "resume_refused" => self.refused_resume,
             "reserved_tokens" => self.reserved_tokens,
             "spent_tokens" => self.spent_tokens,
             "grant_free_tokens" => self.grant.map(|grant| grant.free_tokens.get()),
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -240,8 +240,12 @@
         return None;
     }
     let last_id = last_id?;
-    while run.take_resume() {
-        let AnsweredTry { answer, mut chosen } = run.next_answer(Some(last_id)).await.ok()?;
+    loop {
+        let point = run.resume_point(last_id)?;
+        if !run.take_resume() {
+            return None;
+        }
+        let AnsweredTry { answer, mut chosen } = run.next_answer(Some(&point)).await.ok()?;
         if !(200..300).contains(&answer.status) {
             run.record
                 .add_try(chosen.replica.id.as_str(), answer.status);
@@ -255,11 +259,13 @@
             run.record_broken(&chosen, &error).await;
             continue;
         }
+        if !run.may_forward(&open_stream, &chosen, Some(&point)) {
+            continue;
+        }
         if open_stream.has_events() {
             run.record_first_token(&mut chosen);
         }
         open_stream.chosen = Some(chosen);
         return Some(open_stream);
     }
-    None
 }
--- a/src/exchange/replica_choice.rs
+++ b/src/exchange/replica_choice.rs
@@ -8,7 +8,7 @@
 use super::chosen_replica::ChosenReplica;
 use super::limits::ReplicaKey;
 use super::replica_search::{ReplicaQuery, SearchResult};
-use super::request::{RejectKind, Rejection};
+use super::request::{RejectKind, Rejection, ResumePoint};
 use super::run::{overload_retry_after, Run};
 use crate::core::ids::ReplicaId;
 
@@ -22,24 +22,28 @@
 
 impl Run {
     /// Chooses a replica, with a permit if it has a rate limit.
-    pub(super) async fn choose_replica(&mut self) -> Result<ChosenReplica, Rejection> {
+    pub(super) async fn choose_replica(
+        &mut self,
+        resume: Option<&ResumePoint>,
+    ) -> Result<ChosenReplica, Rejection> {
         let mut permitted = None;
         let mut requests_left = MAX_PERMIT_REQUESTS;
         loop {
-            match self.search_replica(permitted, requests_left > 0) {
+            match self.search_replica(resume, permitted, requests_left > 0) {
                 SearchResult::Found(chosen) => return Ok(chosen),
                 SearchResult::NeedsPermit { id, key } => {
                     requests_left -= 1;
                     let is_permitted = self.request_permit(&id, key).await;
                     permitted = is_permitted.then_some(key);
                 }
-                other => return Err(self.search_rejection(&other)),
+                other => return Err(self.search_rejection(&other, resume)),
             }
         }
     }
 
     fn search_replica(
         &self,
+        resume: Option<&ResumePoint>,
         permitted: Option<ReplicaKey>,
         may_request_permit: bool,
     ) -> SearchResult {
@@ -51,6 +55,7 @@
             is_suspect: self.is_suspect(),
             permit_rank: self.permit_rank(),
             permitted,
+            resume,
             may_request_permit,
         })
     }
@@ -86,7 +91,7 @@
         answer.decision.is_ok()
     }
 
-    fn search_rejection(&self, result: &SearchResult) -> Rejection {
+    fn search_rejection(&self, result: &SearchResult, resume: Option<&ResumePoint>) -> Rejection {
         let (kind, retry_after) = match result {
             SearchResult::BackingOff(remaining) => (RejectKind::ReplicasQuiet, *remaining),
             SearchResult::RateLimited(time) => {
@@ -100,6 +105,10 @@
         if self.may_have_run {
             return Rejection::new(RejectKind::AnswerLost);
         }
+        let pools = &self.exchange.pools;
+        if resume.is_some_and(|resume| !pools.has_version(&resume.origin)) {
+            return Rejection::new(RejectKind::VersionGone);
+        }
         Rejection::new(kind).with_retry_after(retry_after)
     }
 }
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -1,5 +1,6 @@
 //! The choice of a replica for one try of a request.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use super::chosen_replica::ChosenReplica;
 use super::limits::ReplicaKey;
 use super::pools::{Pool, Pools};
-use super::request::ReplicaAddress;
+use super::request::{ReplicaAddress, ResumePoint};
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::{
     choose_replica, Admission, PlacementOutcome, PlacementRequest, PromptInfo,
@@ -69,6 +70,9 @@
     pub permit_rank: u8,
     /// Replica for which the request has a permit.
     pub permitted: Option<ReplicaKey>,
+    /// Where the stream goes on, if the request resumes one; only replicas with the version that
+    /// began it are chosen.
+    pub resume: Option<&'a ResumePoint>,
     /// False if rate-limited replicas count as denied, unless the request has a permit.
     pub may_request_permit: bool,
 }
@@ -93,10 +97,11 @@
                 admission => admission,
             };
         }
+        let excluded = excluded_replicas(pool, query);
         let placement_request = PlacementRequest {
             now_ms,
             failure_domain: &self.failure_domain,
-            excluded: query.excluded,
+            excluded: &excluded,
             rank: query.rank,
             prompt: query.prompt.filter(|_| pool.engine.is_some()),
         };
@@ -148,6 +153,8 @@
                         max_idle: share as usize,
                     },
                     key: pool.replicas[index].key(),
+                    version: pool.replicas[index].version.clone(),
+                    version_since: pool.replicas[index].version_since,
                     chosen_at: Instant::now(),
                     prefill_tokens,
                     is_suspect: query.is_suspect,
@@ -165,6 +172,16 @@
     }
 }
 
+/// Returns the replicas that were tried and those at which the stream must not go on.
+fn excluded_replicas<'a>(pool: &Pool, query: &ReplicaQuery<'a>) -> Cow<'a, [ReplicaId]> {
+    let Some(resume) = query.resume else {
+        return Cow::Borrowed(query.excluded);
+    };
+    let mut excluded = pool.other_versions(&resume.origin);
+    excluded.extend_from_slice(query.excluded);
+    Cow::Owned(excluded)
+}
+
 /// Chooses the replica that the request has a permit for, if it is still usable.
 fn choose_permitted(
     pool: &mut Pool,
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -15,6 +15,7 @@
 
 use crate::core::ids::ReplicaId;
 use crate::core::rate_limit::RateLimit;
+use crate::core::stream_origin::StreamOrigin;
 use crate::core::units::Tokens;
 
 /// One part of a prompt: the unit in which replicas cache prompts.
@@ -67,8 +68,27 @@
     pub tokens: Option<TokenBound>,
     /// Parts of the prompt, in order.
     pub prompt_parts: Vec<PromptPart>,
-    /// Id of the last event that the caller has received, if it resumes a stream.
-    pub resume_after: Option<u64>,
+    /// The stream that the caller takes up, if it does.
+    pub resume: Option<ResumeRequest>,
+}
+
+/// A stream that a caller takes up, as stated by the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ResumeRequest {
+    /// Id of the last event that the caller has received.
+    pub last_event_id: u64,
+    /// Attempt id of the caller's try that brought the first event, if stated.
+    pub first_attempt: Option<CompactString>,
+}
+
+/// Where a stream goes on: after which event, and what began it. Only replicas with the version of
+/// its origin may go on with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ResumePoint {
+    /// Id of the last event that the caller has received.
+    pub last_event_id: u64,
+    /// What began the stream.
+    pub origin: StreamOrigin,
 }
 
 impl ExchangeRequest {
@@ -104,8 +124,8 @@
     pub team: Option<&'a str>,
     /// Priority rank in the replica's queue; 0 is the highest.
     pub rank: u8,
-    /// Id of the last event received, if this try resumes a stream.
-    pub resume_after: Option<u64>,
+    /// Where the stream goes on, if this try resumes one.
+    pub resume: Option<&'a ResumePoint>,
     /// True if the request must not run twice. It may then only use a connection that the replica
     /// cannot have closed without the router's knowledge.
     pub runs_once: bool,
@@ -308,6 +328,10 @@
     ReplicasRefused,
     /// The request is quarantined: backend servers crashed while running it.
     Quarantined,
+    /// The version of the replica that began the stream to resume is unknown.
+    OriginUnknown,
+    /// No replica in service has the version that began the stream to resume.
+    VersionGone,
     /// The request may have run and its answer was lost.
     AnswerLost,
     /// The deadline passed; the request may have run.
@@ -333,6 +357,8 @@
             | Self::ReplicasRateLimited
             | Self::ReplicasRefused
             | Self::Quarantined
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::TimedOutUnsent => 503,
             Self::AnswerLost => 502,
             Self::TimedOut => 504,
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -17,12 +17,13 @@
 use super::record::RequestRecord;
 use super::request::{
     AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
-    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, UnsentCause,
+    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, ResumePoint, UnsentCause,
 };
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::part_quarantine::PartId;
 use crate::core::placement::PromptInfo;
 use crate::core::quarantine::Fingerprint;
+use crate::core::stream_origin::StreamOrigin;
 use crate::core::units::Tokens;
 use crate::util::millis;
 
@@ -57,6 +58,10 @@
     /// Parts of the prompt, without the last, which no other request shares.
     pub(super) parts: Arc<[PartId]>,
     pub(super) has_first_token: bool,
+    /// Where the stream goes on that the caller takes up, if it does.
+    pub(super) resume: Option<ResumePoint>,
+    /// What began the stream in this run, once its first event was received.
+    pub(super) origin: Option<StreamOrigin>,
     pub(super) tried_replicas: Vec<ReplicaId>,
     pub(super) sent_count: u32,
     pub(super) unsent_count: u32,
@@ -156,11 +161,12 @@
 
     /// Sends the request to replicas until the first event of a stream is received.
     async fn serve_stream(&mut self) -> Result<ServedAnswer, Rejection> {
+        let resume = self.resume.clone();
         loop {
             let AnsweredTry {
                 mut answer,
                 mut chosen,
-            } = self.next_answer(self.request.resume_after).await?;
+            } = self.next_answer(resume.as_ref()).await?;
             if !(200..300).contains(&answer.status) {
                 let body = self.read_body(&mut answer.body, &chosen);
                 let body = tokio::time::timeout_at(self.deadline, body).await;
@@ -178,12 +184,18 @@
             }
             let output_tokens = self.request.tokens.map(|bound| bound.max_output_tokens);
             let quota = StreamQuota::new(output_tokens);
-            let mut open_stream =
-                super::relay::OpenStream::new(answer, self.request.resume_after, quota);
+            let last_id = resume.as_ref().map(|resume| resume.last_event_id);
+            let mut open_stream = super::relay::OpenStream::new(answer, last_id, quota);
             match tokio::time::timeout_at(self.deadline, open_stream.read_first_event()).await {
+                Ok(Ok(())) if !self.may_forward(&open_stream, &chosen, resume.as_ref()) => {
+                    if !self.take_retry() {
+                        return Err(Rejection::new(RejectKind::AnswerLost));
+                    }
+                }
                 Ok(Ok(())) => {
                     if open_stream.has_events() {
                         self.record_first_token(&mut chosen);
+                        self.record_origin(&chosen);
                     }
                     open_stream.chosen = Some(chosen);
                     return Ok(ServedAnswer::Stream(Box::new(open_stream)));
@@ -211,7 +223,7 @@
     /// Returns a rejection when no further try is allowed or the deadline has passed.
     pub(super) async fn next_answer(
         &mut self,
-        resume_after: Option<u64>,
+        resume: Option<&ResumePoint>,
     ) -> Result<AnsweredTry, Rejection> {
         loop {
             if let Some(remaining) = self.exchange.suspects.quarantined_for(self.fingerprint) {
@@ -221,7 +233,7 @@
                 self.record.quarantined_part = Some(part);
                 return Err(self.quarantine_rejection(remaining));
             }
-            let chosen = self.choose_replica().await?;
+            let chosen = self.choose_replica(resume).await?;
             self.tried_replicas.push(chosen.replica.id.clone());
             let time_left = self.deadline.saturating_duration_since(Instant::now());
             if time_left < MIN_TIME_LEFT {
@@ -235,7 +247,7 @@
                 time_left,
                 team: self.team.as_ref().map(|team| team.budget.as_str()),
                 rank: self.rank,
-                resume_after,
+                resume,
                 runs_once: !self.route.kind.may_retry(),
             };
             let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
@@ -264,7 +276,7 @@
                     self.revert_prompt_spend();
                     self.record.add_try(replica, &error);
                     match cause {
-                        UnsentCause::Refused => chosen.record_unreachable(),
+                        UnsentCause::Refused => chosen.record_refused(),
                         UnsentCause::Unreachable => chosen.record_failure(),
                         UnsentCause::ConnectionClosed
                         | UnsentCause::NoConnectionLeft
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 pub use crate::core::subset::{weighted_subset, SubsetCandidate, MAX_ADDRESSES};
 pub use crate::core::suspect_reservations::{ReservationOutcome, SuspectReservations, SuspectRun};
 pub use crate::core::units::Tokens;
+pub use crate::core::version_history::VersionHistory;
 pub use crate::core::witness::{Witness, WitnessRecord};
 pub use crate::daemon::{Daemon, DaemonError};
 pub use crate::entry_settings::{EntrySettings, RetrySettings};
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -27,7 +27,7 @@
 use crate::core::units::Tokens;
 use crate::exchange::engine::Exchange;
 use crate::exchange::request::{
-    BrokenBody, ExchangeRequest, PromptPart, Rejection, Reply, ReplyBody, TokenBound,
+    BrokenBody, ExchangeRequest, PromptPart, Rejection, Reply, ReplyBody, ResumeRequest, TokenBound,
 };
 use crate::tcp::set_keepalive;
 
@@ -265,7 +265,13 @@
     let prompt_parts = text(names::PREFIX_PARTS)
         .map(decode_parts)
         .unwrap_or_default();
-    let resume_after = text(names::LAST_EVENT_ID).and_then(|value| value.parse().ok());
+    let last_event_id = text(names::LAST_EVENT_ID).and_then(|value| value.parse().ok());
+    let resume = last_event_id.map(|last_event_id| ResumeRequest {
+        last_event_id,
+        first_attempt: text(names::RESUMES)
+            .filter(|attempt| !attempt.is_empty())
+            .map(Into::into),
+    });
     let target = parts
         .uri
         .path_and_query()
@@ -284,7 +290,7 @@
         time_left,
         tokens,
         prompt_parts,
-        resume_after,
+        resume,
     }
 }
 
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -30,6 +30,8 @@
 pub(crate) const SIGNATURE: &str = "currantlever-replica-signature";
 /// Id of the last event of a stream that its receiver has.
 pub(crate) const LAST_EVENT_ID: &str = "last-event-id";
+/// Attempt id of the caller's try that brought the first event of the stream that it takes up.
+pub(crate) const RESUMES: &str = "resumes";
 /// Headers that are removed from callers' requests, as they control replicas.
 pub(crate) const RESERVED: [&str; 9] = [
     EXPECT_REPLICA,
--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -4,8 +4,9 @@
 
 use compact_str::CompactString;
 use serde::Deserialize;
+use serde_json::Value;
 
-use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::core::ids::{FailureDomain, PoolId, ReplicaId, ReplicaVersion};
 use crate::exchange::pools::ReplicaEntry;
 use crate::store::kinds::KindObject;
 
@@ -20,6 +21,9 @@
     phase: CompactString,
     #[serde(default)]
     born: Option<u64>,
+    /// A text, unless another program wrote the entry.
+    #[serde(default)]
+    version: Value,
 }
 
 /// Decodes an entry. Returns none for an entry that is malformed or has an unknown phase, as other
@@ -39,5 +43,12 @@
         slots: wire.slots,
         is_draining,
         born_ms: wire.born,
+        version: decode_version(&wire.version),
     })
 }
+
+/// Decodes a version. A replica without a usable one can serve; only its streams cannot go on
+/// elsewhere.
+fn decode_version(version: &Value) -> Option<ReplicaVersion> {
+    ReplicaVersion::new(version.as_str()?).ok()
+}
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -256,8 +256,9 @@
     if let Some(team) = dispatch.team {
         set_header(headers, names::TENANT, team);
     }
-    if let Some(last_id) = dispatch.resume_after {
-        set_header(headers, names::LAST_EVENT_ID, &last_id.to_compact_string());
+    if let Some(resume) = dispatch.resume {
+        let last_event_id = resume.last_event_id.to_compact_string();
+        set_header(headers, names::LAST_EVENT_ID, &last_event_id);
     }
     Ok(request)
 }
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -39,6 +39,8 @@
     era_changed_at: Option<Instant>,
     /// When the lists were last known to be current.
     lists_current_at: Option<Instant>,
+    /// Since when they have been without a gap.
+    lists_current_since: Option<Instant>,
     /// Reports of other routers, by their addresses.
     reports: HashMap<SocketAddr, PeerReport>,
 }
@@ -155,16 +157,31 @@
     /// Records that the lists of this router are current: by its own watches, or by the answer of a
     /// router whose watches are.
     pub(crate) fn record_lists_current(&self) {
-        lock(&self.state).lists_current_at = Some(Instant::now());
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let is_gapless = state.lists_current_at.is_some_and(is_recently_current);
+        if !is_gapless {
+            state.lists_current_since = Some(now);
+        }
+        state.lists_current_at = Some(now);
+    }
+
+    /// Returns since when the lists have been current without a gap, if they are.
+    pub(crate) fn lists_current_since(&self) -> Option<Instant> {
+        if !self.are_lists_current() {
+            return None;
+        }
+        let state = lock(&self.state);
+        let settled_at = state.era.map(|(_, at)| at + REWRITE_TIME);
+        state.lists_current_since.max(settled_at)
     }
 
     /// Returns true if a newer list would be known by now. Lists of a new era are not current until
     /// what was lost is written again.
     pub(crate) fn are_lists_current(&self) -> bool {
         let state = lock(&self.state);
-        let is_recent = |at: Instant| at.elapsed() < LISTS_CURRENT_TTL;
         let is_settled = |(_, at): (u64, Instant)| at.elapsed() >= REWRITE_TIME;
-        state.lists_current_at.is_some_and(is_recent) && state.era.is_none_or(is_settled)
+        state.lists_current_at.is_some_and(is_recently_current) && state.era.is_none_or(is_settled)
     }
 
     /// Returns a receiver that is notified when a call is answered after a failed one.
@@ -196,6 +213,10 @@
     }
 }
 
+fn is_recently_current(at: Instant) -> bool {
+    at.elapsed() < LISTS_CURRENT_TTL
+}
+
 impl State {
     /// Returns when calls of several routers last failed.
     fn last_shared_failure(&self) -> Option<Instant> {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod store;
 mod stream_origins;
 mod unstated_end;
+mod versions;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -87,6 +87,27 @@
     Limit(&'static str),
     /// Answers like the inner behaviour, with the header that announces its shutdown.
     Leaving(Box<Behaviour>),
+    /// Streams some events and closes the connection, unless the request resumes a stream; then it
+    /// streams the rest.
+    BreakNewStream { after: u64, events: u64 },
+    /// Streams like the inner behaviour; the events state this version of the software.
+    OfVersion(&'static str, Box<Behaviour>),
+}
+
+/// What a replica adds to its answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Additions {
+    leaving_line: &'static str,
+    version: Option<&'static str>,
+}
+
+impl Additions {
+    fn event_text(self, event: u64) -> String {
+        self.version.map_or_else(
+            || event_text(event),
+            |version| versioned_event_text(event, version),
+        )
+    }
 }
 
 /// A request as the replica received it.
@@ -300,11 +321,14 @@
             crash.notify_one();
             std::future::pending::<()>().await;
         }
-        let mut leaving_line = "";
+        let mut additions = Additions::default();
         if let Behaviour::Leaving(inner) = behaviour {
-            (behaviour, leaving_line) = (*inner, LEAVING_LINE);
+            (behaviour, additions.leaving_line) = (*inner, LEAVING_LINE);
+        }
+        if let Behaviour::OfVersion(version, inner) = behaviour {
+            (behaviour, additions.version) = (*inner, Some(version));
         }
-        if !answer(&mut stream, &request, &behaviour, leaving_line, disconnects).await {
+        if !answer(&mut stream, &request, &behaviour, additions, disconnects).await {
             if matches!(behaviour, Behaviour::Unframed { crashes: true, .. }) {
                 crash.notify_one();
                 std::future::pending::<()>().await;
@@ -322,9 +346,10 @@
     stream: &mut TcpStream,
     request: &ReceivedRequest,
     behaviour: &Behaviour,
-    leaving_line: &str,
+    additions: Additions,
     disconnects: &Mutex<u32>,
 ) -> bool {
+    let leaving_line = additions.leaving_line;
     let id = request
         .header("currantlever-attempt-id")
         .unwrap_or_default();
@@ -357,7 +382,7 @@
             ),
         ),
         Behaviour::Limit(limit) => full_answer("200 OK", id, &limit_lines(signature, limit)),
-        Behaviour::Leaving(_) => panic!("Behaviour::Leaving must not be nested"),
+        Behaviour::Leaving(_) | Behaviour::OfVersion(..) => panic!("nested in the wrong order"),
         Behaviour::Misdirected => full_answer("421 Misdirected Request", id, ""),
         Behaviour::WrongId => full_answer("200 OK", "another", signature),
         Behaviour::Unsigned => full_answer("200 OK", id, ""),
@@ -396,9 +421,8 @@
             send_unframed(stream, id, content_type, body).await;
             return false;
         }
-        Behaviour::Stream { events, pause } => {
-            return stream_events(stream, request, *events, *pause, leaving_line, disconnects)
-                .await;
+        Behaviour::Stream { .. } | Behaviour::BreakNewStream { .. } => {
+            return stream_or_break(stream, request, behaviour, additions, disconnects).await;
         }
         Behaviour::EndlessLine | Behaviour::EndlessHead | Behaviour::EndlessBody(_) => {
             send_endless_answer(stream, id, behaviour).await;
@@ -414,7 +438,7 @@
             return false;
         }
         Behaviour::BreakStream { after } => {
-            send_broken_stream(stream, &stream_head(id, leaving_line), *after).await;
+            send_broken_stream(stream, &stream_head(id, leaving_line), *after, additions).await;
             return false;
         }
     };
@@ -482,10 +506,10 @@
 }
 
 /// Sends some whole events and a part of the next one.
-async fn send_broken_stream(stream: &mut TcpStream, head: &str, events: u64) {
+async fn send_broken_stream(stream: &mut TcpStream, head: &str, events: u64, additions: Additions) {
     let mut text = head.to_owned();
     for event in 1..=events {
-        text.push_str(&chunk(&event_text(event)));
+        text.push_str(&chunk(&additions.event_text(event)));
     }
     text.push_str(&chunk("id: 99\ndata: br"));
     let _ = stream.write_all(text.as_bytes()).await;
@@ -518,6 +542,11 @@
     format!("id: {event}\ndata: piece {event}\n\n")
 }
 
+/// Returns an event of a replica whose events state the version of its software.
+pub fn versioned_event_text(event: u64, version: &str) -> String {
+    format!("id: {event}\ndata: piece {event} of {version}\n\n")
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -544,12 +573,37 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
 }
 
+/// Streams whole, or breaks off a new stream if the behaviour says so.
+async fn stream_or_break(
+    stream: &mut TcpStream,
+    request: &ReceivedRequest,
+    behaviour: &Behaviour,
+    additions: Additions,
+    disconnects: &Mutex<u32>,
+) -> bool {
+    let is_new = request.header("last-event-id").is_none();
+    let (events, pause) = match behaviour {
+        Behaviour::BreakNewStream { after, .. } if is_new => {
+            let id = request
+                .header("currantlever-attempt-id")
+                .unwrap_or_default();
+            let head = stream_head(id, additions.leaving_line);
+            send_broken_stream(stream, &head, *after, additions).await;
+            return false;
+        }
+        Behaviour::BreakNewStream { events, .. } => (*events, Duration::ZERO),
+        Behaviour::Stream { events, pause } => (*events, *pause),
+        _ => panic!("no stream"),
+    };
+    stream_events(stream, request, events, pause, additions, disconnects).await
+}
+
 async fn stream_events(
     stream: &mut TcpStream,
     request: &ReceivedRequest,
     events: u64,
     pause: Duration,
-    leaving_line: &str,
+    additions: Additions,
     disconnects: &Mutex<u32>,
 ) -> bool {
     let id = request
@@ -559,12 +613,12 @@
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    let head = stream_head(id, leaving_line);
+    let head = stream_head(id, additions.leaving_line);
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
     for event in after + 1..=events {
-        let text = chunk(&event_text(event));
+        let text = chunk(&additions.event_text(event));
         if stream.write_all(text.as_bytes()).await.is_err() {
             *disconnects.lock().unwrap() += 1;
             return false;
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -215,6 +215,13 @@
     })
 }
 
+fn entry_of(replica: &FakeReplica, phase: &str, born_ms: u64) -> Value {
+    json!({
+        "service": "pool", "address": replica.address(), "zone": "a", "version": "v1",
+        "slots": 8, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": born_ms,
+    })
+}
+
 impl Site {
     pub async fn start(prepaid: u64) -> Self {
         let site = Self {
@@ -238,11 +245,15 @@
         self.put_entry(replica, "ready", born_ms);
     }
 
+    /// Registers an incarnation of a replica with a value as the version of its software.
+    pub fn register_version(&self, replica: &FakeReplica, version: &Value, born_ms: u64) {
+        let mut entry = entry_of(replica, "ready", born_ms);
+        entry["version"].clone_from(version);
+        self.store.put("servers", &replica.id, &entry);
+    }
+
     fn put_entry(&self, replica: &FakeReplica, phase: &str, born_ms: u64) {
-        let entry = json!({
-            "service": "pool", "address": replica.address(), "zone": "a", "version": "v1",
-            "slots": 8, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": born_ms,
-        });
+        let entry = entry_of(replica, phase, born_ms);
         self.store.put("servers", &replica.id, &entry);
     }
 
