Count and log what becomes of streams to resume, and test crashes and moves

The request's line and a counter tell why a stream that broke off did not go on, and by what a takeup was accepted or refused. A broken stream whose version has no replica in service takes no retry from the budget any more.

New tests: a server that crashed and answers again with another version while its old entry is listed; a version without a replica in service; a route that was moved to another service and back.

--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -24,6 +24,7 @@
     first_event: Histogram,
     store_calls: IntCounterVec,
     lost_connections: IntCounterVec,
+    stream_resumes: IntCounterVec,
     quarantined: IntCounter,
     quarantined_parts: IntCounter,
     replicas: IntGaugeVec,
@@ -69,6 +70,13 @@
             ),
             &["finding"],
         )?;
+        let stream_resumes = IntCounterVec::new(
+            Opts::new(
+                "currantlever_stream_resumes",
+                "Streams to go on at another replica, by result",
+            ),
+            &["result"],
+        )?;
         let quarantined = IntCounter::new(
             "currantlever_quarantined",
             "Requests that came to be quarantined",
@@ -117,6 +125,7 @@
         registry.register(Box::new(first_event.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(lost_connections.clone()))?;
+        registry.register(Box::new(stream_resumes.clone()))?;
         registry.register(Box::new(quarantined.clone()))?;
         registry.register(Box::new(quarantined_parts.clone()))?;
         registry.register(Box::new(replicas.clone()))?;
@@ -129,6 +138,7 @@
             first_event,
             store_calls,
             lost_connections,
+            stream_resumes,
             quarantined,
             quarantined_parts,
             replicas,
@@ -162,6 +172,11 @@
         self.lost_connections.with_label_values(&[finding]).inc();
     }
 
+    /// Counts a stream that a caller takes up, or that breaks off in an answer, by what became of it.
+    pub(crate) fn count_stream_resume(&self, result: &str) {
+        self.stream_resumes.with_label_values(&[result]).inc();
+    }
+
     /// Counts a newly quarantined request.
     pub(crate) fn count_quarantined(&self) {
         self.quarantined.inc();
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use slog::{info, Logger};
+use strum::Display;
 use tokio::time::Instant;
 
 use super::grants::GrantNote;
@@ -29,6 +30,18 @@
     pub known_at: Option<Instant>,
 }
 
+/// Why a stream that broke off may not go on at another replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum RefusedResume {
+    /// The version that began it is unknown.
+    OriginUnknown,
+    /// The replica that began it has another version now, perhaps since before the first event.
+    OriginUncertain,
+    /// No replica in service has its version.
+    VersionGone,
+}
+
 /// Collects the access log fields of one request. Logged on drop, so also when the caller
 /// disconnects.
 #[derive(Debug)]
@@ -64,7 +77,7 @@
     pub resumes: Option<CompactString>,
     /// Version of the stream.
     pub origin: Option<OriginNote>,
-    refused_resume: Option<&'static str>,
+    refused_resume: Option<RefusedResume>,
     tries: CompactString,
     limits: CompactString,
     try_count: u32,
@@ -121,8 +134,15 @@
     }
 
     /// Sets why a broken stream may not go on at another replica.
-    pub(crate) fn set_refused_resume(&mut self, reason: &'static str) {
+    pub(crate) fn set_refused_resume(&mut self, reason: RefusedResume) {
         self.refused_resume = Some(reason);
+        self.count_stream_resume(&reason.to_string());
+    }
+
+    /// Counts a stream that a caller takes up, or that breaks off in this answer, by what became of
+    /// it.
+    pub(crate) fn count_stream_resume(&self, result: &str) {
+        self.metrics.count_stream_resume(result);
     }
 
     /// Adds the decision on a permit for a rate-limited replica.
@@ -195,7 +215,7 @@
             "stream_version" => origin.map(|origin| origin.version.as_str()),
             "version_source" => origin.map(|origin| origin.source.as_str()),
             "version_age_ms" => version_known_at.map(|at| millis(at.elapsed())),
-            "resume_refused" => self.refused_resume,
+            "resume_refused" => self.refused_resume.map(|reason| reason.to_string()),
             "reserved_tokens" => self.reserved_tokens,
             "spent_tokens" => self.spent_tokens,
             "grant_free_tokens" => self.grant.map(|grant| grant.free_tokens.get()),
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -218,6 +218,7 @@
                 yield Err(reason);
                 return;
             };
+            run.record.count_stream_resume("resumed");
             open_stream = resumed;
         }
     };
--- a/src/exchange/stream_resume.rs
+++ b/src/exchange/stream_resume.rs
@@ -8,7 +8,7 @@
 use super::catalog::Route;
 use super::chosen_replica::ChosenReplica;
 use super::engine::Exchange;
-use super::record::{OriginNote, RequestRecord};
+use super::record::{OriginNote, RefusedResume, RequestRecord};
 use super::relay::OpenStream;
 use super::request::{RejectKind, Rejection, ResumePoint, ResumeRequest};
 use super::run::Run;
@@ -41,6 +41,20 @@
         record: &mut RequestRecord,
     ) -> Result<ResumePoint, Rejection> {
         record.resumes.clone_from(&resume.first_attempt);
+        let resolved = self.find_resume_point(resume, route, record).await;
+        match &resolved {
+            Ok(_) => record.count_stream_resume("taken_up"),
+            Err(rejection) => record.count_stream_resume(&rejection.kind.to_string()),
+        }
+        resolved
+    }
+
+    async fn find_resume_point(
+        &self,
+        resume: &ResumeRequest,
+        route: &Route,
+        record: &mut RequestRecord,
+    ) -> Result<ResumePoint, Rejection> {
         let found = self
             .find_origin(resume, route)
             .await
@@ -114,12 +128,16 @@
             });
         }
         let Some(origin) = self.origin.clone() else {
-            self.record.set_refused_resume("version unknown");
+            self.record.set_refused_resume(RefusedResume::OriginUnknown);
             return None;
         };
         if self.exchange.pools.is_origin_uncertain(&origin) {
-            self.record
-                .set_refused_resume("the first replica has another version now");
+            let reason = RefusedResume::OriginUncertain;
+            self.record.set_refused_resume(reason);
+            return None;
+        }
+        if !self.exchange.pools.has_version(&origin) {
+            self.record.set_refused_resume(RefusedResume::VersionGone);
             return None;
         }
         Some(ResumePoint {
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -1,11 +1,12 @@
 //! Streams of replicas that run several versions of their software side by side.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
 use super::replica::{versioned_event_text, Behaviour, FakeReplica};
-use super::site::{wait_until, Call, ReceivedAnswer, Router, Site};
+use super::site::{lists, wait_until, Call, ReceivedAnswer, Router, Site};
 use super::AMPLE_PAID_TOKENS;
 
 /// Events of a whole stream.
@@ -256,35 +257,51 @@
     assert!(cut_count > 0);
 }
 
+/// Returns a call that takes up a stream after its third event.
+fn takeup(attempt: &str) -> Call {
+    Call::new("chat", attempt)
+        .with("last-event-id", "3")
+        .with("resumes", "a-first")
+}
+
+/// Takes a stream up as soon as the router knows that all streams have the version v1.
+async fn take_up_the_only_version(router: &Router) {
+    let number = AtomicU32::new(1);
+    wait_until("the stream is taken up", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        let got = send(router, &takeup(&format!("a-early-{number}"))).await;
+        if got.status == 200 {
+            assert_eq!(got.body, events_of("v1", 4..=EVENTS));
+            return got.is_whole;
+        }
+        assert_eq!(got.status, 503);
+        tokio::time::sleep(REPEAT_DELAY).await;
+        false
+    })
+    .await;
+}
+
+async fn wait_for_outcome(router: &Router, request: &str, outcome: &str) {
+    wait_until("the request is logged", || async {
+        let lines = router.log_lines("request");
+        let line = lines.iter().find(|line| line["request"] == request);
+        line.is_some_and(|line| line["outcome"] == outcome)
+    })
+    .await;
+}
+
 /// Guards against streams that callers cannot take up although the service has had one version
 /// only, and against a takeup at a router that cannot know this yet.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_takes_up_a_stream_of_the_only_version_once_the_router_knows_its_history() {
     let (site, replicas) = site_of(&["v1", "v1"]).await;
     let router = warm_router(&site, "r-1", &replicas).await;
-    let call = |number: u32| {
-        Call::new("chat", &format!("a-{number}"))
-            .with("last-event-id", "3")
-            .with("resumes", "a-first")
-    };
-    let got = send(&router, &call(0)).await;
+    let got = send(&router, &takeup("a-0")).await;
     assert_eq!(got.status, 503, "a router that has just started");
     assert!(replicas
         .iter()
         .all(|replica| received_resumes(replica) == 0));
-    let numbers = std::sync::atomic::AtomicU32::new(1);
-    wait_until("the stream is taken up", || async {
-        let number = numbers.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let got = send(&router, &call(number)).await;
-        if got.status == 200 {
-            assert_eq!(got.body, events_of("v1", 4..=EVENTS));
-            return got.is_whole;
-        }
-        assert_eq!(got.status, 503);
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        false
-    })
-    .await;
+    take_up_the_only_version(&router).await;
     let lines = router.log_lines("request");
     let refused = lines.iter().find(|line| line["request"] == "a-0").unwrap();
     assert_eq!(refused["outcome"], "origin_unknown");
@@ -292,7 +309,7 @@
     // A second version makes the origin of a stream unknown.
     site.register_version(&replicas[1], &json!("v2"), BORN_MS + 1);
     wait_for_entry(&router, &replicas[1], "born_ms", &json!(BORN_MS + 1)).await;
-    let got = send(&router, &call(1_000)).await;
+    let got = send(&router, &takeup("a-last")).await;
     assert_eq!(got.status, 503);
 }
 
@@ -315,3 +332,107 @@
         .iter()
         .all(|replica| received_resumes(replica) == 0));
 }
+
+/// Guards against a takeup that waits for replicas of a version that is gone, or that names a time
+/// after which they are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_takeup_at_a_version_without_a_replica_in_service_is_refused_at_once() {
+    let (site, replicas) = site_of(&["v1", "v1"]).await;
+    let router = warm_router(&site, "r-1", &replicas).await;
+    take_up_the_only_version(&router).await;
+    for replica in &replicas {
+        site.register_in_phase(replica, "draining");
+        wait_for_entry(&router, replica, "draining", &json!(true)).await;
+    }
+    let sent_at = Instant::now();
+    let got = send(&router, &takeup("a-1")).await;
+    assert!(sent_at.elapsed() < PROMPT_ANSWER);
+    assert_eq!(got.status, 503);
+    assert!(!got.headers.contains_key("retry-after"));
+    wait_for_outcome(&router, "a-1", "version_gone").await;
+}
+
+/// Guards against a stream that began at another service, to which its route led shortly before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_cannot_be_taken_up_by_the_only_version_after_its_route_was_moved() {
+    let (site, replicas) = site_of(&["v1", "v1"]).await;
+    let router = warm_router(&site, "r-1", &replicas).await;
+    take_up_the_only_version(&router).await;
+    for (version, service) in [(2, "other"), (3, "pool")] {
+        let mut config = lists(version, AMPLE_PAID_TOKENS);
+        let mut other = config["services"][0].clone();
+        other["name"] = json!("other");
+        config["services"].as_array_mut().unwrap().push(other);
+        config["routes"][2]["service"] = json!(service);
+        site.store.put("config", "main", &config);
+        wait_until("the configuration is in force", || async {
+            let lines = router.log_lines("configuration in force");
+            lines.iter().any(|line| line["config_version"] == version)
+        })
+        .await;
+    }
+    let got = send(&router, &takeup("a-1")).await;
+    assert_eq!(got.status, 503);
+    wait_for_outcome(&router, "a-1", "origin_unknown").await;
+}
+
+/// Guards against a server that crashed and answers again, with another version, while its old
+/// entry is still listed: no stream goes on there, and none that began there goes on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_crash_the_version_is_unknown_until_the_next_entry() {
+    let (site, replicas) = site_of(&["v1", "v1", "v1"]).await;
+    let router = warm_router(&site, "r-1", &replicas).await;
+    let crashed = &replicas[0];
+    crashed.crash();
+    wait_until("the server is down", || async {
+        crashed.crash_count() == 1
+    })
+    .await;
+    let number = AtomicU32::new(0);
+    wait_until("the router knows", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        send(&router, &Call::new("chat", &format!("a-{number}"))).await;
+        let lines = router.log_lines("request");
+        let mut tries = lines.iter().filter_map(|line| line["tries"].as_str());
+        tries.any(|tries| tries.starts_with("i-0 at") && tries.contains("not sent"))
+    })
+    .await;
+    crashed.set_behaviour(breaking("v2"));
+    let number = AtomicU32::new(0);
+    wait_until("a stream began there", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        let got = send(&router, &Call::new("chat", &format!("b-{number}"))).await;
+        let versions = versions_in(&got);
+        assert_eq!(versions.len(), 1, "{:?}", got.body);
+        assert!(versions == ["v1"] || !got.is_whole);
+        tokio::time::sleep(REPEAT_DELAY).await;
+        versions == ["v2"]
+    })
+    .await;
+    crashed.set_behaviour(whole("v2"));
+    for replica in &replicas[1..] {
+        replica.set_behaviour(breaking("v1"));
+    }
+    let others_resumes = || -> usize { replicas[1..].iter().map(received_resumes).sum() };
+    let begun_before = crashed.received().len();
+    wait_until("streams have begun at all replicas", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        let got = send(&router, &Call::new("chat", &format!("b-{number}"))).await;
+        assert!(versions_in(&got).len() <= 1, "{:?}", got.body);
+        tokio::time::sleep(REPEAT_DELAY).await;
+        assert_eq!(received_resumes(crashed), 0);
+        others_resumes() > 5 && crashed.received().len() > begun_before + 5
+    })
+    .await;
+    // The next entry states the version, so that streams go on there.
+    site.register_version(crashed, &json!("v1"), BORN_MS + 1);
+    wait_for_entry(&router, crashed, "born_ms", &json!(BORN_MS + 1)).await;
+    crashed.set_behaviour(whole("v1"));
+    wait_until("a stream goes on there", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        send(&router, &Call::new("chat", &format!("b-{number}"))).await;
+        tokio::time::sleep(REPEAT_DELAY).await;
+        received_resumes(crashed) > 0
+    })
+    .await;
+}
