Measure how origins of streams are found after routers joined or were replaced

The order of the keepers moves with the entries of the fleet, so a router that joined between the first event and the caller's next attempt could hide them.

--- a/tests/origin_keepers.rs
+++ b/tests/origin_keepers.rs
@@ -157,6 +157,44 @@
     }
 }
 
+/// Guards against streams that cannot go on since routers that joined or were replaced after their
+/// first event moved the order.
+#[test]
+fn origins_are_found_after_routers_joined_and_were_replaced() {
+    for (routers, domains, _) in FLEETS {
+        for (joined_percent, replaced_percent) in [(35, 0), (100, 0), (0, 20), (35, 35)] {
+            let all = fleet(routers * 2, domains);
+            let before: Vec<&DutyCandidate> = all[..routers].iter().collect();
+            let joined = routers * joined_percent / 100;
+            let replaced = routers * replaced_percent / 100;
+            let mut rng = ChaCha8Rng::seed_from_u64(32);
+            let mut found_count = 0;
+            for number in 0..STREAMS / 4 {
+                let recorder = rng.random_range(0..routers);
+                let mut kept: HashSet<usize> = keepers(stream(number), &before, recorder)
+                    .into_iter()
+                    .take(KEEPER_COUNT)
+                    .collect();
+                kept.insert(recorder);
+                let mut after: Vec<usize> = (0..routers).sample(&mut rng, routers - replaced);
+                after.extend((routers..routers * 2).take(joined + replaced));
+                let asker = rng.random_range(0..after.len());
+                let candidates: Vec<&DutyCandidate> = after.iter().map(|i| &all[*i]).collect();
+                let (to_ask, _) = sources(stream(number), &candidates, asker);
+                let mut knowing = to_ask.iter().chain([&asker]);
+                found_count += usize::from(knowing.any(|index| kept.contains(&after[*index])));
+            }
+            let share = found_count as f64 / (STREAMS / 4) as f64;
+            println!(
+                "{routers} routers, {joined_percent}% joined, {replaced_percent}% replaced: \
+                 {:.1}% found",
+                share * 100.0
+            );
+            assert!(share >= 0.9, "{routers} routers: {share}");
+        }
+    }
+}
+
 /// Guards against keepers that are all in the failure domains that fail together.
 #[test]
 fn an_origin_survives_the_failure_of_any_two_failure_domains() {
