Look up what began a stream that a caller takes up, and refuse what nobody knows

Cause: the next router knew neither the version of a stream nor whom to ask.

The router that receives a stream's first event now tells three keepers before it forwards the event; a router that is asked to go on looks into its own table, then for the only version that the pool can have had for a stream's life by current lists, then asks the keepers. What nobody knows, what conflicts, and what began at a replica that has another version by now is refused with 503 before anything is reserved; with a Retry-After only where nobody replied, as after a start. Two keepers' lists of routers that differ cost a refusal, never a mix.

Ruled out: asking the replicas (they know runs in progress only), the store (a write a stream), a version derived from the attempt's id (routers' lists differ while a release goes on).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{watch, Mutex};
 use tokio::time::Instant;
 
+use crate::core::ids::PoolId;
 use crate::core::policy::PolicyName;
 use crate::core::presence::RouterState;
 use crate::entry_settings::EntrySettings;
@@ -32,6 +33,7 @@
 use crate::exchange::pools::Pools;
 use crate::exchange::quarantine_store::{QuarantineSink, QuarantineWriter, QUARANTINE_KIND};
 use crate::exchange::server_crashes::ServerCrashes;
+use crate::exchange::single_version::SingleVersions;
 use crate::exchange::stream_origins::StreamOrigins;
 use crate::exchange::suspects::Suspects;
 use crate::exchange::transfers::send_transfers;
@@ -124,23 +126,22 @@
             Arc::clone(&metrics),
             log.clone(),
         ));
-        let origins = new_origins(&members, &socket, &metrics, &log);
+        let single_versions = SingleVersions::new(Arc::clone(&pools), Arc::clone(&store_health));
+        let single_versions = Arc::new(single_versions);
+        let origins = new_origins(&members, &socket, &metrics, &single_versions, &log);
         let parts = ExchangeParts {
             pools: Arc::clone(&pools),
             grants: Arc::clone(&grants),
             transport: Arc::clone(&transport) as _,
             server_crashes: Arc::clone(&server_crashes),
             permits: Arc::clone(&permits),
+            origins: Arc::clone(&origins),
+            single_versions,
             store_health: Arc::clone(&store_health),
             metrics: Arc::clone(&metrics),
         };
         let exchange = Arc::new(Exchange::new(parts, log.clone()));
-        let directory = Arc::new(Directory::new(
-            Arc::clone(&pools),
-            Arc::clone(&server_crashes),
-            Arc::clone(&store_health),
-            log.clone(),
-        ));
+        let directory = new_directory(&pools, &server_crashes, &store_health, &log);
         let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
         let headroom = new_headroom(settings.max_descriptors, &ingress, &transport);
         let router_endpoints = Arc::new(RouterEndpoints::new(
@@ -387,17 +388,37 @@
     ))
 }
 
+fn new_directory(
+    pools: &Arc<Pools>,
+    server_crashes: &Arc<ServerCrashes>,
+    store_health: &Arc<StoreHealth>,
+    log: &Logger,
+) -> Arc<Directory> {
+    Arc::new(Directory::new(
+        Arc::clone(pools),
+        Arc::clone(server_crashes),
+        Arc::clone(store_health),
+        log.clone(),
+    ))
+}
+
 fn new_origins(
     members: &Arc<Members>,
     socket: &Arc<UdpSocket>,
     metrics: &Arc<ExchangeMetrics>,
+    single_versions: &Arc<SingleVersions>,
     log: &Logger,
 ) -> Arc<StreamOrigins> {
+    let single_versions = Arc::clone(single_versions);
+    let single_version = move |pool: &PoolId| {
+        let single = single_versions.find_in_pool(pool);
+        single.map(|single| single.version)
+    };
     Arc::new(StreamOrigins::new(
         Arc::clone(members),
         Arc::clone(socket),
         Arc::clone(metrics),
-        Arc::new(|_| None),
+        Arc::new(single_version),
         log.clone(),
     ))
 }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: authentication, routing and token reservation.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -20,7 +20,8 @@
 };
 use super::run::Run;
 use super::server_crashes::ServerCrashes;
-use super::stream_routes::StreamRoutes;
+use super::single_version::SingleVersions;
+use super::stream_origins::StreamOrigins;
 use super::suspects::Suspects;
 use crate::core::ids::PoolId;
 use crate::core::part_quarantine::PartId;
@@ -28,7 +29,7 @@
 use crate::core::quarantine::Fingerprint;
 use crate::core::units::Tokens;
 use crate::store::health::StoreHealth;
-use crate::util::{lock, stable_hash};
+use crate::util::stable_hash;
 
 /// `Retry-After` when no configuration is known or the route has no pool.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -41,8 +42,9 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     catalog: ArcSwapOption<Catalog>,
-    pub(super) stream_routes: Mutex<StreamRoutes>,
-    pub(super) store_health: Arc<StoreHealth>,
+    pub(super) single_versions: Arc<SingleVersions>,
+    pub(super) origins: Arc<StreamOrigins>,
+    store_health: Arc<StoreHealth>,
     is_closed: AtomicBool,
     pub(super) pools: Arc<Pools>,
     grants: Arc<Grants>,
@@ -67,6 +69,10 @@
     pub server_crashes: Arc<ServerCrashes>,
     /// Permits for rate-limited replicas.
     pub permits: Arc<Permits>,
+    /// Origins of streams.
+    pub origins: Arc<StreamOrigins>,
+    /// Pools with a single version.
+    pub single_versions: Arc<SingleVersions>,
     /// Whether the store answers.
     pub store_health: Arc<StoreHealth>,
     /// Metrics.
@@ -78,7 +84,8 @@
     pub(crate) fn new(parts: ExchangeParts, log: Logger) -> Self {
         Self {
             catalog: ArcSwapOption::empty(),
-            stream_routes: Mutex::default(),
+            single_versions: parts.single_versions,
+            origins: parts.origins,
             store_health: parts.store_health,
             is_closed: AtomicBool::new(false),
             pools: parts.pools,
@@ -107,7 +114,7 @@
             return false;
         }
         self.pools.apply_catalog(&catalog);
-        lock(&self.stream_routes).apply_catalog(&catalog, Instant::now());
+        self.single_versions.apply_catalog(&catalog);
         self.grants.apply_catalog(&catalog);
         self.catalog.store(Some(Arc::new(catalog)));
         true
@@ -185,7 +192,8 @@
         record.rank = rank;
         let resume = match &request.resume {
             Some(resume) if route.kind.is_stream() => {
-                Some(self.resolve_origin(resume, &route, record).await?)
+                let team = team.as_deref();
+                Some(self.resolve_origin(resume, &route, team, record).await?)
             }
             _ => None,
         };
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
@@ -43,48 +44,17 @@
     /// Fails when two metrics share a name.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let requests = IntCounterVec::new(
-            Opts::new("currantlever_exchanges", "Requests by outcome"),
-            &["outcome"],
-        )?;
-        let repeats = IntCounter::new("currantlever_repeats", "Requests sent to another replica")?;
-        let latency = Histogram::with_opts(
-            HistogramOpts::new("currantlever_exchange_seconds", "Time to the end")
-                .buckets(LATENCY_BOUNDS_S.to_vec()),
-        )?;
-        let first_event = Histogram::with_opts(
-            HistogramOpts::new(
-                "currantlever_first_event_seconds",
-                "Time to the first event",
+        let counters = |name, help, label| {
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), &[label])?,
             )
-            .buckets(LATENCY_BOUNDS_S.to_vec()),
-        )?;
-        let store_calls = IntCounterVec::new(
-            Opts::new("currantlever_store_calls", "Calls to the store by result"),
-            &["result"],
-        )?;
-        let lost_connections = IntCounterVec::new(
-            Opts::new(
-                "currantlever_lost_connections",
-                "Connections to backend servers lost with a request in progress, by what was found",
-            ),
-            &["finding"],
-        )?;
-        let stream_resumes = IntCounterVec::new(
-            Opts::new(
-                "currantlever_stream_resumes",
-                "Streams to go on at another replica, by result",
-            ),
-            &["result"],
-        )?;
-        let quarantined = IntCounter::new(
-            "currantlever_quarantined",
-            "Requests that came to be quarantined",
-        )?;
-        let quarantined_parts = IntCounter::new(
-            "currantlever_quarantined_parts",
-            "Prompt parts that came to be quarantined",
-        )?;
+        };
+        let counter = |name, help| register(&registry, IntCounter::new(name, help)?);
+        let latencies = |name, help| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
+            register(&registry, Histogram::with_opts(options)?)
+        };
         let replicas = IntGaugeVec::new(
             Opts::new("currantlever_replicas", "Replicas by pool and state"),
             &["pool", "state"],
@@ -96,57 +66,60 @@
             ),
             &["replica"],
         )?;
-        let permits = new_counters(
-            &registry,
-            "currantlever_permits",
-            "Permits requested for rate-limited replicas, by result",
-            "result",
-        )?;
-        let stream_origins = new_counters(
-            &registry,
-            "currantlever_stream_origins",
-            "Records of what began streams, by what happened to them",
-            "event",
-        )?;
-        let origin_searches = new_counters(
-            &registry,
-            "currantlever_origin_searches",
-            "Searches for what began a stream, by result",
-            "result",
-        )?;
         let store_era = IntGauge::new(
             "currantlever_store_era",
             "Era of the store; rises when it returns from an older copy",
         )?;
-        registry.register(Box::new(store_era.clone()))?;
-        registry.register(Box::new(requests.clone()))?;
-        registry.register(Box::new(repeats.clone()))?;
-        registry.register(Box::new(latency.clone()))?;
-        registry.register(Box::new(first_event.clone()))?;
-        registry.register(Box::new(store_calls.clone()))?;
-        registry.register(Box::new(lost_connections.clone()))?;
-        registry.register(Box::new(stream_resumes.clone()))?;
-        registry.register(Box::new(quarantined.clone()))?;
-        registry.register(Box::new(quarantined_parts.clone()))?;
-        registry.register(Box::new(replicas.clone()))?;
-        registry.register(Box::new(rate_limits.clone()))?;
         Ok(Self {
+            requests: counters("currantlever_exchanges", "Requests by outcome", "outcome")?,
+            repeats: counter("currantlever_repeats", "Requests sent to another replica")?,
+            latency: latencies("currantlever_exchange_seconds", "Time to the end")?,
+            first_event: latencies(
+                "currantlever_first_event_seconds",
+                "Time to the first event",
+            )?,
+            store_calls: counters(
+                "currantlever_store_calls",
+                "Calls to the store by result",
+                "result",
+            )?,
+            lost_connections: counters(
+                "currantlever_lost_connections",
+                "Connections to backend servers lost with a request in progress, by what was found",
+                "finding",
+            )?,
+            stream_resumes: counters(
+                "currantlever_stream_resumes",
+                "Streams to go on at another replica, by result",
+                "result",
+            )?,
+            quarantined: counter(
+                "currantlever_quarantined",
+                "Requests that came to be quarantined",
+            )?,
+            quarantined_parts: counter(
+                "currantlever_quarantined_parts",
+                "Prompt parts that came to be quarantined",
+            )?,
+            permits: counters(
+                "currantlever_permits",
+                "Permits requested for rate-limited replicas, by result",
+                "result",
+            )?,
+            stream_origins: counters(
+                "currantlever_stream_origins",
+                "Records of what began streams, by what happened to them",
+                "event",
+            )?,
+            origin_searches: counters(
+                "currantlever_origin_searches",
+                "Searches for what began a stream, by result",
+                "result",
+            )?,
+            replicas: register(&registry, replicas)?,
+            rate_limits: register(&registry, rate_limits)?,
+            store_era: register(&registry, store_era)?,
             registry,
-            requests,
-            repeats,
-            latency,
-            first_event,
-            store_calls,
-            lost_connections,
-            stream_resumes,
-            quarantined,
-            quarantined_parts,
-            replicas,
-            rate_limits,
-            permits,
-            stream_origins,
-            origin_searches,
-            store_era,
         })
     }
 
@@ -238,14 +211,11 @@
     }
 }
 
-/// Creates and registers counters that differ in one label.
-fn new_counters(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    label: &str,
-) -> Result<IntCounterVec, prometheus::Error> {
-    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-    registry.register(Box::new(counters.clone()))?;
-    Ok(counters)
+/// Registers a metric and returns it.
+fn register<M>(registry: &Registry, metric: M) -> Result<M, prometheus::Error>
+where
+    M: Collector + Clone + 'static,
+{
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
 }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -39,6 +39,7 @@
 pub(crate) mod request;
 pub(crate) mod run;
 pub(crate) mod server_crashes;
+pub(crate) mod single_version;
 pub(crate) mod stream_origins;
 pub(crate) mod stream_resume;
 pub(crate) mod stream_routes;
--- a/src/exchange/origin_search.rs
+++ b/src/exchange/origin_search.rs
@@ -43,10 +43,6 @@
 
 impl StreamOrigins {
     /// Returns what began a stream that is to go on at a pool.
-    #[expect(
-        dead_code,
-        reason = "to be called by the engine once it chooses by version"
-    )]
     pub(crate) async fn find(&self, stream: StreamId, pool: &PoolId) -> FoundOrigin {
         let started = Instant::now();
         let known = lock(&self.table).find(stream, self.now_ms());
--- a/src/exchange/stream_origins.rs
+++ b/src/exchange/stream_origins.rs
@@ -143,10 +143,6 @@
 
     /// Records what began a stream and tells the keepers. Must be called before the first event is
     /// forwarded.
-    #[expect(
-        dead_code,
-        reason = "to be called by the relay once it knows a replica's version"
-    )]
     pub(crate) fn record(&self, stream: StreamId, origin: StreamOrigin) {
         self.metrics.count_stream_origin("recorded");
         let age_ms = self.apply_origin(stream, &origin, 0, OriginSource::Own);
@@ -180,6 +176,11 @@
         }
     }
 
+    /// Returns true if this router knows what began a stream.
+    pub(crate) fn is_known(&self, stream: StreamId) -> bool {
+        lock(&self.table).find(stream, self.now_ms()).is_some()
+    }
+
     /// Keeps the origin that another router reports.
     pub(crate) fn handle_report(&self, router: SocketAddr, report: &OriginReport) {
         self.metrics.count_stream_origin("kept");
--- a/src/exchange/stream_resume.rs
+++ b/src/exchange/stream_resume.rs
@@ -2,32 +2,63 @@
 
 use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{format_compact, CompactString, ToCompactString};
 use tokio::time::Instant;
 
-use super::catalog::Route;
+use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
 use super::engine::Exchange;
 use super::record::{OriginNote, RefusedResume, RequestRecord};
 use super::relay::OpenStream;
 use super::request::{RejectKind, Rejection, ResumePoint, ResumeRequest};
 use super::run::Run;
-use crate::core::stream_origin::StreamOrigin;
-use crate::util::lock;
+use super::stream_origins::FoundOrigin;
+use crate::core::ids::{PoolId, ReplicaVersion};
+use crate::core::stream_origin::{StreamId, StreamOrigin};
 
+/// Digest that stands for any replica in the origin of a stream whose replica is unknown.
+const UNKNOWN_REPLICA: u32 = 0;
+/// `Retry-After` when no other router replied on what began a stream.
+const NO_REPLY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Source of a version that is stated in the entry of the stream's replica.
 const FROM_ENTRY: &str = "entry of the replica";
 /// Source of a version that all replicas have had for as long as a stream lives.
 const FROM_SINGLE_VERSION: &str = "only version of the pool";
 
 /// The origin of a stream that a caller takes up, and how it is known.
-struct FoundOrigin {
+struct ResolvedOrigin {
     origin: StreamOrigin,
     source: CompactString,
     /// Time for which it has been known.
     age: Duration,
 }
 
+impl ResolvedOrigin {
+    /// Resolves to the only version that streams of a pool can have, whichever replica began them.
+    fn of_single_version(
+        pool: PoolId,
+        version: ReplicaVersion,
+        source: CompactString,
+        age: Duration,
+    ) -> Self {
+        Self {
+            origin: StreamOrigin {
+                pool,
+                replica: UNKNOWN_REPLICA,
+                born_ms: None,
+                version,
+            },
+            source,
+            age,
+        }
+    }
+}
+
+/// Returns the id by which all routers know the stream that an attempt of a team began.
+fn stream_id(team: Option<&Team>, attempt: &str) -> StreamId {
+    StreamId::new(team.map_or("", |team| team.budget.as_str()), attempt)
+}
+
 impl Exchange {
     /// Determines where a stream that a caller takes up may go on.
     ///
@@ -38,10 +69,11 @@
         &self,
         resume: &ResumeRequest,
         route: &Route,
+        team: Option<&Team>,
         record: &mut RequestRecord,
     ) -> Result<ResumePoint, Rejection> {
         record.resumes.clone_from(&resume.first_attempt);
-        let resolved = self.find_resume_point(resume, route, record).await;
+        let resolved = self.find_resume_point(resume, route, team, record).await;
         match &resolved {
             Ok(_) => record.count_stream_resume("taken_up"),
             Err(rejection) => record.count_stream_resume(&rejection.kind.to_string()),
@@ -53,15 +85,13 @@
         &self,
         resume: &ResumeRequest,
         route: &Route,
+        team: Option<&Team>,
         record: &mut RequestRecord,
     ) -> Result<ResumePoint, Rejection> {
-        let found = self
-            .find_origin(resume, route)
-            .await
-            .filter(|found| route.has_pool(&found.origin.pool));
-        let Some(found) = found else {
+        let found = self.find_origin(resume, route, team).await?;
+        if !route.has_pool(&found.origin.pool) || self.pools.is_origin_uncertain(&found.origin) {
             return Err(Rejection::new(RejectKind::OriginUnknown));
-        };
+        }
         record.origin = Some(OriginNote {
             version: found.origin.version.clone(),
             source: found.source,
@@ -76,40 +106,79 @@
         })
     }
 
-    #[allow(clippy::unused_async, reason = "other routers will be asked")]
-    async fn find_origin(&self, _resume: &ResumeRequest, route: &Route) -> Option<FoundOrigin> {
-        self.single_version_origin(route)
-    }
-
-    /// Returns the origin of any stream of a route whose replicas have all had the same version for
-    /// as long as a stream lives.
-    fn single_version_origin(&self, route: &Route) -> Option<FoundOrigin> {
-        let known = lock(&self.stream_routes).find(route, Instant::now())?;
-        let lists_since = self.store_health.lists_current_since()?;
-        let complete_since = lists_since.max(known.since);
-        let version = self
-            .pools
-            .single_version(&known.pool, complete_since, known.life)?;
-        Some(FoundOrigin {
-            origin: StreamOrigin {
-                pool: known.pool,
-                replica: 0,
-                born_ms: None,
-                version,
-            },
-            source: FROM_SINGLE_VERSION.into(),
-            age: complete_since.elapsed(),
-        })
+    /// Returns what began a stream: as this router was told or found out before, by the only version
+    /// that it can have, or as other routers know it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a rejection if nobody knows it.
+    async fn find_origin(
+        &self,
+        resume: &ResumeRequest,
+        route: &Route,
+        team: Option<&Team>,
+    ) -> Result<ResolvedOrigin, Rejection> {
+        let unknown = Rejection::new(RejectKind::OriginUnknown);
+        let attempt = resume.first_attempt.as_deref();
+        let stream = attempt.map(|attempt| stream_id(team, attempt));
+        let is_known_here = stream.is_some_and(|stream| self.origins.is_known(stream));
+        if !is_known_here {
+            if let Some(single) = self.single_versions.find(route) {
+                return Ok(ResolvedOrigin::of_single_version(
+                    single.pool,
+                    single.version,
+                    FROM_SINGLE_VERSION.into(),
+                    single.age,
+                ));
+            }
+        }
+        let (Some(stream), Some(pool)) = (stream, route.pools.first()) else {
+            return Err(unknown);
+        };
+        let pool = &pool.pool;
+        match self.origins.find(stream, pool).await {
+            FoundOrigin::Known {
+                origin,
+                source,
+                age,
+            } => Ok(ResolvedOrigin {
+                origin,
+                source: source.to_compact_string(),
+                age,
+            }),
+            FoundOrigin::Unknown {
+                single_version: Some((version, router)),
+                ..
+            } if route.pools.len() == 1 => {
+                let source = format_compact!("{FROM_SINGLE_VERSION}, by {router}");
+                Ok(ResolvedOrigin::of_single_version(
+                    pool.clone(),
+                    version,
+                    source,
+                    Duration::ZERO,
+                ))
+            }
+            // A router that has just started knows the others soon.
+            FoundOrigin::Unknown { answered: 0, .. } => {
+                Err(unknown.with_retry_after(NO_REPLY_RETRY_AFTER))
+            }
+            FoundOrigin::Unknown { .. } | FoundOrigin::Conflicting => Err(unknown),
+        }
     }
 }
 
 impl Run {
-    /// Records which replica brought the first event of a stream.
+    /// Records which replica brought the first event of a stream, and reports it to other routers.
+    /// Must be called before the event is forwarded.
     pub(super) fn record_origin(&mut self, chosen: &ChosenReplica) {
-        if self.resume.is_some() {
+        if let Some(resume) = &self.resume {
+            self.report_known_origin(&resume.origin);
             return;
         }
         self.origin = chosen.stream_origin();
+        if let Some(origin) = &self.origin {
+            self.report_origin(&self.request.attempt, origin);
+        }
         self.record.origin = self.origin.as_ref().map(|origin| OriginNote {
             version: origin.version.clone(),
             source: FROM_ENTRY.into(),
@@ -117,6 +186,25 @@
         });
     }
 
+    fn report_origin(&self, attempt: &str, origin: &StreamOrigin) {
+        if self.route.kind == RouteKind::ResumableStream {
+            let stream = stream_id(self.team.as_deref(), attempt);
+            self.exchange.origins.record(stream, origin.clone());
+        }
+    }
+
+    /// Reports what began a stream that the caller took up, if only its version is known: by the
+    /// time of the next try the pool may have several.
+    fn report_known_origin(&self, origin: &StreamOrigin) {
+        let Some(attempt) = self.record.resumes.as_deref() else {
+            return;
+        };
+        let stream = stream_id(self.team.as_deref(), attempt);
+        if !self.exchange.origins.is_known(stream) {
+            self.report_origin(attempt, origin);
+        }
+    }
+
     /// Returns the point after which the stream in progress may go on at another replica; `None` if
     /// its version is not known for certain.
     pub(super) fn resume_point(&mut self, last_event_id: u64) -> Option<ResumePoint> {
--- a/src/exchange/stream_routes.rs
+++ b/src/exchange/stream_routes.rs
@@ -95,12 +95,12 @@
     }
 }
 
-/// What is known of the streams of a route.
+/// How long streams of a pool may live, and since when they all belong to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct StreamRouteInfo {
-    /// The route's only pool.
+pub(super) struct StreamLives {
+    /// The only pool of these streams.
     pub pool: PoolId,
-    /// Since when it has been the only pool of all streams that the route may take up.
+    /// Since when it has been the only pool of all streams that may be taken up there.
     pub since: Instant,
     /// Longest life of such a stream.
     pub life: Duration,
@@ -138,16 +138,38 @@
     }
 
     /// Returns what is known of the streams of a route, if it has a single pool.
-    pub(super) fn find(&self, route: &Route, now: Instant) -> Option<StreamRouteInfo> {
+    pub(super) fn find(&self, route: &Route, now: Instant) -> Option<StreamLives> {
         let key = (route.host.clone(), route.path_prefix.clone());
         let known = self.routes.get(&key)?;
         let [pool] = known.pools.as_slice() else {
             return None;
         };
-        Some(StreamRouteInfo {
+        Some(StreamLives {
             pool: pool.clone(),
             since: known.pools_since,
             life: known.life(now),
         })
     }
+
+    /// Returns what is known of the streams of all routes to a pool, if none of these has another
+    /// pool too.
+    pub(super) fn find_pool(&self, pool: &PoolId, now: Instant) -> Option<StreamLives> {
+        let routes = self.routes.values();
+        let routes = routes.filter(|route| route.pools.contains(pool));
+        let lives = routes.map(|route| {
+            (route.pools.len() == 1).then(|| StreamLives {
+                pool: pool.clone(),
+                since: route.pools_since,
+                life: route.life(now),
+            })
+        });
+        lives.reduce(|first, second| {
+            let (first, second) = (first?, second?);
+            Some(StreamLives {
+                pool: first.pool,
+                since: first.since.max(second.since),
+                life: first.life.max(second.life),
+            })
+        })?
+    }
 }
--- a/tests/entry/stream_origins.rs
+++ b/tests/entry/stream_origins.rs
@@ -5,10 +5,11 @@
 use currantlever::{ReplicaVersion, StreamId, StreamOrigin};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use serde_json::Value;
 use tokio::net::UdpSocket;
 
-use super::replica::Behaviour;
-use super::site::{get, wait_until, Call, Router};
+use super::replica::{Behaviour, FakeReplica};
+use super::site::{get, wait_until, Call, Router, Site};
 use super::site_with;
 
 /// Positions of the messages among those between routers.
@@ -179,3 +180,138 @@
     let answer = Call::new("look", "a-2").send(router.callers_address).await;
     assert_eq!(answer.unwrap().status, 200);
 }
+
+/// Starts a fleet whose routers know one another, with one replica that streams.
+async fn fleet(routers: usize) -> (Site, Vec<FakeReplica>, Vec<Router>) {
+    let stream = Behaviour::Stream {
+        events: 4,
+        pause: Duration::ZERO,
+    };
+    let (site, replicas) = site_with(&[stream]).await;
+    let names: Vec<String> = (0..routers).map(|number| format!("r-{number}")).collect();
+    let started = names.iter().map(|name| site.ready_router(name));
+    let fleet = futures::future::join_all(started).await;
+    for router in &fleet {
+        wait_until("the routers know one another", || async {
+            router.log_lines("router discovered").len() >= routers - 1
+        })
+        .await;
+    }
+    (site, replicas, fleet)
+}
+
+async fn begin_stream(router: &Router, attempt: &str) {
+    let answer = Call::new("chat", attempt)
+        .send(router.callers_address)
+        .await;
+    assert_eq!(answer.unwrap().status, 200);
+}
+
+/// Takes a stream up until a log line with this message fulfils the condition, and returns it. A
+/// busy machine may answer a search too late.
+async fn take_up_until<F>(router: &Router, first: &str, message: &str, condition: F) -> Value
+where
+    F: Fn(&Value) -> bool,
+{
+    let found = || {
+        router
+            .log_lines(message)
+            .into_iter()
+            .find(|line| condition(line))
+    };
+    wait_until(message, || async {
+        let call = Call::new("chat", "a-next")
+            .with("last-event-id", "2")
+            .with("resumes", first);
+        // Whether the stream goes on is not of interest here.
+        call.send(router.callers_address).await.unwrap();
+        found().is_some()
+    })
+    .await;
+    found().unwrap()
+}
+
+/// Guards against a stream whose version is lost with the router that began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_router_finds_what_began_a_stream_after_the_first_router_was_killed_or_paused() {
+    for is_killed in [true, false] {
+        let (_site, _replicas, mut routers) = fleet(9).await;
+        begin_stream(&routers[0], "a-1").await;
+        if is_killed {
+            routers[0].kill();
+        } else {
+            routers[0].pause();
+        }
+        for router in &routers[1..] {
+            let found = take_up_until(router, "a-1", "origin of a stream found", |_| true).await;
+            assert_eq!(found["version"], "v1", "{found}");
+            assert_eq!(found["origin_pool"], "pool", "{found}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_found_an_origin_remembers_it() {
+    let (_site, _replicas, mut routers) = fleet(3).await;
+    begin_stream(&routers[0], "a-1").await;
+    let message = "origin of a stream found";
+    take_up_until(&routers[1], "a-1", message, |_| true).await;
+    for router in [0, 2] {
+        routers[router].kill();
+    }
+    let is_own = |line: &Value| line["source"] == "own";
+    take_up_until(&routers[1], "a-1", message, is_own).await;
+}
+
+/// Guards against taking silence for an answer: the log tells who was asked from who answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_attempt_is_not_found_and_the_log_tells_who_answered() {
+    let (_site, _replicas, mut routers) = fleet(3).await;
+    begin_stream(&routers[0], "a-1").await;
+    routers[2].kill();
+    let message = "origin of a stream not found";
+    let is_answered = |line: &Value| line["asked"] == 2 && line["answered"] == 1;
+    take_up_until(&routers[1], "a-unknown", message, is_answered).await;
+    assert!(routers[1].log_lines("origin of a stream found").is_empty());
+    let text = metrics(&routers[1]).await;
+    let counted = "currantlever_origin_searches{result=\"unknown\"}";
+    assert!(text.contains(counted), "{text}");
+}
+
+/// Guards against an origin that is lost with its first keepers.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_origin_is_sent_to_others_until_two_routers_acknowledge() {
+    // The first router may tell all six others, so the two that live are told in the end.
+    let (_site, _replicas, routers) = fleet(7).await;
+    for router in &routers[1..5] {
+        router.pause();
+    }
+    for number in 0..8 {
+        begin_stream(&routers[0], &format!("a-{number}")).await;
+    }
+    for router in &routers[5..] {
+        let peer = Peer::connect(router).await;
+        for number in 0..8 {
+            let stream = StreamId::new("red", &format!("a-{number}"));
+            wait_until("the router was told", || async {
+                let reply: (u8, u64, u8) = peer.query(number, stream).await;
+                reply == (REPLY, number, KNOWN)
+            })
+            .await;
+        }
+    }
+    // With a single one left that answers, nothing waits, and the failure is logged.
+    routers[5].pause();
+    begin_stream(&routers[0], "a-last").await;
+    let stream = StreamId::new("red", "a-last").to_string();
+    wait_until("the failure is logged", || async {
+        let lines = routers[0].log_lines("origin of a stream not acknowledged");
+        lines.iter().any(|line| line["stream"] == *stream)
+    })
+    .await;
+    let text = metrics(&routers[0]).await;
+    for event in ["recorded", "acknowledged", "repeated", "unacknowledged"] {
+        let line = format!("currantlever_stream_origins{{event=\"{event}\"}}");
+        assert!(text.contains(&line), "{text}");
+    }
+}
