Count the requests read and ended, and log each that ends without a whole answer

Now currantlever_requests_read and currantlever_requests_ended by end are on the metrics address; a request that ends without a whole answer has a line with its id, its end and the connection's error; a cut stream has a line with the cause and the reason why it was not resumed. Connections that are still open at the exit are closed before it, so that their requests are logged too. A request counts as in progress until its body was handed over.

Evidence: tests/entry/request_ends.rs.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -221,12 +221,16 @@
         while self.ingress.connection_count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
+        let cut_requests = self.ingress.request_count();
+        self.ingress.close_all();
+        // Lets each request that is cut be logged.
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let spent = self.grants.spent();
         let spent: Vec<String> = spent
             .iter()
             .map(|(team, tokens)| format!("{team}={tokens}"))
             .collect();
-        info!(self.log, "stopped"; "busy" => self.ingress.request_count(),
+        info!(self.log, "stopped"; "busy" => cut_requests,
             "grants_given_back" => is_returned && self.grants.is_returned(),
             "spent_tokens" => spent.join(" "));
     }
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -46,7 +46,7 @@
     pub(super) server_crashes: Arc<ServerCrashes>,
     pub(super) suspects: Arc<Suspects>,
     pub(super) permits: Arc<Permits>,
-    metrics: Arc<ExchangeMetrics>,
+    pub(super) metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
 
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns the metrics.
+    pub(crate) const fn metrics(&self) -> &Arc<ExchangeMetrics> {
+        &self.metrics
+    }
+
     /// Returns the configuration in force, if any.
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.load_full()
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -19,6 +19,9 @@
 pub(crate) struct ExchangeMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    requests_read: IntCounter,
+    requests_ended: IntCounterVec,
+    streams_left: IntCounterVec,
     repeats: IntCounter,
     latency: Histogram,
     first_event: Histogram,
@@ -32,6 +35,10 @@
     store_era: IntGauge,
 }
 
+fn counter_by(name: &str, help: &str, label: &str) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), &[label])
+}
+
 impl ExchangeMetrics {
     /// Creates and registers the metrics.
     ///
@@ -40,9 +47,20 @@
     /// Fails when two metrics share a name.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let requests = IntCounterVec::new(
-            Opts::new("currantlever_exchanges", "Requests by outcome"),
-            &["outcome"],
+        let requests = counter_by("currantlever_exchanges", "Requests by outcome", "outcome")?;
+        let requests_read = IntCounter::new(
+            "currantlever_requests_read",
+            "Requests of callers whose head was read",
+        )?;
+        let requests_ended = counter_by(
+            "currantlever_requests_ended",
+            "Requests of callers whose head was read and that have ended, by how",
+            "end",
+        )?;
+        let streams_left = counter_by(
+            "currantlever_streams_left",
+            "Streams that broke off or fell silent at a backend server, by what followed",
+            "result",
         )?;
         let repeats = IntCounter::new("currantlever_repeats", "Requests sent to another replica")?;
         let latency = Histogram::with_opts(
@@ -56,16 +74,15 @@
             )
             .buckets(LATENCY_BOUNDS_S.to_vec()),
         )?;
-        let store_calls = IntCounterVec::new(
-            Opts::new("currantlever_store_calls", "Calls to the store by result"),
-            &["result"],
+        let store_calls = counter_by(
+            "currantlever_store_calls",
+            "Calls to the store by result",
+            "result",
         )?;
-        let lost_connections = IntCounterVec::new(
-            Opts::new(
-                "currantlever_lost_connections",
-                "Connections to backend servers lost with a request in progress, by what was found",
-            ),
-            &["finding"],
+        let lost_connections = counter_by(
+            "currantlever_lost_connections",
+            "Connections to backend servers lost with a request in progress, by what was found",
+            "finding",
         )?;
         let quarantined = IntCounter::new(
             "currantlever_quarantined",
@@ -86,12 +103,10 @@
             ),
             &["replica"],
         )?;
-        let permits = IntCounterVec::new(
-            Opts::new(
-                "currantlever_permits",
-                "Permits requested for rate-limited replicas, by result",
-            ),
-            &["result"],
+        let permits = counter_by(
+            "currantlever_permits",
+            "Permits requested for rate-limited replicas, by result",
+            "result",
         )?;
         let store_era = IntGauge::new(
             "currantlever_store_era",
@@ -99,6 +114,9 @@
         )?;
         registry.register(Box::new(store_era.clone()))?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(requests_read.clone()))?;
+        registry.register(Box::new(requests_ended.clone()))?;
+        registry.register(Box::new(streams_left.clone()))?;
         registry.register(Box::new(repeats.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(first_event.clone()))?;
@@ -112,6 +130,9 @@
         Ok(Self {
             registry,
             requests,
+            requests_read,
+            requests_ended,
+            streams_left,
             repeats,
             latency,
             first_event,
@@ -133,6 +154,21 @@
         self.repeats.inc_by(u64::from(tries.saturating_sub(1)));
     }
 
+    /// Counts a request whose head was read.
+    pub(crate) fn count_request_read(&self) {
+        self.requests_read.inc();
+    }
+
+    /// Counts the end of a request whose head was read.
+    pub(crate) fn count_request_ended(&self, end: &str) {
+        self.requests_ended.with_label_values(&[end]).inc();
+    }
+
+    /// Counts a stream that broke off or fell silent, by what followed.
+    pub(crate) fn count_stream_left(&self, result: &str) {
+        self.streams_left.with_label_values(&[result]).inc();
+    }
+
     /// Observes a time to the first event.
     pub(crate) fn observe_first_event(&self, time: Duration) {
         self.first_event.observe(time.as_secs_f64());
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -33,6 +33,7 @@
 pub(crate) mod replica_search;
 pub(crate) mod reported_grants;
 pub(crate) mod request;
+pub(crate) mod retries;
 pub(crate) mod run;
 pub(crate) mod server_crashes;
 pub(crate) mod suspect_parts;
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -8,12 +8,14 @@
 use compact_str::ToCompactString;
 use futures::StreamExt;
 use http::HeaderMap;
+use slog::info;
 use tokio::time::Instant;
 
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
 use super::events::{EventSplitter, StreamQuota, StreamTooLong};
 use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
+use super::retries::NotResumed;
 use super::run::{AnsweredTry, Run};
 
 /// Minimum time without an event after which a resumable stream is resumed elsewhere.
@@ -213,8 +215,7 @@
             if let Some(chosen) = chosen {
                 run.record_broken(&chosen, &reason).await;
             }
-            let Some(resumed) = resume(&mut run, last_id, quota).await else {
-                run.record.set_outcome("stream_broken");
+            let Some(resumed) = resume_broken(&mut run, last_id, quota, &reason).await else {
                 yield Err(reason);
                 return;
             };
@@ -234,14 +235,48 @@
     timeout.max(MIN_STALL_TIMEOUT)
 }
 
-/// Resumes a stream at another replica. Returns `None` if that is not allowed or fails.
-async fn resume(run: &mut Run, last_id: Option<u64>, quota: StreamQuota) -> Option<OpenStream> {
+/// Resumes a stream that broke off, and records what came of it.
+async fn resume_broken(
+    run: &mut Run,
+    last_id: Option<u64>,
+    quota: StreamQuota,
+    cause: &BrokenBody,
+) -> Option<OpenStream> {
+    match resume(run, last_id, quota).await {
+        Ok(resumed) => {
+            run.exchange.metrics.count_stream_left("resumed");
+            Some(resumed)
+        }
+        Err(error) => {
+            info!(run.exchange.log, "stream cut";
+                "request" => run.request.attempt.as_str(), "cause" => cause.reason.as_str(),
+                "not_resumed" => error.to_string());
+            run.exchange.metrics.count_stream_left("cut");
+            run.record.set_outcome("stream_broken");
+            None
+        }
+    }
+}
+
+/// Resumes a stream at another replica.
+///
+/// # Errors
+///
+/// Returns the reason if that is not allowed or fails.
+async fn resume(
+    run: &mut Run,
+    last_id: Option<u64>,
+    quota: StreamQuota,
+) -> Result<OpenStream, NotResumed> {
     if run.route.kind != RouteKind::ResumableStream {
-        return None;
+        return Err(NotResumed::NotResumable);
     }
-    let last_id = last_id?;
-    while run.take_resume() {
-        let AnsweredTry { answer, mut chosen } = run.next_answer(Some(last_id)).await.ok()?;
+    let last_id = last_id.ok_or(NotResumed::NoEventId)?;
+    loop {
+        run.take_resume()?;
+        let answered = run.next_answer(Some(last_id)).await;
+        let AnsweredTry { answer, mut chosen } =
+            answered.map_err(|rejection| NotResumed::Rejected(rejection.kind))?;
         if !(200..300).contains(&answer.status) {
             run.record
                 .add_try(chosen.replica.id.as_str(), answer.status);
@@ -250,7 +285,7 @@
         let mut open_stream = OpenStream::new(answer, Some(last_id), quota);
         let first_event = tokio::time::timeout_at(run.deadline, open_stream.read_first_event())
             .await
-            .ok()?;
+            .map_err(|_| NotResumed::NoEventInTime)?;
         if let Err(error) = first_event {
             run.record_broken(&chosen, &error).await;
             continue;
@@ -259,7 +294,6 @@
             run.record_first_token(&mut chosen);
         }
         open_stream.chosen = Some(chosen);
-        return Some(open_stream);
+        return Ok(open_stream);
     }
-    None
 }
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -38,7 +38,7 @@
 /// same time.
 const OVERLOAD_JITTER_MS: u64 = 800;
 /// Minimum time before the deadline that makes another try worthwhile.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
 /// State of an admitted request.
 #[derive(Debug)]
@@ -359,21 +359,6 @@
         self.record.set_outcome("answered");
     }
 
-    /// Takes one retry from the retry budget. Returns false if no further try is allowed, in
-    /// particular if the prompt may crash another server.
-    fn take_retry(&mut self) -> bool {
-        let suspects = &self.exchange.suspects;
-        self.sent_count < self.route.max_tries
-            && (self.has_first_token || !suspects.parts().is_in_doubt(&self.parts))
-            && Instant::now() + MIN_TIME_LEFT < self.deadline
-            && self.exchange.pools.try_retry(&self.pool)
-    }
-
-    /// Takes one retry for resuming a stream at another replica; false if none is allowed.
-    pub(super) fn take_resume(&mut self) -> bool {
-        self.take_retry()
-    }
-
     fn quarantine_rejection(&self, remaining: Duration) -> Rejection {
         if self.may_have_run {
             return Rejection::new(RejectKind::AnswerLost);
--- a/src/platform/activity.rs
+++ b/src/platform/activity.rs
@@ -1,8 +1,10 @@
 //! Activity of a caller's connection, for its idle and head timeouts.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::OnceLock;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -20,6 +22,7 @@
     head_since_ms: AtomicU64,
     head_started: Notify,
     must_reset: AtomicBool,
+    end_reason: OnceLock<CompactString>,
 }
 
 impl Activity {
@@ -32,6 +35,7 @@
             head_since_ms: AtomicU64::new(NO_TIME),
             head_started: Notify::new(),
             must_reset: AtomicBool::new(false),
+            end_reason: OnceLock::new(),
         }
     }
 
@@ -87,6 +91,16 @@
         self.must_reset.load(Ordering::Relaxed)
     }
 
+    /// Records why the connection ends. Only the first reason is kept.
+    pub(super) fn set_end_reason(&self, reason: CompactString) {
+        let _ = self.end_reason.set(reason);
+    }
+
+    /// Returns why the connection ends, if it does.
+    pub(super) fn end_reason(&self) -> Option<&str> {
+        self.end_reason.get().map(CompactString::as_str)
+    }
+
     fn now_ms(&self) -> u64 {
         millis(self.started.elapsed())
     }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_stream::stream;
 use bytes::Bytes;
+use compact_str::CompactString;
 use futures::StreamExt;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -16,18 +18,20 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slog::{info, warn, Logger};
+use strum::IntoStaticStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::activity::Activity;
+use super::caller_request::{CallerRequest, RequestCounts};
 use super::caller_stream::CallerStream;
 use super::names;
-use super::transport::remove_connection_headers;
+use super::transport::{describe, remove_connection_headers};
 use crate::core::units::Tokens;
 use crate::exchange::engine::Exchange;
 use crate::exchange::request::{
-    BrokenBody, ExchangeRequest, PromptPart, Rejection, Reply, ReplyBody, TokenBound,
+    BodyStream, BrokenBody, ExchangeRequest, PromptPart, Rejection, Reply, ReplyBody, TokenBound,
 };
 use crate::tcp::set_keepalive;
 
@@ -54,20 +58,25 @@
     log: Logger,
     is_leaving: AtomicBool,
     open_connections: AtomicUsize,
-    requests_in_progress: AtomicUsize,
-    closing: watch::Sender<bool>,
+    counts: RequestCounts,
+    closing: watch::Sender<Closing>,
 }
 
 impl Ingress {
     /// Creates the callers' side of an exchange.
     pub(crate) fn new(exchange: Arc<Exchange>, log: Logger) -> Self {
+        let counts = RequestCounts {
+            in_progress: Arc::default(),
+            metrics: Arc::clone(exchange.metrics()),
+            log: log.clone(),
+        };
         Self {
             exchange,
             log,
             is_leaving: AtomicBool::new(false),
             open_connections: AtomicUsize::new(0),
-            requests_in_progress: AtomicUsize::new(0),
-            closing: watch::Sender::new(false),
+            counts,
+            closing: watch::Sender::new(Closing::No),
         }
     }
 
@@ -79,7 +88,12 @@
 
     /// Closes idle connections now, and all others as soon as they become idle.
     pub(crate) fn close_idle(&self) {
-        self.closing.send_replace(true);
+        self.closing.send_replace(Closing::WhenIdle);
+    }
+
+    /// Closes all connections now, including those with a request in progress.
+    pub(crate) fn close_all(&self) {
+        self.closing.send_replace(Closing::Now);
     }
 
     /// Returns the number of open connections.
@@ -89,7 +103,7 @@
 
     /// Returns the number of requests in progress.
     pub(crate) fn request_count(&self) -> usize {
-        self.requests_in_progress.load(Ordering::Relaxed)
+        self.counts.in_progress.load(Ordering::Relaxed)
     }
 
     /// Accepts connections of callers until the task is aborted.
@@ -134,7 +148,7 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut closing = self.closing.subscribe();
-        let mut is_closing = *closing.borrow();
+        let mut is_closing = *closing.borrow() != Closing::No;
         if is_closing {
             connection.as_mut().graceful_shutdown();
         }
@@ -150,7 +164,14 @@
                 // Received bytes are read before the head can time out.
                 biased;
                 // A caller that has closed its connection needs no answer.
-                _ = connection.as_mut() => break,
+                result = connection.as_mut() => {
+                    let reason = match result {
+                        Ok(()) => "closed by the caller".into(),
+                        Err(error) => describe(&error),
+                    };
+                    activity.set_end_reason(reason);
+                    break;
+                }
                 () = activity.head_started(), if head_deadline.is_none() => {}
                 () = sleep_until(head_deadline), if head_deadline.is_some() => {
                     let is_head_late = activity.head_since().is_some_and(|since| {
@@ -162,7 +183,11 @@
                         break;
                     }
                 }
-                _ = closing.changed(), if !is_closing => {
+                Ok(()) = closing.changed() => {
+                    if *closing.borrow_and_update() == Closing::Now {
+                        activity.set_end_reason("the router exits".into());
+                        break;
+                    }
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -192,60 +217,80 @@
         request: Request<Incoming>,
         activity: Arc<Activity>,
     ) -> Response<ResponseBody> {
-        let guard = RequestGuard::new(Arc::clone(self), activity);
+        let attempt = attempt_id(request.headers());
+        let mut caller_request = CallerRequest::new(self.counts.clone(), activity, attempt);
         let arrived = Instant::now();
         let version = request.version();
         let (parts, body) = request.into_parts();
-        let max_body_bytes = self
-            .exchange
-            .catalog()
-            .map_or(DEFAULT_MAX_BODY_BYTES, |catalog| {
-                catalog.limits().max_body_bytes
-            });
-        let body = Limited::new(body, max_body_bytes).collect();
-        let body_timeout = decode_time_left(&parts.headers).unwrap_or(DEFAULT_BODY_TIMEOUT);
-        let Ok(body) = tokio::time::timeout(body_timeout, body).await else {
-            return error_response(StatusCode::REQUEST_TIMEOUT, "body_too_slow");
-        };
-        let body = match body {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => {
-                return error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+        let body = match self.read_body(&parts.headers, body).await {
+            Ok(body) => body,
+            Err(error) => {
+                if error != UnreadBody::Broken {
+                    caller_request.record_answer();
+                }
+                return error_response(error.status(), error.into(), caller_request);
             }
-            Err(_) => return error_response(StatusCode::BAD_REQUEST, "body_broken"),
         };
+        caller_request.record_body();
         let request = decode_request(parts, body, arrived);
         let reply = self.exchange.serve(request).await;
-        let mut response = encode_reply(reply, guard, version);
+        let mut response = encode_reply(reply, caller_request, version);
         if self.is_leaving.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert("connection", close);
         }
         response
     }
+
+    async fn read_body(&self, headers: &HeaderMap, body: Incoming) -> Result<Bytes, UnreadBody> {
+        let catalog = self.exchange.catalog();
+        let max_body_bytes = catalog.map_or(DEFAULT_MAX_BODY_BYTES, |catalog| {
+            catalog.limits().max_body_bytes
+        });
+        let body = Limited::new(body, max_body_bytes).collect();
+        let body_timeout = decode_time_left(headers).unwrap_or(DEFAULT_BODY_TIMEOUT);
+        match tokio::time::timeout(body_timeout, body).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(UnreadBody::TooLarge),
+            Ok(Err(_)) => Err(UnreadBody::Broken),
+            Err(_) => Err(UnreadBody::TooSlow),
+        }
+    }
 }
 
-/// Counts a request as in progress until its answer has been sent or dropped.
-struct RequestGuard {
-    ingress: Arc<Ingress>,
-    activity: Arc<Activity>,
+/// Why the body of a request was not read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+enum UnreadBody {
+    #[strum(serialize = "body_too_slow")]
+    TooSlow,
+    #[strum(serialize = "body_too_large")]
+    TooLarge,
+    #[strum(serialize = "body_broken")]
+    Broken,
 }
 
-impl RequestGuard {
-    fn new(ingress: Arc<Ingress>, activity: Arc<Activity>) -> Self {
-        ingress.requests_in_progress.fetch_add(1, Ordering::Relaxed);
-        activity.begin_request();
-        Self { ingress, activity }
+impl UnreadBody {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Broken => StatusCode::BAD_REQUEST,
+        }
     }
 }
 
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.activity.end_request();
-        self.ingress
-            .requests_in_progress
-            .fetch_sub(1, Ordering::Relaxed);
-    }
+/// Which connections are closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closing {
+    No,
+    WhenIdle,
+    Now,
+}
+
+fn attempt_id(headers: &HeaderMap) -> CompactString {
+    let value = headers.get(names::ATTEMPT_ID);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.map(str::trim).unwrap_or_default().into()
 }
 
 fn decode_request(parts: http::request::Parts, body: Bytes, arrived: Instant) -> ExchangeRequest {
@@ -254,7 +299,7 @@
         let value = headers.get(name)?;
         value.to_str().ok().map(str::trim)
     };
-    let attempt = text(names::ATTEMPT_ID).unwrap_or_default().into();
+    let attempt = attempt_id(&headers);
     let host = text("host").unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(host, _)| host).into();
     let key = text("authorization")
@@ -339,27 +384,24 @@
     parts.collect()
 }
 
-fn encode_reply(reply: Reply, guard: RequestGuard, version: Version) -> Response<ResponseBody> {
+fn encode_reply(
+    reply: Reply,
+    mut request: CallerRequest,
+    version: Version,
+) -> Response<ResponseBody> {
     match reply {
-        Reply::Rejected(rejection) => encode_rejection(&rejection),
+        Reply::Rejected(rejection) => encode_rejection(&rejection, request),
         Reply::Answer {
             status,
             headers,
             body,
         } => {
             let body = match body {
-                ReplyBody::Buffered(body) => full_body(body),
-                ReplyBody::Streamed(pieces) => {
-                    let frames = pieces.map(move |piece| {
-                        // The request stays in progress until the body is dropped.
-                        let guard = &guard;
-                        if piece.is_err() && version < Version::HTTP_11 {
-                            guard.activity.require_reset();
-                        }
-                        piece.map(Frame::data)
-                    });
-                    StreamBody::new(frames).boxed_unsync()
+                ReplyBody::Buffered(body) => {
+                    request.record_answer();
+                    full_body(body, request)
                 }
+                ReplyBody::Streamed(pieces) => streamed_body(pieces, request, version),
             };
             let mut response = Response::new(body);
             *response.status_mut() =
@@ -370,10 +412,11 @@
     }
 }
 
-fn encode_rejection(rejection: &Rejection) -> Response<ResponseBody> {
+fn encode_rejection(rejection: &Rejection, mut request: CallerRequest) -> Response<ResponseBody> {
     let status =
         StatusCode::from_u16(rejection.kind.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    let mut response = error_response(status, &rejection.kind.to_string());
+    request.record_answer();
+    let mut response = error_response(status, &rejection.kind.to_string(), request);
     if let Some(time) = rejection.retry_after {
         let seconds = format!("{:.2}", time.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -383,17 +426,44 @@
     response
 }
 
-fn error_response(status: StatusCode, reason: &str) -> Response<ResponseBody> {
+fn error_response(
+    status: StatusCode,
+    reason: &str,
+    request: CallerRequest,
+) -> Response<ResponseBody> {
     let body = serde_json::json!({ "error": reason }).to_string();
-    let mut response = Response::new(full_body(Bytes::from(body)));
+    let mut response = Response::new(full_body(Bytes::from(body), request));
     *response.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert("content-type", json);
     response
 }
 
-fn full_body(body: Bytes) -> ResponseBody {
+/// Returns a body that is known. The request stays in progress until the body is dropped.
+fn full_body(body: Bytes, request: CallerRequest) -> ResponseBody {
     Full::new(body)
-        .map_err(|never| match never {})
+        .map_err(move |never: Infallible| {
+            let _request = &request;
+            match never {}
+        })
         .boxed_unsync()
 }
+
+/// Returns a body that is forwarded as it is received. The request stays in progress until the body
+/// is dropped.
+fn streamed_body(
+    mut pieces: BodyStream,
+    mut request: CallerRequest,
+    version: Version,
+) -> ResponseBody {
+    let frames = stream! {
+        while let Some(piece) = pieces.next().await {
+            if piece.is_err() {
+                request.record_cut(version < Version::HTTP_11);
+            }
+            yield piece.map(Frame::data);
+        }
+        request.record_answer();
+    };
+    StreamBody::new(frames).boxed_unsync()
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! and `core`.
 
 mod activity;
+mod caller_request;
 mod caller_stream;
 pub(crate) mod config;
 pub(crate) mod ingress;
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -485,7 +485,7 @@
 }
 
 /// Formats an error with its cause.
-fn describe(error: &hyper::Error) -> CompactString {
+pub(super) fn describe(error: &hyper::Error) -> CompactString {
     let cause = std::error::Error::source(error);
     match cause {
         Some(cause) => compact_str::format_compact!("{error}: {cause}"),
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod prompt_parts;
 mod rate_limits;
 mod replica;
+mod request_ends;
 mod rules;
 mod site;
 mod store;
