Keep a stream at its silent replica until another one has taken it

Cause: silence was taken for a failure. After 1 s, or four pauses of the route, the connection to the silent replica was closed first, and only then were a retry, a replica and a connection looked for. If any of these was missing, or the replica refused, nothing was left to go on with.

Evidence: tests/entry/lost.rs on the code before: a_stream_waits_for_a_silent_server_while_no_other_takes_it FAILED (cut after 1.2 s: 'the replica fell silent', server silent for 1.8 s), as did the two tests of streams with two servers.

Fix: after 2 s and four pauses the stream is offered to another replica while the silent connection stays open. It is closed when the other one has been sent the request and has not refused for 250 ms, or has sent its first event. If the silent one goes on first, the offer is dropped and counts as a try.

--- a/src/exchange/broken_answers.rs
+++ b/src/exchange/broken_answers.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Records that a stream left a silent replica, and finds out later whether that one crashed.
+    pub(super) fn record_left(&mut self, chosen: &ChosenReplica) {
+        chosen.record_failure();
+        self.record
+            .add_try(chosen.replica.id.as_str(), "left, silent in mid-stream");
+        drop(self.start_investigation(chosen));
+    }
+
     /// Records that an answer broke off, and whether its server crashed.
     pub(super) async fn record_broken(&mut self, chosen: &ChosenReplica, error: &BrokenBody) {
         chosen.record_failure();
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::catalog::{Catalog, Route, Team};
+use super::dispatch_progress::DispatchProgress;
 use super::grants::{Grants, Reservation};
 use super::metrics::ExchangeMetrics;
 use super::permits::Permits;
@@ -289,6 +290,7 @@
             unsent_count: 0,
             may_have_run: false,
             output_tokens: Tokens::ZERO,
+            progress: DispatchProgress::new(),
         }
     }
 }
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -1,7 +1,6 @@
 //! Forwards a stream of events to the caller and resumes it at another replica if the route allows.
 
 use std::fmt;
-use std::time::Duration;
 
 use async_stream::stream;
 use bytes::{Bytes, BytesMut};
@@ -13,15 +12,11 @@
 
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
-use super::events::{EventSplitter, StreamQuota, StreamTooLong};
+use super::events::{EventBatch, EventSplitter, StreamQuota, StreamTooLong};
 use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
 use super::retries::NotResumed;
 use super::run::{AnsweredTry, Run};
-
-/// Minimum time without an event after which a resumable stream is resumed elsewhere.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Stall timeout as a multiple of the route's longest allowed pause between two events.
-const STALL_TIMEOUT_PAUSES: u32 = 4;
+use super::silence::{hand_over, Handover, Silence};
 
 /// A stream from one replica, after its first event or its end was received.
 pub(super) struct OpenStream {
@@ -82,6 +77,35 @@
         Ok(())
     }
 
+    /// Reads the next bytes, and returns the events that they complete, or `None` at the end. Safe
+    /// to cancel.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body breaks off or exceeds its quota.
+    pub(super) async fn next_batch(&mut self) -> Result<Option<EventBatch>, SegmentEnd> {
+        match self.body.next().await.map_err(SegmentEnd::Broken)? {
+            BodyPart::Data(chunk) => {
+                let batch = self.splitter.push(&chunk).map_err(SegmentEnd::TooLong)?;
+                Ok(Some(batch))
+            }
+            BodyPart::End(end) => {
+                self.end = Some(end);
+                Ok(None)
+            }
+        }
+    }
+
+    /// Returns the id of the last complete event and the remaining quota.
+    pub(super) const fn position(&self) -> (Option<u64>, StreamQuota) {
+        (self.splitter.last_id(), self.splitter.quota())
+    }
+
+    /// Closes the connection to the replica, if its answer has not ended.
+    pub(super) fn close(&mut self) {
+        self.body = AnswerBody::new(futures::stream::pending().boxed(), BodyEnd::Stated);
+    }
+
     /// Returns true if an event was received.
     pub(super) const fn has_events(&self) -> bool {
         self.first_events > 0
@@ -114,10 +138,13 @@
 }
 
 /// How the segment of a stream that one replica generated has ended.
-enum SegmentEnd {
+#[derive(Debug)]
+pub(super) enum SegmentEnd {
     Complete(BodyEnd),
     Broken(BrokenBody),
-    Stalled,
+    Moved(Box<OpenStream>),
+    /// The stream left a silent replica for one that did not go on.
+    Lost,
     TimedOut,
     TooLong(StreamTooLong),
 }
@@ -132,107 +159,141 @@
             if !first_bytes.is_empty() {
                 yield Ok(first_bytes);
             }
-            let stall_timeout = stall_timeout(&run);
-            // Bytes that complete no event do not reset the timeout.
-            let mut last_event = Instant::now();
+            let mut silence = Silence::new(&run);
             let end = loop {
-                if let Some(end) = open_stream.end {
-                    if let Err(error) = open_stream.check_event_end() {
-                        break SegmentEnd::Broken(error);
-                    }
-                    if let Some(chosen) = &open_stream.chosen {
-                        if let Err(error) = run.check_end(end, chosen).await {
-                            break SegmentEnd::Broken(error);
-                        }
-                    }
-                    break SegmentEnd::Complete(end);
-                }
-                let read_deadline = run.deadline.min(last_event + stall_timeout);
-                let chunk = match tokio::time::timeout_at(read_deadline, open_stream.body.next())
-                    .await
-                {
-                    Ok(Ok(BodyPart::Data(chunk))) => chunk,
-                    Ok(Ok(BodyPart::End(end))) => {
-                        open_stream.end = Some(end);
-                        continue;
-                    }
-                    Ok(Err(error)) => break SegmentEnd::Broken(error),
-                    Err(_) if Instant::now() >= run.deadline => break SegmentEnd::TimedOut,
-                    Err(_) => break SegmentEnd::Stalled,
-                };
-                let batch = match open_stream.splitter.push(&chunk) {
-                    Ok(batch) => batch,
-                    Err(error) => break SegmentEnd::TooLong(error),
-                };
-                run.spend_events(batch.count);
-                if batch.count > 0 {
-                    last_event = Instant::now();
-                }
-                if !batch.bytes.is_empty() {
-                    yield Ok(batch.bytes);
+                match next_events(&mut run, &mut open_stream, &mut silence).await {
+                    Ok(bytes) if bytes.is_empty() => {}
+                    Ok(bytes) => yield Ok(bytes),
+                    Err(end) => break end,
                 }
             };
-            let replica = open_stream.chosen.as_ref().map(|chosen| chosen.replica.id.clone());
-            let replica = replica.as_ref().map_or("", |id| id.as_str());
-            let reason = match end {
-                SegmentEnd::Complete(body_end) => {
-                    let remainder = open_stream.splitter.take_remainder();
-                    if !remainder.is_empty() {
-                        yield Ok(remainder);
-                    }
-                    if let Some(chosen) = &open_stream.chosen {
-                        chosen.record_success();
-                    }
-                    run.record_whole_stream(open_stream.status, replica, body_end);
-                    return;
+            if matches!(end, SegmentEnd::Complete(_)) {
+                let remainder = open_stream.splitter.take_remainder();
+                if !remainder.is_empty() {
+                    yield Ok(remainder);
                 }
-                SegmentEnd::TimedOut => {
-                    run.record.add_try(replica, "route's time over in mid-stream");
-                    run.record.set_outcome("stream_timed_out");
-                    yield Err(timed_out_error());
-                    return;
-                }
-                SegmentEnd::TooLong(error) => {
-                    run.record.add_try(replica, error);
-                    run.record.set_outcome("stream_too_long");
-                    if let Some(chosen) = &open_stream.chosen {
-                        chosen.record_failure();
-                    }
-                    yield Err(too_long_error(error));
+            }
+            match end_segment(&mut run, open_stream, end).await {
+                Ok(Some(resumed)) => open_stream = resumed,
+                Ok(None) => return,
+                Err(error) => {
+                    yield Err(error);
                     return;
                 }
-                SegmentEnd::Broken(error) => error,
-                SegmentEnd::Stalled => BrokenBody {
-                    reason: "the replica fell silent".into(),
-                    is_connection_lost: true,
-                },
-            };
-            let last_id = open_stream.splitter.last_id();
-            let quota = open_stream.splitter.quota();
-            let chosen = open_stream.chosen.take();
-            // Closes the connection before the stream is resumed at another replica.
-            drop(open_stream);
-            if let Some(chosen) = chosen {
-                run.record_broken(&chosen, &reason).await;
             }
-            let Some(resumed) = resume_broken(&mut run, last_id, quota, &reason).await else {
-                yield Err(reason);
-                return;
-            };
-            open_stream = resumed;
         }
     };
     chunks.boxed()
 }
 
-/// Returns the longest time without an event. For a stream that cannot be resumed elsewhere it is
-/// the route's timeout.
-fn stall_timeout(run: &Run) -> Duration {
-    if run.route.kind != RouteKind::ResumableStream {
-        return run.route.timeout;
+/// Waits for the next bytes to forward, while the stream is at one replica.
+///
+/// # Errors
+///
+/// Returns how that has ended.
+async fn next_events(
+    run: &mut Run,
+    open_stream: &mut OpenStream,
+    silence: &mut Silence,
+) -> Result<Bytes, SegmentEnd> {
+    if let Some(end) = open_stream.end {
+        open_stream.check_event_end().map_err(SegmentEnd::Broken)?;
+        if let Some(chosen) = &open_stream.chosen {
+            run.check_end(end, chosen)
+                .await
+                .map_err(SegmentEnd::Broken)?;
+        }
+        return Err(SegmentEnd::Complete(end));
+    }
+    let read_deadline = run.deadline.min(silence.next_request());
+    let batch = match tokio::time::timeout_at(read_deadline, open_stream.next_batch()).await {
+        Ok(batch) => batch?,
+        Err(_) if Instant::now() >= run.deadline => return Err(SegmentEnd::TimedOut),
+        Err(_) => match hand_over(run, open_stream, silence).await {
+            Handover::WentOn(batch) => batch?,
+            Handover::Kept => None,
+            Handover::Moved(successor) => return Err(SegmentEnd::Moved(successor)),
+            Handover::Lost(_) => return Err(SegmentEnd::Lost),
+        },
+    };
+    let batch = batch.unwrap_or_default();
+    run.spend_events(batch.count);
+    // Bytes that complete no event do not end a silence.
+    if batch.count > 0 {
+        silence.record_event();
+    }
+    Ok(batch.bytes)
+}
+
+/// Records how the stream ended at one replica, and resumes it elsewhere if it broke off. Returns
+/// `None` if it is complete.
+///
+/// # Errors
+///
+/// Fails if the stream ends prematurely.
+async fn end_segment(
+    run: &mut Run,
+    mut open_stream: OpenStream,
+    end: SegmentEnd,
+) -> Result<Option<OpenStream>, BrokenBody> {
+    let (last_id, quota) = open_stream.position();
+    let status = open_stream.status;
+    let chosen = open_stream.chosen.take();
+    // Closes the connection before the stream is resumed at another replica.
+    drop(open_stream);
+    let replica = chosen
+        .as_ref()
+        .map_or("", |chosen| chosen.replica.id.as_str());
+    match end {
+        SegmentEnd::Complete(body_end) => {
+            if let Some(chosen) = &chosen {
+                chosen.record_success();
+            }
+            run.record_whole_stream(status, replica, body_end);
+            Ok(None)
+        }
+        SegmentEnd::TimedOut => {
+            run.record
+                .add_try(replica, "route's time over in mid-stream");
+            run.record.set_outcome("stream_timed_out");
+            Err(timed_out_error())
+        }
+        SegmentEnd::TooLong(error) => {
+            run.record.add_try(replica, error);
+            run.record.set_outcome("stream_too_long");
+            if let Some(chosen) = &chosen {
+                chosen.record_failure();
+            }
+            Err(too_long_error(error))
+        }
+        SegmentEnd::Moved(successor) => {
+            if let Some(chosen) = &chosen {
+                run.record_left(chosen);
+            }
+            Ok(Some(*successor))
+        }
+        SegmentEnd::Lost => {
+            if let Some(chosen) = &chosen {
+                run.record_left(chosen);
+            }
+            run.record.set_outcome("stream_broken");
+            Err(silent_error())
+        }
+        SegmentEnd::Broken(error) => {
+            if let Some(chosen) = &chosen {
+                run.record_broken(chosen, &error).await;
+            }
+            let resumed = resume_broken(run, last_id, quota, &error).await;
+            resumed.map(Some).ok_or(error)
+        }
+    }
+}
+
+fn silent_error() -> BrokenBody {
+    BrokenBody {
+        reason: "the replica fell silent".into(),
+        is_connection_lost: false,
     }
-    let timeout = run.route.event_gap_target.unwrap_or_default() * STALL_TIMEOUT_PAUSES;
-    timeout.max(MIN_STALL_TIMEOUT)
 }
 
 /// Resumes a stream that broke off, and records what came of it.
@@ -263,7 +324,7 @@
 /// # Errors
 ///
 /// Returns the reason if that is not allowed or fails.
-async fn resume(
+pub(super) async fn resume(
     run: &mut Run,
     last_id: Option<u64>,
     quota: StreamQuota,
@@ -273,6 +334,7 @@
     }
     let last_id = last_id.ok_or(NotResumed::NoEventId)?;
     loop {
+        run.progress.reset();
         run.take_resume()?;
         let answered = run.next_answer(Some(last_id)).await;
         let AnsweredTry { answer, mut chosen } =
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use super::dispatch_progress::DispatchProgress;
 use crate::core::ids::ReplicaId;
 use crate::core::rate_limit::RateLimit;
 use crate::core::units::Tokens;
@@ -109,6 +110,8 @@
     /// True if the request must not run twice. It may then only use a connection that the replica
     /// cannot have closed without the router's knowledge.
     pub runs_once: bool,
+    /// Told when the request is sent on an open connection.
+    pub progress: &'a DispatchProgress,
 }
 
 /// Why a request was not sent to a replica.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -11,6 +11,7 @@
 
 use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
+use super::dispatch_progress::DispatchProgress;
 use super::engine::Exchange;
 use super::events::StreamQuota;
 use super::grants::Reservation;
@@ -62,6 +63,7 @@
     pub(super) unsent_count: u32,
     pub(super) may_have_run: bool,
     pub(super) output_tokens: Tokens,
+    pub(super) progress: DispatchProgress,
 }
 
 /// An answer with its replica. The load of the request is counted there until this is dropped.
@@ -237,8 +239,12 @@
                 rank: self.rank,
                 resume_after,
                 runs_once: !self.route.kind.may_retry(),
+                progress: &self.progress,
             };
             let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
+            if !matches!(&sent, Ok(Ok(answer)) if !answer.is_not_run && !answer.is_misdirected) {
+                self.progress.reset();
+            }
             let replica = chosen.replica.id.as_str();
             self.apply_status(&chosen, &sent);
             match sent {
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -276,6 +276,7 @@
             .connection(dispatch.replica, dispatch.runs_once)
             .await?;
         let is_first = !std::mem::replace(&mut connection.is_used, true);
+        dispatch.progress.record_sent();
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
--- /dev/null
+++ b/tests/entry/lost.rs
@@ -0,0 +1,171 @@
+//! Requests at servers that fall silent for a time and then go on.
+
+use std::time::Duration;
+
+use super::replica::{Behaviour, FakeReplica};
+use super::site::{lists, wait_until, Call, Site};
+use super::{events, site_with, AMPLE_PAID_TOKENS};
+
+/// The longest silence of a sound server that is played here.
+const SILENCE: Duration = Duration::from_millis(1_800);
+/// A silence after which a stream may be moved to another server.
+const LONG_SILENCE: Duration = Duration::from_millis(2_900);
+/// Maximum time for which a stream may run at two servers.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+const fn silent_stream(silence: Duration) -> Behaviour {
+    Behaviour::SilentStream {
+        events: 8,
+        silent_after: 3,
+        silence,
+    }
+}
+
+/// Guards against the loss of a resumable stream whose server falls silent while no other server
+/// takes the stream: the others refuse it, there are none, or the route allows no further try.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_waits_for_a_silent_server_while_no_other_takes_it() {
+    for silence in [SILENCE, LONG_SILENCE] {
+        let (refusing, _refusing_replicas) =
+            site_with(&[silent_stream(silence), Behaviour::NotRun]).await;
+        let (alone, _alone_replicas) = site_with(&[silent_stream(silence)]).await;
+        let (limited, _limited_replicas) =
+            site_with(&[silent_stream(silence), silent_stream(silence)]).await;
+        let mut one_try = lists(2, AMPLE_PAID_TOKENS);
+        one_try["routes"][2]["max_attempts"] = 1.into();
+        limited.store.put("config", "main", &one_try);
+        for (case, site) in [
+            ("refused", refusing),
+            ("alone", alone),
+            ("one try", limited),
+        ] {
+            let router = site.ready_router("r-1").await;
+            let entries = site.store.names("servers").len();
+            wait_until("all servers are known", || async {
+                router.log_lines("replica added or updated").len() == entries
+            })
+            .await;
+            let call = Call::new("chat", "a-1");
+            let got = call.send(router.callers_address).await.unwrap();
+            let log = router.log_lines("request");
+            assert_eq!(got.status, 200, "{case}, {silence:?}: {log:?}");
+            assert!(got.is_whole, "{case}, {silence:?}: {log:?}");
+            assert_eq!(got.body, events(1..=8), "{case}, {silence:?}");
+        }
+    }
+}
+
+/// Guards against the loss of requests that cannot be moved to another server, when theirs falls
+/// silent before or in its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_waits_for_a_silent_server() {
+    let before_first_event = Behaviour::SilentStream {
+        events: 8,
+        silent_after: 0,
+        silence: SILENCE,
+    };
+    for (route, behaviour) in [
+        ("draft", silent_stream(SILENCE)),
+        ("draft", before_first_event.clone()),
+        ("chat", before_first_event),
+        ("book", Behaviour::AnswerAfter(SILENCE)),
+        ("book", Behaviour::SilentInBody(SILENCE)),
+        ("look", Behaviour::AnswerAfter(SILENCE)),
+        ("look", Behaviour::SilentInBody(SILENCE)),
+    ] {
+        let (site, replicas) = site_with(std::slice::from_ref(&behaviour)).await;
+        let router = site.ready_router("r-1").await;
+        let call = Call::new(route, "a-1");
+        let got = call.send(router.callers_address).await.unwrap();
+        let log = router.log_lines("request");
+        assert_eq!(
+            (got.status, got.is_whole),
+            (200, true),
+            "{route}, {behaviour:?}: {log:?}"
+        );
+        assert_eq!(replicas[0].received().len(), 1, "{route}, {behaviour:?}");
+    }
+}
+
+/// Guards against the loss of a request whose long body its server reads only after a silence, in
+/// which it takes no bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_reads_a_long_body_late_gets_all_of_it() {
+    let (site, replicas) = site_with(&[Behaviour::ReadBodyAfter(SILENCE)]).await;
+    let router = site.ready_router("r-1").await;
+    let long_body = "x".repeat(60_000);
+    let call = Call::new("book", "a-1").with_body(&long_body);
+    let got = call.send(router.callers_address).await.unwrap();
+    let log = router.log_lines("request");
+    assert_eq!((got.status, got.is_whole), (200, true), "{log:?}");
+    assert_eq!(replicas[0].received().len(), 1);
+}
+
+/// Starts a router with two servers, and registers the second one after a stream has begun at the
+/// first.
+async fn stream_with_late_second(first: Behaviour, second: Behaviour) -> StreamAtTwo {
+    let site = Site::start(AMPLE_PAID_TOKENS).await;
+    let first = FakeReplica::start("i-0", first).await;
+    let second = FakeReplica::start("i-1", second).await;
+    site.register(&first);
+    let router = site.ready_router("r-1").await;
+    let address = router.callers_address;
+    let call = tokio::spawn(async move { Call::new("chat", "a-1").send(address).await.unwrap() });
+    wait_until("the stream has begun", || async {
+        !first.received().is_empty()
+    })
+    .await;
+    site.register(&second);
+    let answer = call.await.unwrap();
+    StreamAtTwo {
+        first,
+        second,
+        body: String::from_utf8(answer.body.to_vec()).unwrap(),
+        is_whole: answer.is_whole,
+        log: router.log(),
+    }
+}
+
+struct StreamAtTwo {
+    first: FakeReplica,
+    second: FakeReplica,
+    body: String,
+    is_whole: bool,
+    log: Vec<serde_json::Value>,
+}
+
+/// Guards against a stream that is lost with a server that is silent for good, and against one that
+/// runs at two servers: the silent one is left when the other has not refused within 400 ms.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_leaves_a_silent_server_for_one_that_takes_it() {
+    for delay in [Duration::ZERO, Duration::from_millis(1_500)] {
+        let second = Behaviour::StreamAfter { delay, events: 8 };
+        let run = stream_with_late_second(silent_stream(Duration::from_secs(30)), second).await;
+        assert!(run.is_whole, "{:?}", run.log);
+        assert_eq!(run.body, events(1..=8));
+        let moved_at = run.second.received()[0].at;
+        let left_at = run.first.disconnects()[0];
+        assert!(left_at <= moved_at + MAX_OVERLAP, "{delay:?}");
+    }
+}
+
+/// Guards against events of two servers in one answer, when the silent one goes on while another is
+/// asked to take the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_goes_on_while_another_is_asked_keeps_the_stream() {
+    // The other is asked after 2 s, and refuses or has not begun its answer yet.
+    let slow = Behaviour::StreamAfter {
+        delay: SILENCE,
+        events: 8,
+    };
+    for (silence, second) in [
+        (LONG_SILENCE, Behaviour::NotRun),
+        (Duration::from_millis(2_100), slow),
+    ] {
+        let run = stream_with_late_second(silent_stream(silence), second).await;
+        assert!(run.is_whole, "{:?}", run.log);
+        assert_eq!(run.body, events(1..=8), "{:?}", run.log);
+        assert_eq!(run.second.received().len(), 1, "{:?}", run.log);
+        assert_eq!(run.first.disconnect_count(), 0, "{:?}", run.log);
+    }
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod lost;
 mod prompt_parts;
 mod rate_limits;
 mod replica;
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -22,6 +22,8 @@
 const FIRST_TOKEN_DELAY: Duration = Duration::from_millis(30);
 /// Time from an answer before the body to the read of the body.
 const BODY_READ_DELAY: Duration = Duration::from_millis(50);
+/// Receive buffer of a server that reads bodies late.
+const SMALL_BUFFER_BYTES: usize = 4_096;
 /// Time from a crash to the restart of the server.
 pub const RESTART_DELAY: Duration = Duration::from_secs(2);
 
@@ -50,6 +52,20 @@
     StalledFailure,
     /// Streams the events after the one named in `Last-Event-ID`.
     Stream { events: u64, pause: Duration },
+    /// Streams the events after the one named in `Last-Event-ID`, and falls silent for a time after
+    /// one of them.
+    SilentStream {
+        events: u64,
+        silent_after: u64,
+        silence: Duration,
+    },
+    /// Waits before the head of an answer, then streams the events after the one named in
+    /// `Last-Event-ID`.
+    StreamAfter { delay: Duration, events: u64 },
+    /// Sends the head and half of the body, falls silent for a time, and sends the rest.
+    SilentInBody(Duration),
+    /// Reads the head of a request, falls silent for a time, reads the body and answers.
+    ReadBodyAfter(Duration),
     /// Streams some events and closes the connection in the middle of the next one.
     BreakStream { after: u64 },
     /// Runs the request and closes the connection without an answer after a delay.
@@ -132,7 +148,7 @@
     address: SocketAddr,
     behaviour: Arc<Mutex<Behaviour>>,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
-    disconnects: Arc<Mutex<u32>>,
+    disconnects: Arc<Mutex<Vec<Instant>>>,
     crash_count: Arc<AtomicU32>,
     crash: Arc<Notify>,
 }
@@ -150,6 +166,14 @@
             crash: Arc::default(),
         };
         let mut listener = listen(address).await;
+        if matches!(
+            *replica.behaviour.lock().unwrap(),
+            Behaviour::ReadBodyAfter(_)
+        ) {
+            // Connections inherit it, so that the rest of a body stays at the sender.
+            let socket = socket2::SockRef::from(&listener);
+            socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+        }
         let (behaviour, received) = (
             Arc::clone(&replica.behaviour),
             Arc::clone(&replica.received),
@@ -199,8 +223,13 @@
     }
 
     /// Returns the number of answers whose connection closed before their end.
-    pub fn disconnect_count(&self) -> u32 {
-        *self.disconnects.lock().unwrap()
+    pub fn disconnect_count(&self) -> usize {
+        self.disconnects.lock().unwrap().len()
+    }
+
+    /// Returns when the connections of answers closed before their end.
+    pub fn disconnects(&self) -> Vec<Instant> {
+        self.disconnects.lock().unwrap().clone()
     }
 }
 
@@ -224,7 +253,7 @@
     crash: &Arc<Notify>,
     behaviour: &Arc<Mutex<Behaviour>>,
     received: &Arc<Mutex<Vec<ReceivedRequest>>>,
-    disconnects: &Arc<Mutex<u32>>,
+    disconnects: &Arc<Mutex<Vec<Instant>>>,
 ) -> JoinSet<()> {
     let mut connections = JoinSet::new();
     loop {
@@ -280,10 +309,13 @@
     mut stream: TcpStream,
     behaviour: &Mutex<Behaviour>,
     received: &Mutex<Vec<ReceivedRequest>>,
-    disconnects: &Mutex<u32>,
+    disconnects: &Mutex<Vec<Instant>>,
     crash: &Notify,
 ) {
-    let reads_head_only = *behaviour.lock().unwrap() == Behaviour::AnswerBeforeBody;
+    let reads_head_only = matches!(
+        *behaviour.lock().unwrap(),
+        Behaviour::AnswerBeforeBody | Behaviour::ReadBodyAfter(_)
+    );
     while let Some(request) = read_request(&mut stream, reads_head_only).await {
         let mut behaviour = behaviour.lock().unwrap().clone();
         received.lock().unwrap().push(request.clone());
@@ -323,7 +355,7 @@
     request: &ReceivedRequest,
     behaviour: &Behaviour,
     leaving_line: &str,
-    disconnects: &Mutex<u32>,
+    disconnects: &Mutex<Vec<Instant>>,
 ) -> bool {
     let id = request
         .header("currantlever-attempt-id")
@@ -338,9 +370,12 @@
     let signature = "Currantlever-Replica-Signature: sig\r\n";
     let text = match behaviour {
         Behaviour::Answer | Behaviour::AnswerBeforeBody => full_answer("200 OK", id, signature),
-        Behaviour::AnswerAfter(time) => {
-            tokio::time::sleep(*time).await;
-            full_answer("200 OK", id, signature)
+        Behaviour::AnswerAfter(_) | Behaviour::SilentInBody(_) | Behaviour::ReadBodyAfter(_) => {
+            let text = full_answer("200 OK", id, signature);
+            let Some(rest) = fall_silent(stream, request, behaviour, text).await else {
+                return false;
+            };
+            rest
         }
         Behaviour::Fail => full_answer("500 Internal Server Error", id, signature),
         Behaviour::NotRun => full_answer(
@@ -383,11 +418,7 @@
         ),
         Behaviour::DuplicateAnswer => full_answer("200 OK", id, signature).repeat(2),
         Behaviour::CloseDelimited { is_reset } => {
-            send_unframed(stream, id, "text/plain", ANSWER_BODY).await;
-            if *is_reset {
-                let socket = socket2::SockRef::from(&*stream);
-                socket.set_linger(Some(Duration::ZERO)).unwrap();
-            }
+            send_close_delimited(stream, id, *is_reset).await;
             return false;
         }
         Behaviour::Unframed {
@@ -396,13 +427,14 @@
             send_unframed(stream, id, content_type, body).await;
             return false;
         }
-        Behaviour::Stream { events, pause } => {
-            return stream_events(stream, request, *events, *pause, leaving_line, disconnects)
-                .await;
+        Behaviour::Stream { .. }
+        | Behaviour::SilentStream { .. }
+        | Behaviour::StreamAfter { .. } => {
+            return stream_events(stream, request, behaviour, leaving_line, disconnects).await;
         }
         Behaviour::EndlessLine | Behaviour::EndlessHead | Behaviour::EndlessBody(_) => {
             send_endless_answer(stream, id, behaviour).await;
-            *disconnects.lock().unwrap() += 1;
+            disconnects.lock().unwrap().push(Instant::now());
             return false;
         }
         Behaviour::EndlessEvent | Behaviour::EndlessEvents | Behaviour::Trickle(_) => {
@@ -410,7 +442,7 @@
             if stream.write_all(head.as_bytes()).await.is_ok() {
                 send_endlessly(stream, behaviour).await;
             }
-            *disconnects.lock().unwrap() += 1;
+            disconnects.lock().unwrap().push(Instant::now());
             return false;
         }
         Behaviour::BreakStream { after } => {
@@ -425,6 +457,42 @@
     is_sent
 }
 
+/// Falls silent before the answer, in it, or before the body of the request is read, and returns the
+/// part of the answer that is left, or `None` if the connection ended.
+async fn fall_silent(
+    stream: &mut TcpStream,
+    request: &ReceivedRequest,
+    behaviour: &Behaviour,
+    mut text: String,
+) -> Option<String> {
+    match behaviour {
+        Behaviour::SilentInBody(silence) => {
+            let rest = text.split_off(text.len() - ANSWER_BODY.len() / 2);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            tokio::time::sleep(*silence).await;
+            Some(rest)
+        }
+        Behaviour::ReadBodyAfter(silence) => {
+            tokio::time::sleep(*silence).await;
+            read_rest_of_body(stream, request).await.then_some(text)
+        }
+        Behaviour::AnswerAfter(silence) => {
+            tokio::time::sleep(*silence).await;
+            Some(text)
+        }
+        other => panic!("{other:?} is no silence"),
+    }
+}
+
+/// Sends an answer that ends with its connection, which is then reset or closed.
+async fn send_close_delimited(stream: &mut TcpStream, id: &str, is_reset: bool) {
+    send_unframed(stream, id, "text/plain", ANSWER_BODY).await;
+    if is_reset {
+        let socket = socket2::SockRef::from(&*stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
 /// Reads the rest of a request's body after a pause, in which the next request may follow. Returns
 /// false if the connection ended.
 async fn read_rest_of_body(stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
@@ -544,14 +612,45 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
 }
 
+/// Number of events of a stream, and its pause after each; that of 0 is before the first event.
+fn stream_plan(behaviour: &Behaviour) -> (u64, Box<dyn Fn(u64) -> Duration + Send + '_>) {
+    let short_pause = Duration::from_millis(1);
+    match behaviour {
+        Behaviour::Stream { events, pause } => (
+            *events,
+            Box::new(|event| if event == 0 { Duration::ZERO } else { *pause }),
+        ),
+        Behaviour::SilentStream {
+            events,
+            silent_after,
+            silence,
+        } => {
+            let pause = move |event| {
+                if event == *silent_after {
+                    *silence
+                } else {
+                    short_pause
+                }
+            };
+            (*events, Box::new(pause))
+        }
+        Behaviour::StreamAfter { events, .. } => (*events, Box::new(move |_| short_pause)),
+        other => panic!("{other:?} is not a stream"),
+    }
+}
+
+/// Streams the events after the one named in `Last-Event-ID`.
 async fn stream_events(
     stream: &mut TcpStream,
     request: &ReceivedRequest,
-    events: u64,
-    pause: Duration,
+    behaviour: &Behaviour,
     leaving_line: &str,
-    disconnects: &Mutex<u32>,
+    disconnects: &Mutex<Vec<Instant>>,
 ) -> bool {
+    let (events, pause_after) = stream_plan(behaviour);
+    if let Behaviour::StreamAfter { delay, .. } = behaviour {
+        tokio::time::sleep(*delay).await;
+    }
     let id = request
         .header("currantlever-attempt-id")
         .unwrap_or_default();
@@ -563,17 +662,20 @@
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
+    if after == 0 {
+        tokio::time::sleep(pause_after(0)).await;
+    }
     for event in after + 1..=events {
         let text = chunk(&event_text(event));
         if stream.write_all(text.as_bytes()).await.is_err() {
-            *disconnects.lock().unwrap() += 1;
+            disconnects.lock().unwrap().push(Instant::now());
             return false;
         }
         let mut byte = [0; 1];
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = tokio::time::sleep(pause_after(event)) => {}
             _ = stream.read(&mut byte) => {
-                *disconnects.lock().unwrap() += 1;
+                disconnects.lock().unwrap().push(Instant::now());
                 return false;
             }
         }
