Keep connections to replicas that acknowledge nothing or take no bytes for a second or so

Cause: TCP_USER_TIMEOUT of 1.5 s. It ends a connection whose peer takes no bytes (a zero window, as while a replica has not read a long body yet) or acknowledges nothing for that long.

With a first retransmission after 0.2 s that doubles, packets are sent again at 0.2, 0.6, 1.4 and 3.0 s, so a silence of under 2 s in which packets are dropped is survived only if the limit is above 3 s. The price: requests at a replica that is cut off without a reset learn of it after 3.5 to 4 s, not 1.5 to 2 s; resumable streams in mid-stream move after 2 s of silence whatever TCP says, and new connections fail after 0.3 s as before.

--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -29,8 +29,9 @@
 
 /// Timeout for connecting to a replica, which is in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without TCP acknowledgement after which a connection counts as lost.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
+/// as lost. Longer than the silence of a sound replica and the next TCP retransmission after it.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Idle time after which a connection is not reused, unless its replica's keep-alive timeout ends
 /// sooner.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
