--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The entry router as a separate process, with a fake store and fake replicas.
 
+mod config_changes;
 mod ending;
 mod endless;
 mod eras;
@@ -12,6 +13,7 @@
 mod rate_limits;
 mod replica;
 mod request_ends;
+mod restarts;
 mod rules;
 mod site;
 mod store;
--- /dev/null
+++ b/tests/entry/restarts.rs
@@ -0,0 +1,97 @@
+//! Requests beside SIGHUP, SIGTERM and restarts of routers.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use super::replica::Behaviour;
+use super::site::{lists, wait_ready, wait_until, Call, Router};
+use super::{site_with, AMPLE_PAID_TOKENS};
+
+/// Silence of a server in the middle of its answer.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Callers that send requests one after another.
+const CALLERS: usize = 6;
+
+/// Sends requests until the router refuses connections; returns those that were accepted and got no
+/// whole answer.
+async fn call_until_refused(
+    address: std::net::SocketAddr,
+    caller: usize,
+    is_over: Arc<AtomicBool>,
+) -> Vec<String> {
+    let routes = ["chat", "draft", "look", "book"];
+    let mut lost = Vec::new();
+    let mut number = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        let route = routes[(caller + number) % routes.len()];
+        let attempt = format!("a-{caller}-{number}");
+        match Call::new(route, &attempt).send(address).await {
+            Ok(answer) if answer.is_whole && ![502, 504].contains(&answer.status) => {}
+            other => lost.push(format!("{attempt} {other:?}")),
+        }
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    lost
+}
+
+async fn wait_for_log(router: &Router, message: &str, count: usize) {
+    wait_until(message, || async {
+        router.log_lines(message).len() >= count
+    })
+    .await;
+}
+
+/// Guards against requests that are lost beside SIGHUP and SIGTERM while their servers are silent,
+/// with changes of the configuration at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_lost_beside_signals_while_servers_fall_silent() {
+    let silent = Behaviour::SilentStream {
+        events: 8,
+        silent_after: 3,
+        silence: SILENCE,
+    };
+    let late = Behaviour::StreamAfter {
+        delay: SILENCE,
+        events: 8,
+    };
+    let (site, replicas) = site_with(&[silent.clone(), late, silent]).await;
+    let mut router = site.ready_router("r-1").await;
+    for round in 1..=2 {
+        wait_for_log(&router, "replica added or updated", round * replicas.len()).await;
+        let is_over = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS {
+            let is_over = Arc::clone(&is_over);
+            callers.spawn(call_until_refused(router.callers_address, caller, is_over));
+        }
+        for step in 0..4 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let version = 10 * u64::try_from(round).unwrap() + step;
+            let mut config = lists(version, AMPLE_PAID_TOKENS);
+            config["limits"]["idle_timeout_ms"] = (500 * (step + 1)).into();
+            site.store.put("config", "main", &config);
+            router.hang_up();
+        }
+        wait_for_log(
+            &router,
+            "settings file is valid; running settings unchanged",
+            4 * round,
+        )
+        .await;
+        router.terminate();
+        // The router takes requests for 2.5 s after the signal.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        is_over.store(true, Ordering::SeqCst);
+        let lost: Vec<String> = callers.join_all().await.concat();
+        assert_eq!(lost, Vec::<String>::new());
+        assert_eq!(router.exit_code().await, Some(0));
+        let busy = &router.log_lines("stopped")[round - 1]["busy"];
+        assert_eq!(busy, 0);
+        router.restart();
+        wait_ready(&router).await;
+    }
+}
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -123,6 +123,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends SIGHUP, which announces changed settings.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     /// Suspends the process with SIGSTOP.
     pub fn pause(&self) {
         self.signal("-STOP");
