--- a/tests/entry/config_changes.rs
+++ b/tests/entry/config_changes.rs
@@ -104,7 +104,7 @@
     let end = Instant::now() + CHANGE_TIME;
     let mut version = 1;
     while Instant::now() < end {
-        for _ in 0..1 + u64::from(version % 3 == 0) {
+        for _ in 0..=u64::from(version % 3 == 0) {
             version += 1;
             let mut config = lists(version, AMPLE_PAID_TOKENS);
             if version % 2 == 0 {
@@ -262,3 +262,42 @@
     }
     unanswered
 }
+
+/// Guards against a refusal that its caller never reads, as the connection is reset while bytes of
+/// the refused request are still on their way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_exceeds_a_lowered_limit_gets_its_refusal() {
+    let (site, replicas) = site_with(&[Behaviour::Answer]).await;
+    let mut config = lists(2, AMPLE_PAID_TOKENS);
+    config["limits"]["max_body_bytes"] = 1_024.into();
+    config["limits"]["max_header_bytes"] = 8_192.into();
+    site.store.put("config", "main", &config);
+    let router = site.ready_router("r-1").await;
+    let head = |attempt: &str| {
+        format!(
+            "POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
+             Currantlever-Attempt-Id: {attempt}\r\n"
+        )
+    };
+    let body = "x".repeat(60_000);
+    for number in 0..20 {
+        let long_body = format!("{}Content-Length: 60000\r\n\r\n{body}", head("body"));
+        let long_head = format!("{}X-Long: {body}\r\n\r\n", head("head"));
+        for (text, status) in [(long_body, "413"), (long_head, "431")] {
+            let mut caller = TcpStream::connect(router.callers_address).await.unwrap();
+            let (first, rest) = text.split_at(20_000);
+            caller.write_all(first.as_bytes()).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(number)).await;
+            // The connection may be closed for writing already.
+            let _ = caller.write_all(rest.as_bytes()).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            let answer = read_answer(&mut caller).await;
+            let answer = answer.unwrap_or_else(|| panic!("{status}, round {number}: reset"));
+            assert!(
+                answer.starts_with(&format!("HTTP/1.1 {status} ")),
+                "{answer}"
+            );
+        }
+    }
+    assert!(replicas[0].received().is_empty());
+}
