Repeat the probe of a server that accepts no connection after an answer without a stated end

An answer without length or chunks counts as whole if its server still accepts connections; a server that accepted none for 0.3 s at that moment counted as unreachable, so its silence was taken for a crash.

Evidence: an_unframed_answer_is_whole_though_its_server_accepts_no_connection_for_a_second failed before (502 after 0.3 s) and passes now; unstated_end.rs passes.

Fix: a probe without an answer is repeated for 1.5 s, only for this decision; a refused connection still counts as a crash at once. Not longer: a server that crashed while out of reach would accept connections again after its restart, and its broken answer would pass as whole.

--- a/src/exchange/broken_answers.rs
+++ b/src/exchange/broken_answers.rs
@@ -12,6 +12,10 @@
 
 /// Timeout for finding out whether a replica crashed, before the request is retried elsewhere.
 const INVESTIGATION_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for which a server may accept no connection after an answer without a stated end, before
+/// that answer counts as broken off. Shorter than the restart of a server that crashed, which would
+/// accept connections again.
+const END_CHECK_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Delay of a retry after a server crashed, so that other routers' reports of servers that crashed
 /// while running the same request arrive first.
 const PEER_REPORT_DELAY: Duration = Duration::from_millis(30);
@@ -20,7 +24,7 @@
     /// Starts to find out whether a replica crashed with this request in progress. A retryable
     /// request waits briefly for the result.
     pub(super) async fn investigate_lost_connection(&self, chosen: &ChosenReplica) {
-        let investigation = self.start_investigation(chosen);
+        let investigation = self.start_investigation(chosen, Duration::ZERO);
         if self.route.kind.may_retry() {
             // The spawned task records evidence that appears after this timeout.
             let finding = tokio::time::timeout(INVESTIGATION_TIMEOUT, investigation).await;
@@ -44,7 +48,7 @@
         if end == BodyEnd::Stated {
             return Ok(());
         }
-        let investigation = self.start_investigation(chosen);
+        let investigation = self.start_investigation(chosen, END_CHECK_PATIENCE);
         let state = match tokio::time::timeout_at(self.deadline, investigation).await {
             Ok(Ok(state)) => state,
             Ok(Err(_)) | Err(_) => ServerState::Unknown,
@@ -63,8 +67,12 @@
         })
     }
 
-    fn start_investigation(&self, chosen: &ChosenReplica) -> JoinHandle<ServerState> {
-        self.exchange.server_crashes.investigate(LostConnection {
+    fn start_investigation(
+        &self,
+        chosen: &ChosenReplica,
+        patience: Duration,
+    ) -> JoinHandle<ServerState> {
+        let lost = LostConnection {
             fingerprint: self.fingerprint,
             request: self.request.attempt.clone(),
             replica: chosen.replica.clone(),
@@ -74,7 +82,8 @@
             } else {
                 Arc::clone(&self.parts)
             },
-        })
+        };
+        self.exchange.server_crashes.investigate(lost, patience)
     }
 
     /// Records that a replica sent the first event of a stream.
@@ -92,7 +101,7 @@
         chosen.record_failure();
         self.record
             .add_try(chosen.replica.id.as_str(), "left, silent in mid-stream");
-        drop(self.start_investigation(chosen));
+        drop(self.start_investigation(chosen, Duration::ZERO));
     }
 
     /// Records that an answer broke off, and whether its server crashed.
--- a/src/exchange/server_crashes.rs
+++ b/src/exchange/server_crashes.rs
@@ -5,6 +5,7 @@
 //! its entry is replaced or removed soon after, it crashed with the request in progress.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
 /// Time after a lost connection within which evidence counts: entries of unresponsive servers are
 /// removed only after several missed heartbeats.
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(15);
+/// Pause between probes of a server that does not answer.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum number of unresolved lost connections; the oldest are dropped first.
 const MAX_UNRESOLVED: usize = 256;
 
@@ -120,11 +123,16 @@
     /// Probes a server after a connection to it was lost, and records a crash that the probe shows.
     /// Later evidence is recorded as well. The end of a server that had reported that it was
     /// leaving is no crash.
-    pub(crate) fn investigate(self: &Arc<Self>, lost: LostConnection) -> JoinHandle<ServerState> {
+    /// Probes that get no answer are repeated for `patience`.
+    pub(crate) fn investigate(
+        self: &Arc<Self>,
+        lost: LostConnection,
+        patience: Duration,
+    ) -> JoinHandle<ServerState> {
         let crashes = Arc::clone(self);
         tokio::spawn(async move {
             let loss_id = crashes.track(lost.clone());
-            match crashes.transport.probe(lost.replica.address).await {
+            match crashes.probe(lost.replica.address, patience).await {
                 ProbeResult::Refused => {
                     let Some(loss_id) = loss_id else {
                         return ServerState::Unknown;
@@ -149,6 +157,17 @@
         })
     }
 
+    async fn probe(&self, address: SocketAddr, patience: Duration) -> ProbeResult {
+        let end = Instant::now() + patience;
+        loop {
+            let result = self.transport.probe(address).await;
+            if result != ProbeResult::NoAnswer || Instant::now() >= end {
+                return result;
+            }
+            tokio::time::sleep(PROBE_PAUSE).await;
+        }
+    }
+
     /// Applies a server's new entry: connections lost to another incarnation are resolved.
     pub(crate) fn apply_entry(&self, id: &ReplicaId, incarnation: Incarnation) {
         self.resolve_losses(CrashEvidence::EntryReplaced, |unresolved| {
--- a/tests/entry/lost.rs
+++ b/tests/entry/lost.rs
@@ -1,9 +1,14 @@
 //! Requests at servers that fall silent for a time and then go on.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{lists, wait_until, Call, Site};
+use super::site::{free_port, lists, wait_until, Call, Site};
 use super::{events, site_with, AMPLE_PAID_TOKENS};
 
 /// The longest silence of a sound server that is played here.
@@ -161,3 +166,54 @@
         assert_eq!(run.first.disconnect_count(), 0, "{:?}", run.log);
     }
 }
+
+/// Answers one request with a whole text without a length, after which connections wait for a time
+/// since the queue of new ones is full.
+async fn answer_and_accept_late(listener: socket2::Socket, address: SocketAddr) {
+    let listener: std::net::TcpListener = listener.into();
+    listener.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(listener).unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut request = [0; 4_096];
+    assert!(stream.read(&mut request).await.unwrap() > 0);
+    let mut fillers = Vec::new();
+    for _ in 0..4 {
+        let connecting = TcpStream::connect(address);
+        let connected = tokio::time::timeout(Duration::from_millis(50), connecting).await;
+        fillers.push(connected);
+    }
+    assert!(fillers.last().unwrap().is_err(), "the queue is full");
+    let head = "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: a-1\r\n\
+                Currantlever-Replica-Signature: sig\r\n\r\nwhole";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    drop(stream);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut accepted = Vec::new();
+    loop {
+        accepted.push(listener.accept().await);
+    }
+}
+
+/// Guards against the loss of a whole answer without a stated end, whose server accepts no
+/// connections for a second afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_answer_is_whole_though_its_server_accepts_no_connection_for_a_second() {
+    let site = Site::start(AMPLE_PAID_TOKENS).await;
+    let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let listener = listener.unwrap();
+    listener.bind(&address.into()).unwrap();
+    listener.listen(0).unwrap();
+    tokio::spawn(answer_and_accept_late(listener, address));
+    let entry = json!({
+        "service": "pool", "address": address, "zone": "a", "version": "v1", "slots": 8,
+        "phase": "ready", "cold_left_ms": 0, "sequence": 1, "born": 1000,
+    });
+    site.store.put("servers", "i-0", &entry);
+    let router = site.ready_router("r-1").await;
+    let call = Call::new("book", "a-1");
+    let got = call.send(router.callers_address).await.unwrap();
+    let log = router.log_lines("request");
+    assert_eq!((got.status, got.is_whole), (200, true), "{log:?}");
+    assert_eq!(got.body, "whole");
+}
