--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::catalog::{Catalog, Route, Team};
+use super::dispatch_progress::DispatchProgress;
 use super::grants::{Grants, Reservation};
 use super::metrics::ExchangeMetrics;
 use super::permits::Permits;
@@ -52,7 +53,7 @@
     pub(super) server_crashes: Arc<ServerCrashes>,
     pub(super) suspects: Arc<Suspects>,
     pub(super) permits: Arc<Permits>,
-    metrics: Arc<ExchangeMetrics>,
+    pub(super) metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
 
@@ -99,6 +100,11 @@
         }
     }
 
+    /// Returns the metrics.
+    pub(crate) const fn metrics(&self) -> &Arc<ExchangeMetrics> {
+        &self.metrics
+    }
+
     /// Returns the configuration in force, if any.
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.load_full()
@@ -309,6 +315,7 @@
             unsent_count: 0,
             may_have_run: false,
             output_tokens: Tokens::ZERO,
+            progress: DispatchProgress::new(),
         }
     }
 }
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -20,6 +20,9 @@
 pub(crate) struct ExchangeMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    requests_read: IntCounter,
+    requests_ended: IntCounterVec,
+    streams_left: IntCounterVec,
     repeats: IntCounter,
     latency: Histogram,
     first_event: Histogram,
@@ -72,6 +75,20 @@
         )?;
         Ok(Self {
             requests: counters("currantlever_exchanges", "Requests by outcome", "outcome")?,
+            requests_read: counter(
+                "currantlever_requests_read",
+                "Requests of callers whose head was read",
+            )?,
+            requests_ended: counters(
+                "currantlever_requests_ended",
+                "Requests of callers whose head was read and that have ended, by how",
+                "end",
+            )?,
+            streams_left: counters(
+                "currantlever_streams_left",
+                "Streams that broke off or fell silent at a backend server, by what followed",
+                "result",
+            )?,
             repeats: counter("currantlever_repeats", "Requests sent to another replica")?,
             latency: latencies("currantlever_exchange_seconds", "Time to the end")?,
             first_event: latencies(
@@ -130,6 +147,21 @@
         self.repeats.inc_by(u64::from(tries.saturating_sub(1)));
     }
 
+    /// Counts a request whose head was read.
+    pub(crate) fn count_request_read(&self) {
+        self.requests_read.inc();
+    }
+
+    /// Counts the end of a request whose head was read.
+    pub(crate) fn count_request_ended(&self, end: &str) {
+        self.requests_ended.with_label_values(&[end]).inc();
+    }
+
+    /// Counts a stream that broke off or fell silent, by what followed.
+    pub(crate) fn count_stream_left(&self, result: &str) {
+        self.streams_left.with_label_values(&[result]).inc();
+    }
+
     /// Observes a time to the first event.
     pub(crate) fn observe_first_event(&self, time: Duration) {
         self.first_event.observe(time.as_secs_f64());
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -11,6 +11,7 @@
 
 use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
+use super::dispatch_progress::DispatchProgress;
 use super::engine::Exchange;
 use super::events::StreamQuota;
 use super::grants::Reservation;
@@ -39,7 +40,7 @@
 /// same time.
 const OVERLOAD_JITTER_MS: u64 = 800;
 /// Minimum time before the deadline that makes another try worthwhile.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
 /// State of an admitted request.
 #[derive(Debug)]
@@ -67,6 +68,7 @@
     pub(super) unsent_count: u32,
     pub(super) may_have_run: bool,
     pub(super) output_tokens: Tokens,
+    pub(super) progress: DispatchProgress,
 }
 
 /// An answer with its replica. The load of the request is counted there until this is dropped.
@@ -249,8 +251,12 @@
                 rank: self.rank,
                 resume,
                 runs_once: !self.route.kind.may_retry(),
+                progress: &self.progress,
             };
             let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
+            if !matches!(&sent, Ok(Ok(answer)) if !answer.is_not_run && !answer.is_misdirected) {
+                self.progress.reset();
+            }
             let replica = chosen.replica.id.as_str();
             self.apply_status(&chosen, &sent);
             match sent {
@@ -371,21 +377,6 @@
         self.record.set_outcome("answered");
     }
 
-    /// Takes one retry from the retry budget. Returns false if no further try is allowed, in
-    /// particular if the prompt may crash another server.
-    fn take_retry(&mut self) -> bool {
-        let suspects = &self.exchange.suspects;
-        self.sent_count < self.route.max_tries
-            && (self.has_first_token || !suspects.parts().is_in_doubt(&self.parts))
-            && Instant::now() + MIN_TIME_LEFT < self.deadline
-            && self.exchange.pools.try_retry(&self.pool)
-    }
-
-    /// Takes one retry for resuming a stream at another replica; false if none is allowed.
-    pub(super) fn take_resume(&mut self) -> bool {
-        self.take_retry()
-    }
-
     fn quarantine_rejection(&self, remaining: Duration) -> Rejection {
         if self.may_have_run {
             return Rejection::new(RejectKind::AnswerLost);
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -29,8 +29,9 @@
 
 /// Timeout for connecting to a replica, which is in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without TCP acknowledgement after which a connection counts as lost.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
+/// as lost. Longer than the silence of a sound replica and the next TCP retransmission after it.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Idle time after which a connection is not reused, unless its replica's keep-alive timeout ends
 /// sooner.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
@@ -277,6 +278,7 @@
             .connection(dispatch.replica, dispatch.runs_once)
             .await?;
         let is_first = !std::mem::replace(&mut connection.is_used, true);
+        dispatch.progress.record_sent();
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -486,7 +488,7 @@
 }
 
 /// Formats an error with its cause.
-fn describe(error: &hyper::Error) -> CompactString {
+pub(super) fn describe(error: &hyper::Error) -> CompactString {
     let cause = std::error::Error::source(error);
     match cause {
         Some(cause) => compact_str::format_compact!("{error}: {cause}"),
