--- a/tests/entry/config_changes.rs
+++ b/tests/entry/config_changes.rs
@@ -22,6 +22,11 @@
 /// Callers that send requests one after another.
 const CALLERS: usize = 6;
 
+/// Routes of all kinds.
+const ALL_ROUTES: [&str; 4] = ["chat", "draft", "look", "book"];
+/// Routes whose answers are no streams.
+const BUFFERED_ROUTES: [&str; 2] = ["look", "book"];
+
 type Change = fn(&mut Value);
 
 /// Changes of one aspect of the configuration; each second version has it.
@@ -80,10 +85,10 @@
 /// descriptions of those that were not.
 async fn call_repeatedly(
     address: std::net::SocketAddr,
+    routes: &[&str],
     caller: usize,
     is_over: Arc<AtomicBool>,
 ) -> (usize, Vec<String>) {
-    let routes = ["chat", "draft", "look", "book"];
     let (mut answered, mut lost) = (0, Vec::new());
     let mut number = 0;
     while !is_over.load(Ordering::SeqCst) {
@@ -146,7 +151,8 @@
             let mut callers = JoinSet::new();
             for caller in 0..CALLERS {
                 let is_over = Arc::clone(&is_over);
-                callers.spawn(call_repeatedly(router.callers_address, caller, is_over));
+                let address = router.callers_address;
+                callers.spawn(call_repeatedly(address, &ALL_ROUTES, caller, is_over));
             }
             let drain_one = async {
                 tokio::time::sleep(CHANGE_TIME / 3).await;
@@ -168,6 +174,34 @@
     runs.join_all().await;
 }
 
+/// Guards against requests that get neither an answer nor a refusal beside changes of the
+/// configuration, while servers answer before the body, twice, or without a length.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_lost_beside_changes_while_servers_answer_early_twice_or_unframed() {
+    for behaviour in [
+        Behaviour::AnswerBeforeBody,
+        Behaviour::DuplicateAnswer,
+        Behaviour::CloseDelimited { is_reset: false },
+    ] {
+        let (site, replicas) = site_with(&[behaviour.clone(), behaviour.clone()]).await;
+        let router = site.ready_router("r-1").await;
+        known_replicas(&router, replicas.len()).await;
+        let is_over = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS {
+            let (is_over, address) = (Arc::clone(&is_over), router.callers_address);
+            callers.spawn(call_repeatedly(address, &BUFFERED_ROUTES, caller, is_over));
+        }
+        let (_, change) = changes().pop().unwrap();
+        write_versions(&site, change).await;
+        is_over.store(true, Ordering::SeqCst);
+        for (answered, lost) in callers.join_all().await {
+            assert!(answered > 0, "{behaviour:?}");
+            assert_eq!(lost, Vec::<String>::new(), "{behaviour:?}");
+        }
+    }
+}
+
 /// Reads one answer with a length from a kept connection; `None` if it ended before the answer.
 async fn read_answer(caller: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
