Keep a server whose entry was removed only for an outage of all routers

Cause: entries that expire in an outage of the store are kept for 2.3 s. Three things counted as such an outage that were none: - failed calls of a router that watches, although other routers, of its own domain or others, got answers meanwhile; - 429, by which a store that is up rejects calls beyond the rate; - a router that reads its first lists, which reports that it is not in sync and was taken for one whose calls fail until now.

Evidence: tests/entry/removals.rs against the code before, 4 of 5 failed: "left: entry was not registered again in time" in a_router_that_the_store_refuses_.., .._refused_for_a_moment_.., a_failure_domain_that_the_store_refuses_.. and a_removal_while_the_store_limits_the_rate_.. The tests of leaving servers and of a stale first listing passed before too. tests/outage.rs has the third thing, with injected times; it needs the new module.

Fix: the decision is a pure function (core/outage.rs) of the span of the own failed calls and of the reports of others. One router to which the store was available within the span, without failures around it, disproves the outage. While an outage is assumed, routers of other domains are polled on every second turn, so that a refused domain learns it, and servers kept by then are removed as soon as it is known.

Removals in an outage that all routers saw are kept as before, at most 2.3 s after the last failed call.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod holdings;
 pub mod ids;
 pub mod ledger;
+pub mod outage;
 pub mod part_quarantine;
 pub mod permits;
 pub mod placement;
--- a/src/exchange/directory.rs
+++ b/src/exchange/directory.rs
@@ -14,8 +14,8 @@
 use super::pools::{Incarnation, Pools, ReplicaEntry};
 use super::server_crashes::ServerCrashes;
 use crate::core::ids::ReplicaId;
-use crate::store::health::StoreHealth;
-use crate::util::lock;
+use crate::store::health::{LastOutage, StoreHealth};
+use crate::util::{lock, millis};
 
 /// Time after an outage within which expired entries are registered again, as the platform
 /// specifies.
@@ -26,6 +26,11 @@
 /// in service.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Reason to remove a replica whose entry may have expired in an outage and did not return.
+const NOT_REGISTERED: &str = "entry was not registered again in time";
+/// Reason to remove a replica that was kept for a supposed outage.
+const NO_OUTAGE: &str = "the store answered other routers when the entry was removed";
+
 #[derive(Debug, Default)]
 struct State {
     /// Replicas whose entries have expired, with the end of the grace period.
@@ -121,7 +126,8 @@
             state.departed.insert(id.clone(), (incarnation, now));
         } else if let Some(deadline) = registration_deadline(self.store_health.last_outage(), now) {
             state.missing.entry(id.clone()).or_insert(deadline);
-            info!(self.log, "entry expired; kept for now"; "replica" => id.as_str());
+            info!(self.log, "entry expired; kept for now"; "replica" => id.as_str(),
+                "left_ms" => millis(deadline - now));
             return;
         }
         state.missing.remove(id);
@@ -132,19 +138,26 @@
         self.remove_from_pools(id, "entry removed");
     }
 
-    /// Removes replicas whose grace period is over.
+    /// Removes replicas whose grace period is over, and all that were kept if it turns out that the
+    /// store answered other routers meanwhile, so that nothing expired.
     pub(crate) fn remove_expired(&self, now: Instant) {
+        let was_outage = self.store_health.last_outage() != LastOutage::Disproved;
         let expired: Vec<ReplicaId> = {
             let state = lock(&self.state);
             let expired = state
                 .missing
                 .iter()
-                .filter(|(_, deadline)| **deadline <= now);
+                .filter(|(_, deadline)| **deadline <= now || !was_outage);
             expired.map(|(id, _)| id.clone()).collect()
         };
         for id in expired {
             lock(&self.state).missing.remove(&id);
-            self.remove_from_pools(&id, "entry was not registered again in time");
+            let reason = if was_outage {
+                NOT_REGISTERED
+            } else {
+                NO_OUTAGE
+            };
+            self.remove_from_pools(&id, reason);
         }
         for entry in self.take_confirmed(now) {
             self.update_pools(&entry);
@@ -184,7 +197,10 @@
 }
 
 /// Returns the end of the grace period for a missing entry, if there was a recent outage.
-fn registration_deadline(last_outage: Option<Instant>, now: Instant) -> Option<Instant> {
-    let deadline = last_outage? + REGISTRATION_GRACE;
+fn registration_deadline(last_outage: LastOutage, now: Instant) -> Option<Instant> {
+    let LastOutage::At(end) = last_outage else {
+        return None;
+    };
+    let deadline = end + REGISTRATION_GRACE;
     (deadline > now).then_some(deadline)
 }
--- a/src/exchange/feed_sync.rs
+++ b/src/exchange/feed_sync.rs
@@ -17,6 +17,7 @@
 
 use super::feed_link::{FeedContext, FeedSource};
 use super::members::WatchDuty;
+use crate::store::health::LastOutage;
 use crate::store::kinds::{Freshness, KindError, KindStore};
 use crate::util::millis;
 
@@ -43,6 +44,9 @@
 /// Number of routers of other failure domains that are polled round robin.
 const REMOTE_SOURCES: usize = 2;
 
+/// Time after failed calls in which routers of other domains are polled too.
+const OUTAGE_CHECK_TIME: Duration = Duration::from_millis(2_300);
+
 /// Reason for not polling a router for some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -109,7 +113,9 @@
             if duty.watches && is_current {
                 self.record_current();
                 // Only the local watchers are polled, for the routers present in the domain.
-                duty.remote.clear();
+                if !self.is_outage_assumed() {
+                    duty.remote.clear();
+                }
             }
             match self.next_source(&duty) {
                 Some(router) => self.poll(router, duty.local.contains(&router)).await,
@@ -179,9 +185,15 @@
                 usable = duty.local.iter().filter(is_out_of_sync).copied().collect();
             }
         }
-        if usable.is_empty() {
+        // Routers of other domains tell whether the store answered them meanwhile.
+        let is_remote_turn = self.is_outage_assumed() && self.poll_count.is_multiple_of(2);
+        if usable.is_empty() || is_remote_turn {
             let remote = duty.remote.iter().filter(is_usable);
-            usable = remote.take(REMOTE_SOURCES).copied().collect();
+            let remote: Vec<SocketAddr> = remote.take(REMOTE_SOURCES).copied().collect();
+            if !remote.is_empty() {
+                poll_count = self.poll_count / 2;
+                usable = remote;
+            }
         }
         self.sources
             .retain(|router, _| duty.local.contains(router) || usable.contains(router));
@@ -189,6 +201,14 @@
         Some(usable[index])
     }
 
+    /// Returns true while entries count as expired in an outage, for all that this router knows.
+    fn is_outage_assumed(&self) -> bool {
+        match self.context.health.last_outage() {
+            LastOutage::At(end) => end.elapsed() < OUTAGE_CHECK_TIME,
+            LastOutage::Unknown | LastOutage::Disproved => false,
+        }
+    }
+
     async fn poll(&mut self, router: SocketAddr, is_local: bool) {
         let source = match self.sources.remove(&router) {
             Some(source) => Ok(source),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
     BudgetEntry, FoldedGrant, Generation, GrantRow, HolderUpdate, LedgerError, LedgerShard,
     SealedHorizons, UpdateOutcome, WitnessSet,
 };
+pub use crate::core::outage::{classify_failures, FailedCalls, OutageEvidence, StoreReport};
 pub use crate::core::part_quarantine::{PartCrashOutcome, PartId, PartQuarantine};
 pub use crate::core::permits::{PermitBucket, PermitDenial, ISSUER_COUNT};
 pub use crate::core::placement::{
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -17,7 +17,7 @@
 
 use super::names;
 use crate::exchange::metrics::ExchangeMetrics;
-use crate::store::health::StoreHealth;
+use crate::store::health::{CallOutcome, StoreHealth};
 use crate::store::kinds::{
     Change, Changes, Freshness, KindError, KindObject, KindStore, Listing, Revision,
 };
@@ -148,10 +148,9 @@
             Err(_) => "no_answer".into(),
         };
         self.metrics.record_store_call(&label);
-        let is_answered = result
-            .as_ref()
-            .is_ok_and(|answer| !is_refusal(answer.status));
-        self.health.record_call(is_answered);
+        let status = result.as_ref().map(|answer| answer.status);
+        self.health
+            .record_call(status.map_or(CallOutcome::Failed, outcome_of));
         result
     }
 
@@ -225,9 +224,15 @@
     }
 }
 
-/// Returns true for a status by which the store rejects a call without effect.
-fn is_refusal(status: StatusCode) -> bool {
-    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+/// Returns what the status of an answer shows of the store.
+fn outcome_of(status: StatusCode) -> CallOutcome {
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        CallOutcome::RateLimited
+    } else if status.is_server_error() {
+        CallOutcome::Failed
+    } else {
+        CallOutcome::Answered
+    }
 }
 
 /// Returns a successful answer, or the error for its status.
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -11,26 +11,51 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::util::lock;
+use crate::core::outage::{classify_failures, FailedCalls, OutageEvidence, StoreReport};
+use crate::util::{lock, millis};
 
 /// Largest age of an answer to an own call that counts as evidence that the store is available.
 const MAX_ANSWER_AGE: Duration = Duration::from_secs(6);
-/// Largest time between failures at two routers that can belong to the same outage.
-const SAME_OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 /// Time for which lists that were current count as such. Routers that watch the store confirm it
 /// several times a second.
 const LISTS_CURRENT_TTL: Duration = Duration::from_millis(1_500);
 /// Time after the beginning of an era in which the operator and the replicas write again what the
 /// store has lost.
 const REWRITE_TIME: Duration = Duration::from_millis(2_300);
+/// Time of this process's start as a number. Failures more than this long before it are forgotten.
+const START_MS: u64 = 86_400_000;
 /// Largest age of a report from another router. Reports arrive several times a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
+/// Result of a call, as far as it shows whether the store is available.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallOutcome {
+    /// The store answered.
+    Answered,
+    /// The store rejected the call because of the rate of calls, so it is up.
+    RateLimited,
+    /// The store gave no answer, or rejected the call for another reason.
+    Failed,
+}
+
+/// Whether a missing entry may have expired in an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LastOutage {
+    /// No outage is known.
+    Unknown,
+    /// The store answered other routers when calls failed.
+    Disproved,
+    /// The store was last unreachable at this time, or returned from an older copy.
+    At(Instant),
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// Since when no call was answered.
     failing_since: Option<Instant>,
     last_answer: Option<Instant>,
-    last_failure: Option<Instant>,
+    /// Begin and end of the last span of failed calls.
+    last_failures: Option<(Instant, Instant)>,
     /// True while this router's own calls show all outages.
     is_watching: bool,
     /// Newest known era of the store, and when it became known.
@@ -40,17 +65,7 @@
     /// When the lists were last known to be current.
     lists_current_at: Option<Instant>,
     /// Reports of other routers, by their addresses.
-    reports: HashMap<SocketAddr, PeerReport>,
-}
-
-/// Another router's report of the store.
-#[derive(Clone, Copy, Debug)]
-struct PeerReport {
-    received: Instant,
-    /// True when the store is available to that router.
-    is_available: bool,
-    /// When a call of that router last failed.
-    last_failure: Option<Instant>,
+    reports: HashMap<SocketAddr, (Instant, StoreReport)>,
 }
 
 impl State {
@@ -59,33 +74,47 @@
         self.failing_since.is_none() && self.last_answer.is_some_and(is_recent)
     }
 
-    fn fresh_reports(&self) -> impl Iterator<Item = &PeerReport> {
+    fn fresh_reports(&self) -> impl Iterator<Item = StoreReport> + '_ {
         let reports = self.reports.values();
-        reports.filter(|report| report.received.elapsed() < MAX_REPORT_AGE)
+        let fresh = reports.filter(|(received, _)| received.elapsed() < MAX_REPORT_AGE);
+        fresh.map(|(_, report)| *report)
     }
 }
 
 /// Tracks the availability of the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StoreHealth {
+    started: Instant,
     state: Mutex<State>,
     recoveries: watch::Sender<u64>,
 }
 
+impl Default for StoreHealth {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            state: Mutex::default(),
+            recoveries: watch::Sender::default(),
+        }
+    }
+}
+
 impl StoreHealth {
-    /// Records whether a call was answered.
-    pub(crate) fn record_call(&self, is_answered: bool) {
+    /// Records the outcome of a call.
+    pub(crate) fn record_call(&self, outcome: CallOutcome) {
         let mut state = lock(&self.state);
         let now = Instant::now();
-        if is_answered {
+        if outcome == CallOutcome::Answered {
             state.last_answer = Some(now);
             if state.failing_since.take().is_some() {
                 self.recoveries.send_modify(|count| *count += 1);
             }
             return;
         }
-        state.failing_since.get_or_insert(now);
-        state.last_failure = Some(now);
+        let since = *state.failing_since.get_or_insert(now);
+        if outcome == CallOutcome::Failed {
+            state.last_failures = Some((since, now));
+        }
     }
 
     /// Sets whether this router watches the store, so that its own calls show all outages.
@@ -102,22 +131,16 @@
         failure_age: Option<Duration>,
     ) {
         let now = Instant::now();
-        // A router in an outage reports the age of its last try, but the outage is ongoing.
-        let failure_age = if is_available {
-            failure_age
-        } else {
-            Some(Duration::ZERO)
-        };
-        let report = PeerReport {
-            received: now,
-            is_available,
-            last_failure: failure_age.and_then(|age| now.checked_sub(age)),
-        };
+        let report = StoreReport::new(self.ms_of(now), is_available, failure_age.map(millis));
         let mut state = lock(&self.state);
         state
             .reports
-            .retain(|_, report| report.received.elapsed() < MAX_REPORT_AGE);
-        state.reports.insert(router, report);
+            .retain(|_, (received, _)| received.elapsed() < MAX_REPORT_AGE);
+        let report = match state.reports.get(&router) {
+            Some((_, previous)) => report.with_previous(previous),
+            None => report,
+        };
+        state.reports.insert(router, (now, report));
     }
 
     /// Records the era of an answer, this router's or another one's. A new era counts as an outage.
@@ -184,34 +207,50 @@
     }
 
     /// Returns when the store was last unreachable, or returned from an older copy, leaving out
-    /// failures that only this router or only one other saw.
-    pub(crate) fn last_outage(&self) -> Option<Instant> {
+    /// failures of some routers while the store answered others.
+    pub(crate) fn last_outage(&self) -> LastOutage {
         let state = lock(&self.state);
-        state.last_shared_failure().max(state.era_changed_at)
+        let own = state.last_failures.map(|(since, last)| FailedCalls {
+            since_ms: self.ms_of(since),
+            last_ms: self.ms_of(last),
+        });
+        let reports: Vec<StoreReport> = state.fresh_reports().collect();
+        match classify_failures(own, state.is_watching, &reports) {
+            OutageEvidence::Outage(at_ms) => {
+                let at = self.at_ms(at_ms).max(state.era_changed_at);
+                at.map_or(LastOutage::Unknown, LastOutage::At)
+            }
+            OutageEvidence::NoFailure => {
+                let at = state.era_changed_at;
+                at.map_or(LastOutage::Unknown, LastOutage::At)
+            }
+            OutageEvidence::Local => {
+                let at = state.era_changed_at;
+                let at = at.filter(|at| at.elapsed() < REWRITE_TIME);
+                at.map_or(LastOutage::Disproved, LastOutage::At)
+            }
+        }
     }
 
-    /// Returns the time since a call of this process last failed.
+    /// Returns the time since a call of this process last failed, leaving out those that were
+    /// rejected because of the rate of calls.
     pub(crate) fn failure_age(&self) -> Option<Duration> {
-        lock(&self.state).last_failure.map(|at| at.elapsed())
+        let last_failures = lock(&self.state).last_failures;
+        last_failures.map(|(_, last)| last.elapsed())
     }
-}
 
-impl State {
-    /// Returns when calls of several routers last failed.
-    fn last_shared_failure(&self) -> Option<Instant> {
-        if self.is_watching || self.fresh_reports().next().is_none() {
-            return self.last_failure;
+    /// Converts a time to milliseconds. Other routers report failures from before the start.
+    fn ms_of(&self, at: Instant) -> u64 {
+        START_MS + millis(at.saturating_duration_since(self.started))
+    }
+
+    /// Converts milliseconds to a time; none if it lies before the start of the machine.
+    fn at_ms(&self, at_ms: u64) -> Option<Instant> {
+        if at_ms < START_MS {
+            return self
+                .started
+                .checked_sub(Duration::from_millis(START_MS - at_ms));
         }
-        let newest = self
-            .fresh_reports()
-            .filter_map(|report| report.last_failure)
-            .max()?;
-        let was_unaffected = |report: &PeerReport| {
-            let is_earlier_outage = |failure: Instant| failure + SAME_OUTAGE_WINDOW < newest;
-            report.received > newest && report.last_failure.is_none_or(is_earlier_outage)
-        };
-        // A router that reached the store meanwhile shows that the failure was local to another.
-        let is_local_failure = self.fresh_reports().any(was_unaffected);
-        (!is_local_failure).then_some(newest)
+        Some(self.started + Duration::from_millis(at_ms - START_MS))
     }
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod prompt_parts;
 mod rate_limits;
+mod removals;
 mod replica;
 mod rules;
 mod site;
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -80,6 +80,15 @@
 
 impl Router {
     fn start(directory: &TempDir, store: SocketAddr, name: &str, cpu_cores: f64) -> Self {
+        Self::start_in_domain(directory, store, (name, "a"), cpu_cores)
+    }
+
+    fn start_in_domain(
+        directory: &TempDir,
+        store: SocketAddr,
+        (name, failure_domain): (&str, &str),
+        cpu_cores: f64,
+    ) -> Self {
         let loopback = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (callers_address, registry_address, ready_address) = (
             loopback(free_port()),
@@ -88,7 +97,7 @@
         );
         let metrics_address = loopback(free_port());
         let settings = json!({
-            "vm": name, "failure_domain": "a",
+            "vm": name, "failure_domain": failure_domain,
             "callers_listen": callers_address, "registry_listen": registry_address,
             "ready_listen": ready_address,
             "metrics_listen": metrics_address, "peer_listen": loopback(free_port()),
@@ -252,6 +261,11 @@
         Router::start(&self.directory, store, name, 0.25)
     }
 
+    /// Starts a router of a failure domain that uses another address of the store.
+    pub fn router_in_domain(&self, name: &str, failure_domain: &str, store: SocketAddr) -> Router {
+        Router::start_in_domain(&self.directory, store, (name, failure_domain), 0.25)
+    }
+
     /// Starts a router with twice the CPU share that uses another address of the store.
     pub fn large_router(&self, name: &str, store: SocketAddr) -> Router {
         Router::start(&self.directory, store, name, 0.5)
