Halve the weight of prompt crashes that others don't explain

Callers saw: harmless requests refused with 503 `quarantined` when all servers of a pool end within seconds.

Cause: a crash within 250 ms of a request's arrival had full weight, even where most of the pool crashed at the time. The exception is needed, as several poison requests at the same time look like a common cause to one another.

Why it works: crashes side by side by poison requests are explained, as each of these servers ran a request that has crashed several servers soon after it arrived there. Those of a common cause mostly are not. Four unexplained servers within 2 s of a prompt crash halve its weight; the weight is recomputed whenever the request is looked up, so a herd that becomes known later counts too.

--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -2,10 +2,11 @@
 //!
 //! Routers report to each other which requests were in progress on servers that crashed. Three
 //! crashed servers quarantine a request. Up to twice as many are needed where other servers crashed
-//! at the same time and the request had been running for a while, since the crashes may have a
-//! common cause. Where suspects don't share servers, two are enough, if the request was the only
-//! suspect on one of them and no other request was in progress on all of them when they crashed. A
-//! request that completes doesn't crash every server that runs it, so a completion clears it.
+//! at the same time, since the crashes may have a common cause. If the request had just arrived at
+//! its servers, crashes that another such request explains don't suggest one. Where suspects don't
+//! share servers, two are enough, if the request was the only suspect on one of them and no other
+//! request was in progress on all of them when they crashed. A request that completes doesn't crash
+//! every server that runs it, so a completion clears it.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
@@ -22,7 +23,7 @@
 const QUARANTINE_WEIGHT: u32 = 6;
 /// Weight of a crashed server.
 const CRASH_WEIGHT: u32 = 2;
-/// Weight of a server that crashed together with others after running the request for a while.
+/// Weight of a server that crashed together with others for a common cause.
 const CORRELATED_CRASH_WEIGHT: u32 = 1;
 /// Time within which most poison requests crash a server, from when they were sent there, in
 /// milliseconds.
@@ -31,6 +32,11 @@
 const CORRELATION_WINDOW_MS: u64 = 2_000;
 /// Other servers that must crash within that time to suggest a common cause.
 const MIN_CORRELATED_SERVERS: usize = 2;
+/// Other servers that must crash within that time, without a request that explains it, to suggest
+/// that a server which crashed soon after a request arrived there did not crash because of it.
+const MIN_UNEXPLAINED_SERVERS: usize = 4;
+/// Crashes soon after its arrival by which a request explains those of the servers it ran on.
+const MIN_EXPLAINING_CRASHES: usize = 3;
 /// Upper bound on recorded server crashes for the detection of common causes.
 const MAX_CRASHED_SERVERS: usize = 1_024;
 /// Crashed servers that quarantine a request which was the only suspect on one of them.
@@ -316,27 +322,46 @@
         weights.sum::<u32>() >= QUARANTINE_WEIGHT
     }
 
-    /// Returns the weight of one crash among all crashes of a request. It is the full weight if the
-    /// request had just arrived at the server: the crashes of several poison requests at the same
-    /// time would otherwise count as a common cause.
+    /// Returns the weight of one crash among all crashes of a request. Crashes of other servers at
+    /// about the same time halve it, as they suggest a common cause. If the request had just arrived
+    /// at the server, those that another request explains don't count: several poison requests at
+    /// the same time would otherwise count as a common cause.
     fn weight(&self, crash: &ServerCrash, same_request: &[&ServerCrash]) -> u32 {
-        if crash.running_ms < FAST_CRASH_MS {
-            return CRASH_WEIGHT;
-        }
+        let is_fast = crash.running_ms < FAST_CRASH_MS;
+        let enough = if is_fast {
+            MIN_UNEXPLAINED_SERVERS
+        } else {
+            MIN_CORRELATED_SERVERS
+        };
         let mut others: Vec<&ReplicaId> = Vec::new();
         for (at_ms, replica) in &self.crashed_servers {
             let is_other = at_ms.abs_diff(crash.at_ms) <= CORRELATION_WINDOW_MS
-                && same_request.iter().all(|other| other.replica != *replica);
-            if is_other && !others.contains(&replica) {
-                others.push(replica);
+                && same_request.iter().all(|other| other.replica != *replica)
+                && !others.contains(&replica);
+            if !is_other || is_fast && self.is_explained(replica, *at_ms) {
+                continue;
             }
-            if others.len() >= MIN_CORRELATED_SERVERS {
+            others.push(replica);
+            if others.len() >= enough {
                 return CORRELATED_CRASH_WEIGHT;
             }
         }
         CRASH_WEIGHT
     }
 
+    /// Returns true if a request that crashed several servers, each soon after it arrived there, was
+    /// in progress on a server when that crashed.
+    fn is_explained(&self, replica: &ReplicaId, at_ms: u64) -> bool {
+        let is_here = |crash: &ServerCrash| {
+            crash.replica == *replica && crash.at_ms.abs_diff(at_ms) < SAME_CRASH_MS
+        };
+        self.crashes.values().any(|crashes| {
+            crashes.len() >= MIN_EXPLAINING_CRASHES
+                && crashes.iter().all(|crash| crash.running_ms < FAST_CRASH_MS)
+                && crashes.iter().any(is_here)
+        })
+    }
+
     fn record_server(&mut self, crash: &ServerCrash) {
         let is_recorded = self.crashed_servers.iter().any(|(at_ms, replica)| {
             *replica == crash.replica && at_ms.abs_diff(crash.at_ms) < SAME_CRASH_MS
