--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod origin_keepers;
+pub mod outage;
 pub mod part_quarantine;
 pub mod permits;
 pub mod placement;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
     keeper_order, keepers, sources, FIRST_SOURCE_COUNT, KEEPER_COUNT, MAX_DIRECT_SOURCES,
     SOURCE_COUNT, SPARE_KEEPER_COUNT,
 };
+pub use crate::core::outage::{classify_failures, FailedCalls, OutageEvidence, StoreReport};
 pub use crate::core::part_quarantine::{PartCrashOutcome, PartId, PartQuarantine};
 pub use crate::core::permits::{PermitBucket, PermitDenial, ISSUER_COUNT};
 pub use crate::core::placement::{
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod lost;
 mod prompt_parts;
 mod rate_limits;
+mod removals;
 mod replica;
 mod request_ends;
 mod restarts;
