Saturate the sums for a replica's connections

Callers saw: connections closed without an answer, for every request that was to go to a replica whose entry states slots, or to any replica of a service without `max_conns`.

Cause: the limit of connections to one replica adds one and a half times its slots to its share of `max_conns`, in 32 bits. A test build panics in the request's task; a release build wraps, so that the limit is near 0 and requests are refused. The class: arithmetic on numbers of other writers.

Evidence, on the code before: extreme_numbers_of_slots_do_not_stop_requests: slots: left: Err("connection closed before message completed") right: Ok(200) a_service_without_a_connection_limit_is_served: the same panicked at src/exchange/replica_search.rs:140 and :147: attempt to add with overflow

Both sums saturate now, and the limit of the share still bounds idle connections. 0 slots did not fail before and are part of the test.

The fake store of the tests can answer objects with given bytes, and in pages.

--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -137,14 +137,14 @@
                 // Idle connections are divided evenly among routers; those in use are bounded by
                 // the slots.
                 let share = (pool.connection_limit / routers).max(MIN_CONNECTIONS);
-                let in_use = candidate.slots + candidate.slots / 2;
+                let in_use = candidate.slots.saturating_add(candidate.slots / 2);
                 SearchResult::Found(ChosenReplica {
                     pools: Arc::clone(self),
                     pool: query.pool.clone(),
                     replica: ReplicaAddress {
                         id: candidate.id.clone(),
                         address: pool.replicas[index].address,
-                        connection_limit: (share + in_use) as usize,
+                        connection_limit: share.saturating_add(in_use) as usize,
                         max_idle: share as usize,
                     },
                     key: pool.replicas[index].key(),
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod odd_entries;
 mod prompt_parts;
 mod rate_limits;
 mod replica;
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -17,6 +17,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Text that stands for a raw value, before its number.
+const RAW_VALUE_TEXT: &str = "raw value ";
+/// The same as the beginning of a JSON text.
+const RAW_VALUE_START: &str = "\"raw value ";
+
 /// Injected faults of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreFaults {
@@ -32,6 +37,8 @@
     pub write_delay_ms: u64,
     /// Kind whose serializable (possibly stale) reads return an empty listing.
     pub stale_listing_kind: Option<&'static str>,
+    /// Most items in one page of a listing; all if none.
+    pub page_items: Option<usize>,
 }
 
 type Kinds = BTreeMap<String, BTreeMap<String, Value>>;
@@ -50,6 +57,8 @@
     era: Option<u64>,
     /// Objects and revision that serializable listings show, while these are stale.
     stale_copy: Option<(Kinds, u64)>,
+    /// Values that answers contain as these bytes, by the number in the text that stands for them.
+    raw_values: Vec<Vec<u8>>,
 }
 
 /// The state of a store at one time.
@@ -167,6 +176,15 @@
         self.changed.send_replace(revision);
     }
 
+    /// Writes an object whose value is answered as these bytes, which may be no JSON.
+    pub fn put_raw(&self, kind: &str, name: &str, value: &[u8]) {
+        let mut objects = self.objects.lock().unwrap();
+        let number = objects.raw_values.len();
+        objects.raw_values.push(value.to_owned());
+        drop(objects);
+        self.put(kind, name, &json!(format!("{RAW_VALUE_TEXT}{number}")));
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut objects = self.objects.lock().unwrap();
         objects.remove(kind, name);
@@ -236,6 +254,7 @@
                     } else {
                         answer(503, &json!({}))
                     };
+                    response = with_raw_values(response, &shared).await;
                     let era = shared.lock().unwrap().era;
                     if let Some(era) = era {
                         response.headers_mut().insert("store-era", era.into());
@@ -306,10 +325,53 @@
     Response::builder().status(status).body(body).unwrap()
 }
 
-fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+/// Replaces the texts that stand for raw values.
+async fn with_raw_values(
+    response: Response<Full<Bytes>>,
+    objects: &Mutex<Objects>,
+) -> Response<Full<Bytes>> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    let text = std::str::from_utf8(&body).unwrap();
+    let mut pieces = text.split(RAW_VALUE_START);
+    let mut bytes = pieces.next().unwrap_or_default().as_bytes().to_vec();
+    for piece in pieces {
+        let (number, rest) = piece.split_once('"').unwrap();
+        let number: usize = number.parse().unwrap();
+        bytes.extend_from_slice(&objects.lock().unwrap().raw_values[number]);
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    Response::from_parts(parts, Full::new(bytes.into()))
+}
+
+fn query_text<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let query = request.uri().query()?;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    Some(pairs.find(|(key, _)| *key == name)?.1)
+}
+
+fn query(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    query_text(request, name)?.parse().ok()
+}
+
+/// Decodes a percent-encoded text.
+fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((byte, tail)) = rest.split_first() {
+        let digits = tail
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        let decoded = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        if let Some(decoded) = decoded.filter(|_| *byte == b'%') {
+            bytes.push(decoded);
+            rest = &tail[2..];
+        } else {
+            bytes.push(*byte);
+            rest = tail;
+        }
+    }
+    String::from_utf8(bytes).unwrap()
 }
 
 async fn respond(
@@ -336,6 +398,10 @@
     let method = request.method().clone();
     let revision = query(&request, "revision");
     let is_stale = query(&request, "serializable").is_some();
+    let page = Page {
+        after: query_text(&request, "after").map(decode_percent),
+        items: faults.page_items.unwrap_or(usize::MAX),
+    };
     let body = request.into_body().collect().await.unwrap().to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     if method != Method::GET {
@@ -353,9 +419,15 @@
             ));
         }
         if let Some((copy, revision)) = state.stale_copy.as_ref().filter(|_| is_stale) {
-            return Ok(read(copy, *revision, &kind, name.as_deref()));
+            return Ok(read(copy, *revision, &kind, name.as_deref(), &page));
         }
-        return Ok(read(&state.by_kind, state.revision, &kind, name.as_deref()));
+        return Ok(read(
+            &state.by_kind,
+            state.revision,
+            &kind,
+            name.as_deref(),
+            &page,
+        ));
     }
     let result = write(&mut state, &method, &kind, name, revision, &body);
     let now = state.revision;
@@ -369,11 +441,32 @@
     Ok(result)
 }
 
-fn read(kinds: &Kinds, revision: u64, kind: &str, name: Option<&str>) -> Response<Full<Bytes>> {
+/// Which part of a listing is read.
+struct Page {
+    /// Name after which it begins.
+    after: Option<String>,
+    /// Most items.
+    items: usize,
+}
+
+fn read(
+    kinds: &Kinds,
+    revision: u64,
+    kind: &str,
+    name: Option<&str>,
+    page: &Page,
+) -> Response<Full<Bytes>> {
     let objects = kinds.get(kind);
     let Some(name) = name else {
-        let items: Vec<&Value> = objects.map_or_else(Vec::new, |kind| kind.values().collect());
-        let listing = json!({"items": items, "has_more": false, "current_rev": revision});
+        let objects = objects.into_iter().flatten();
+        let mut left = objects.filter(|(name, _)| page.after.as_ref() < Some(name));
+        let items: Vec<&Value> = left
+            .by_ref()
+            .take(page.items)
+            .map(|(_, object)| object)
+            .collect();
+        let has_more = left.next().is_some();
+        let listing = json!({"items": items, "has_more": has_more, "current_rev": revision});
         return answer(200, &listing);
     };
     match objects.and_then(|kind| kind.get(name)) {
