Log entries of replicas and routers that cannot be used

An entry that could not be decoded was dropped without a line, so a replica that nobody used could not be told from one that never registered. Each change of such an entry is logged once, with its name, revision and the reason; polls that find it unchanged log nothing.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,7 +22,7 @@
 use crate::exchange::headroom::Headroom;
 use crate::exchange::hellos::{
     deregister, receive_datagrams, send_hellos, send_part_reports, send_suspicions, sync_entries,
-    HelloContext, IgnoringSink, ROUTER_KIND,
+    HelloContext, RouterSink, ROUTER_KIND,
 };
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::limits::ReplicaLimits;
@@ -295,10 +295,13 @@
         let health = || Arc::clone(self.store_health);
         let config: Arc<dyn KindSink> =
             Arc::new(ConfigSink::new(Arc::clone(self.exchange), self.log.clone()));
-        let replicas: Arc<dyn KindSink> = Arc::new(ReplicaSink::new(Arc::clone(self.directory)));
+        let replicas: Arc<dyn KindSink> = Arc::new(ReplicaSink::new(
+            Arc::clone(self.directory),
+            self.log.clone(),
+        ));
         let changed = watch::Sender::default();
         let new_kind = |kind, sink| Arc::new(KindFeed::new(kind, sink, changed.clone()));
-        let routers = new_kind(ROUTER_KIND, Arc::new(IgnoringSink));
+        let routers = new_kind(ROUTER_KIND, Arc::new(RouterSink::new(self.log.clone())));
         let sink = QuarantineSink::new(Arc::clone(self.suspects), self.log.clone());
         let quarantined = new_kind(QUARANTINE_KIND, Arc::new(sink));
         let kinds = [
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -200,11 +200,29 @@
     }
 }
 
-/// Sink that ignores changes of the routers' entries, which are polled instead.
-pub(crate) struct IgnoringSink;
+/// Logs unusable entries of routers. The others are polled instead.
+pub(crate) struct RouterSink {
+    log: Logger,
+}
+
+impl RouterSink {
+    /// Creates a sink that writes to a log.
+    pub(crate) const fn new(log: Logger) -> Self {
+        Self { log }
+    }
+}
 
-impl KindSink for IgnoringSink {
-    fn apply(&self, _: Change) {}
+impl KindSink for RouterSink {
+    fn apply(&self, change: Change) {
+        if change.is_removed {
+            return;
+        }
+        let object = &change.object;
+        if let Err(error) = serde_json::from_str::<RouterEntry>(object.value.get()) {
+            warn!(self.log, "router's entry cannot be used"; "object" => object.name.as_str(),
+                "revision" => object.revision, "reason" => error.to_string());
+        }
+    }
 
     fn apply_lost(&self, _: KindObject) {}
 }
--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -4,8 +4,9 @@
 
 use compact_str::CompactString;
 use serde::Deserialize;
+use thiserror::Error;
 
-use crate::core::ids::{FailureDomain, PoolId, ReplicaId};
+use crate::core::ids::{FailureDomain, IdError, PoolId, ReplicaId};
 use crate::exchange::pools::ReplicaEntry;
 use crate::store::kinds::KindObject;
 
@@ -22,20 +23,38 @@
     born: Option<u64>,
 }
 
-/// Decodes an entry. Returns none for an entry that is malformed or has an unknown phase, as other
-/// programs write to this kind too.
-pub(crate) fn decode_replica(object: &KindObject) -> Option<ReplicaEntry> {
-    let wire: WireServer = serde_json::from_str(object.value.get()).ok()?;
+/// An entry that names no usable replica.
+#[derive(Debug, Error)]
+pub(crate) enum EntryError {
+    /// It is no JSON of an entry.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// It has an unknown phase.
+    #[error("unknown phase")]
+    Phase,
+    /// A name in it is malformed.
+    #[error(transparent)]
+    Name(#[from] IdError),
+}
+
+/// Decodes an entry.
+///
+/// # Errors
+///
+/// Fails for an entry that is malformed or has an unknown phase, as other programs write to this
+/// kind too.
+pub(crate) fn decode_replica(object: &KindObject) -> Result<ReplicaEntry, EntryError> {
+    let wire: WireServer = serde_json::from_str(object.value.get())?;
     let is_draining = match wire.phase.as_str() {
         "ready" => false,
         "draining" => true,
-        _ => return None,
+        _ => return Err(EntryError::Phase),
     };
-    Some(ReplicaEntry {
-        id: ReplicaId::new(object.name.clone()).ok()?,
-        pool: PoolId::new(wire.service).ok()?,
+    Ok(ReplicaEntry {
+        id: ReplicaId::new(object.name.clone())?,
+        pool: PoolId::new(wire.service)?,
         address: wire.address,
-        failure_domain: FailureDomain::new(wire.zone).ok()?,
+        failure_domain: FailureDomain::new(wire.zone)?,
         slots: wire.slots,
         is_draining,
         born_ms: wire.born,
--- a/src/platform/sinks.rs
+++ b/src/platform/sinks.rs
@@ -62,23 +62,29 @@
 /// Updates the directory of replicas.
 pub(crate) struct ReplicaSink {
     directory: Arc<Directory>,
+    log: Logger,
 }
 
 impl ReplicaSink {
     /// Creates a sink for a directory.
-    pub(crate) const fn new(directory: Arc<Directory>) -> Self {
-        Self { directory }
+    pub(crate) const fn new(directory: Arc<Directory>, log: Logger) -> Self {
+        Self { directory, log }
     }
 }
 
 impl KindSink for ReplicaSink {
     fn apply(&self, change: Change) {
+        if change.is_removed {
+            self.apply_lost(change.object);
+            return;
+        }
         match decode_replica(&change.object) {
-            Some(entry) if !change.is_removed => {
-                self.directory.apply_entry(&entry, Instant::now());
-            }
-            _ => {
-                // The entry was removed, or overwritten by one that cannot be decoded.
+            Ok(entry) => self.directory.apply_entry(&entry, Instant::now()),
+            Err(error) => {
+                warn!(self.log, "replica's entry cannot be used";
+                    "object" => change.object.name.as_str(), "revision" => change.object.revision,
+                    "reason" => error.to_string());
+                // It may have overwritten a usable one.
                 self.apply_lost(change.object);
             }
         }
