Read the rest of a list beside an unreadable object

Callers saw (in the test): no replica becomes known any more, so requests are refused though replicas serve, as soon as one entry holds bytes that are not UTF-8, an escape that does not exist, a control character, or a number that is none (NaN).

Cause: an answer of the store was decoded as one text. Values are kept as raw JSON and decoded one by one, but the scan for their ends checks strings and numbers too, so one bad value made the whole listing or watch answer unreadable; the router listed again, for ever, and failed again.

An answer that cannot be decoded is repaired: unreadable parts of strings and scalars are replaced, the structure stays, and the values that held them become null. A null value is unusable in every kind: no replica, no router, no configuration, an unreadable ledger (nothing is granted).

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod caller_stream;
 pub(crate) mod config;
 pub(crate) mod ingress;
+mod lenient_json;
 pub(crate) mod names;
 pub(crate) mod objects;
 pub(crate) mod registry;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -12,9 +12,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use super::lenient_json::{is_unreadable, repair};
 use super::names;
 use crate::exchange::metrics::ExchangeMetrics;
 use crate::store::health::StoreHealth;
@@ -85,11 +87,14 @@
 }
 
 impl WireObject {
-    fn into_object(self, era: u64) -> KindObject {
+    /// Converts the object. A value that could not be read becomes null.
+    fn into_object(self, era: u64, is_repaired: bool) -> KindObject {
+        let spec = self.spec;
+        let spec = spec.filter(|spec| !(is_repaired && is_unreadable(spec)));
         KindObject {
             name: self.metadata.name,
             revision: Revision::new(era, self.metadata.revision),
-            value: self.spec.unwrap_or_else(|| RawValue::NULL.to_owned()),
+            value: spec.unwrap_or_else(|| RawValue::NULL.to_owned()),
         }
     }
 }
@@ -115,7 +120,8 @@
 impl Answer {
     /// Decodes the object in the body.
     fn object(&self) -> Result<KindObject, KindError> {
-        Ok(decode::<WireObject>(&self.body)?.into_object(self.era))
+        let decoded = decode::<WireObject>(&self.body)?;
+        Ok(decoded.value.into_object(self.era, decoded.is_repaired))
     }
 }
 
@@ -247,13 +253,32 @@
     }
 }
 
-fn decode<'a, T>(body: &'a [u8]) -> Result<T, KindError>
+/// A decoded answer.
+struct Decoded<T> {
+    value: T,
+    /// True if values in the answer could not be read.
+    is_repaired: bool,
+}
+
+fn decode<T>(body: &[u8]) -> Result<Decoded<T>, KindError>
 where
-    T: Deserialize<'a>,
+    T: DeserializeOwned,
 {
-    serde_json::from_slice(body).map_err(|error| KindError::Decode {
-        reason: compact_str::format_compact!("{error}"),
-    })
+    match serde_json::from_slice(body) {
+        Ok(value) => Ok(Decoded {
+            value,
+            is_repaired: false,
+        }),
+        Err(error) => match serde_json::from_str(&repair(body)) {
+            Ok(value) => Ok(Decoded {
+                value,
+                is_repaired: true,
+            }),
+            Err(_) => Err(KindError::Decode {
+                reason: compact_str::format_compact!("{error}"),
+            }),
+        },
+    }
 }
 
 fn object_body(
@@ -291,7 +316,10 @@
             }
             let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
             let answer = check_status(answer)?;
-            let page: WireListing = decode(&answer.body)?;
+            let Decoded {
+                value: page,
+                is_repaired,
+            } = decode::<WireListing>(&answer.body)?;
             let era = answer.era;
             // The revision of the first page: the watch repeats changes made between two pages.
             if listing.objects.is_empty() {
@@ -303,7 +331,7 @@
             let items = page.items.into_iter();
             listing
                 .objects
-                .extend(items.map(|item| item.into_object(era)));
+                .extend(items.map(|item| item.into_object(era, is_repaired)));
             if is_last {
                 return Ok(listing);
             }
@@ -334,9 +362,12 @@
             // The new era has other changes up to this number.
             return Err(KindError::HistoryGone);
         }
-        let events: WireEvents = decode(&answer.body)?;
+        let Decoded {
+            value: events,
+            is_repaired,
+        } = decode::<WireEvents>(&answer.body)?;
         let changes = events.events.into_iter().map(|event| Change {
-            object: event.object.into_object(era),
+            object: event.object.into_object(era, is_repaired),
             is_removed: event.removed,
         });
         Ok(Changes {
--- a/tests/entry/feed.rs
+++ b/tests/entry/feed.rs
@@ -8,8 +8,8 @@
 use super::{site_with, AMPLE_PAID_TOKENS};
 
 /// Routers of one failure domain, of which only the two large ones watch the store.
-struct Fleet {
-    site: Site,
+pub(super) struct Fleet {
+    pub(super) site: Site,
     replicas: Vec<FakeReplica>,
     /// They reach the store through a link that can be closed.
     watchers: Vec<Router>,
@@ -32,7 +32,7 @@
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    pub(super) async fn start() -> Self {
         let (site, replicas) = site_with(&[Behaviour::Answer, Behaviour::Answer]).await;
         let (link, link_of_watchers) = site.store.open_link().await;
         let (own_link, link_of_cut) = site.store.open_link().await;
@@ -62,7 +62,7 @@
         fleet
     }
 
-    fn members(&self) -> impl Iterator<Item = &Router> {
+    pub(super) fn members(&self) -> impl Iterator<Item = &Router> {
         self.others.iter().chain([&self.cut])
     }
 
