Encode names of objects in the query of a listing

A listing continues after the name of the last object. Another writer may choose a name with a space, `&` or `%`; as the last one of a page it made the path invalid or cut the name, and the listing was repeated for ever or from a wrong place. Names of letters, digits and `-._~:`, which all routers and replicas have, are sent as before.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -281,6 +281,20 @@
     }
 }
 
+/// Encodes an object's name, which another writer may have chosen, for a query.
+fn encode_name(name: &str) -> CompactString {
+    let mut encoded = CompactString::default();
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~:".contains(&byte) {
+            encoded.push(char::from(byte));
+        } else {
+            // Writing to a string cannot fail.
+            let _ = write!(encoded, "%{byte:02X}");
+        }
+    }
+    encoded
+}
+
 fn object_body(
     name: &str,
     value: &RawValue,
@@ -312,7 +326,7 @@
             }
             if let Some(last) = listing.objects.last() {
                 // Writing to a string cannot fail.
-                let _ = write!(path, "{separator}after={}", last.name);
+                let _ = write!(path, "{separator}after={}", encode_name(&last.name));
             }
             let answer = self.call(Method::GET, &path, None, CALL_TIMEOUT).await?;
             let answer = check_status(answer)?;
--- a/tests/entry/odd_entries.rs
+++ b/tests/entry/odd_entries.rs
@@ -195,6 +195,7 @@
     for page_items in [None, Some(3)] {
         let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
         put_all(&site, "servers");
+        site.store.put_raw("servers", "odd name&after=z%", b"null");
         site.store.set_faults(StoreFaults {
             page_items,
             ..StoreFaults::default()
