Never reuse a connection for an attempt that was refused on it

Callers saw (in the test): 503, "not run", for a request that is not idempotent and that a replica had run or was running.

Cause: an answer belongs to a request if it bears the attempt's id. An attempt reaches the same replica again under the same id when its caller repeats it, or when the router sends it once more after all other replicas refused; on the same kept connection, an earlier refusal that the replica writes once more is then taken for the answer to the second request. The class: an identity that is not unique for what it has to tell apart.

Evidence, on the code before: a_refusal_repeated_after_the_next_request_is_not_its_answer: WithNextRequest, with id: true, replicas: 1: a-0 ran and was answered 503 a_refusal_repeated_around_the_next_request_is_not_its_answer: After(50us), with id: true, replicas: 1: a-8 ran and was answered 503

A connection remembers the attempts that were refused on it (8 at most, then it is closed) and is not used for these again. A refusal with another attempt's id, or without an id on a used connection, was never taken for an answer; one that is repeated at once, before the next request, did not fail in the test either. The tests guard all of these.

The pool of connections moves to a file of its own.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod activity;
 mod caller_stream;
 pub(crate) mod config;
+mod connections;
 pub(crate) mod ingress;
 mod lenient_json;
 pub(crate) mod names;
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -1,8 +1,7 @@
 //! Sends requests to replicas over HTTP and checks that each answer comes from the right replica.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_stream::stream;
@@ -14,11 +13,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::connections::{Connection, IdleConnections, OpenCounts};
 use super::names;
 use crate::exchange::request::{
     AnswerBody, BodyEnd, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress,
@@ -42,78 +40,6 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 /// Characters of an unusable header value that are logged.
 const MAX_LOGGED_CHARS: usize = 40;
-/// Most idle connections kept to each replica.
-const MAX_IDLE: usize = 6;
-
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-    address: SocketAddr,
-    is_used: bool,
-    idle_since: Instant,
-    usable_until: Instant,
-    open_counts: Arc<OpenCounts>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-        let mut open = lock(&self.open_counts.by_address);
-        if let Some(count) = open.get_mut(&self.address) {
-            *count -= 1;
-            if *count == 0 {
-                open.remove(&self.address);
-            }
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct OpenCounts {
-    by_address: Mutex<HashMap<SocketAddr, usize>>,
-}
-
-#[derive(Debug, Default)]
-struct IdleConnections {
-    by_address: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
-}
-
-impl IdleConnections {
-    /// Removes and returns the most recently used connection, if it can be reused.
-    fn take(&self, address: SocketAddr, limit: Duration) -> Option<Connection> {
-        let mut idle = lock(&self.by_address);
-        let connections = idle.get_mut(&address)?;
-        let now = Instant::now();
-        connections
-            .retain(|connection| !connection.sender.is_closed() && connection.usable_until > now);
-        let last = connections.last()?;
-        if now - last.idle_since > limit || !last.sender.is_ready() {
-            return None;
-        }
-        connections.pop()
-    }
-
-    fn put_back(&self, connection: Connection, max_idle: usize) {
-        let mut idle = lock(&self.by_address);
-        let connections = idle.entry(connection.address).or_default();
-        connections.push(connection);
-        if connections.len() > max_idle.min(MAX_IDLE) {
-            connections.remove(0);
-        }
-    }
-
-    /// Closes connections whose idle timeout has passed.
-    fn close_expired(&self) {
-        let now = Instant::now();
-        lock(&self.by_address).retain(|_, connections| {
-            connections.retain(|connection| {
-                !connection.sender.is_closed() && connection.usable_until > now
-            });
-            !connections.is_empty()
-        });
-    }
-}
 
 /// HTTP client for replicas, with a pool of idle connections.
 #[derive(Debug, Default)]
@@ -133,17 +59,17 @@
         lock(&self.open_counts.by_address).values().sum()
     }
 
-    async fn connection(
-        &self,
-        replica: &ReplicaAddress,
-        runs_once: bool,
-    ) -> Result<Connection, DispatchError> {
-        let limit = if runs_once {
+    async fn connection(&self, dispatch: &Dispatch<'_>) -> Result<Connection, DispatchError> {
+        let replica = dispatch.replica;
+        let limit = if dispatch.runs_once {
             RUN_ONCE_IDLE_LIMIT
         } else {
             IDLE_LIMIT
         };
-        if let Some(connection) = self.idle.take(replica.address, limit) {
+        if let Some(connection) = self
+            .idle
+            .take(replica.address, limit, &dispatch.request.attempt)
+        {
             return Ok(connection);
         }
         let guard = self.reserve_connection(replica)?;
@@ -173,6 +99,7 @@
             idle_since: Instant::now(),
             usable_until: Instant::now() + IDLE_LIMIT,
             open_counts: guard.into_counts(),
+            refused_attempts: Vec::new(),
         })
     }
 
@@ -272,9 +199,7 @@
 impl ReplicaTransport for HttpTransport {
     async fn send(&self, dispatch: Dispatch<'_>) -> Result<ReplicaAnswer, DispatchError> {
         let request = build_request(&dispatch)?;
-        let mut connection = self
-            .connection(dispatch.replica, dispatch.runs_once)
-            .await?;
+        let mut connection = self.connection(&dispatch).await?;
         let is_first = !std::mem::replace(&mut connection.is_used, true);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -300,12 +225,7 @@
                 is_connection_lost: false,
             });
         }
-        Ok(self.answer(
-            response,
-            replica_status,
-            connection,
-            dispatch.replica.max_idle,
-        ))
+        Ok(self.answer(response, replica_status, connection, &dispatch))
     }
 
     async fn probe(&self, address: SocketAddr) -> ProbeResult {
@@ -372,20 +292,24 @@
         &self,
         response: Response<Incoming>,
         replica_status: ReplicaStatus,
-        connection: Connection,
-        max_idle: usize,
+        mut connection: Connection,
+        dispatch: &Dispatch<'_>,
     ) -> ReplicaAnswer {
         let (parts, body) = response.into_parts();
         let end = body_end(&parts.headers, &body);
-        let reuse_limit = reuse_limit(&parts.headers).filter(|_| end == BodyEnd::Stated);
-        let is_not_run = parts.headers.contains_key(names::NOT_EXECUTED);
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        let is_not_run = is_misdirected || parts.headers.contains_key(names::NOT_EXECUTED);
+        if is_not_run {
+            connection.record_refused(dispatch.request.attempt.clone());
+        }
+        let is_reusable = end == BodyEnd::Stated && connection.may_refuse_more();
+        let reuse_limit = reuse_limit(&parts.headers).filter(|_| is_reusable);
         let mut headers = parts.headers;
         remove_connection_headers(&mut headers);
         ReplicaAnswer {
             status: parts.status.as_u16(),
             headers,
-            is_not_run: is_not_run || is_misdirected,
+            is_not_run,
             is_misdirected,
             replica_status,
             body: AnswerBody::new(
@@ -394,7 +318,7 @@
                     connection,
                     reuse_limit,
                     Arc::clone(&self.idle),
-                    max_idle,
+                    dispatch.replica.max_idle,
                 ),
                 end,
             ),
