Resume a broken stream only with an answer that continues it

Callers saw (in the test): an error's text in the middle of a stream, or repeated or missing events, framed as a complete stream, for HTTP/1.1 and HTTP/1.0.

Cause: when a stream breaks off, any answer with a status of 2xx was taken for its rest: another status than 200, another content type, a text in place of events, an event without an id, with the id of one that was forwarded, or beyond the next, and an end that only the connection states. The class: a success is believed without a look at what it is for. The same held for the first answer to a caller that takes up a stream itself.

A stream continues another one if it has the first one's status, is a stream of events, and its first event has the next id; without events it must state its end and hold nothing else. If the ids so far were consecutive, the next id is one more; else it is any greater one. Otherwise the try fails: the next replica is tried, or the stream breaks off, for HTTP/1.0 with a reset. For a caller that resumes, the ids so far are not known, so a left-out event cannot be noticed at that point.

Status 500 with a body, 503 "not run", a head that breaks off, bytes before the head, and an error's head in place of a chunk were never forwarded; the tests guard that. An error status now counts as a failure of the replica, and its body is read so that its connection can be kept.

--- a/src/exchange/events.rs
+++ b/src/exchange/events.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
+use super::event_ids::EventIds;
 use crate::core::units::Tokens;
 
 /// Largest event, in bytes.
@@ -79,6 +80,8 @@
     pub bytes: Bytes,
     /// Number of events.
     pub count: u64,
+    /// Id of the first event, if it has one.
+    pub first_id: Option<u64>,
 }
 
 /// Buffers bytes until events are complete.
@@ -86,17 +89,17 @@
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
     lines: LineScanner,
-    last_id: Option<u64>,
+    ids: EventIds,
     quota: StreamQuota,
 }
 
 impl EventSplitter {
-    /// Creates a splitter; `last_id` is the id of the event that the stream resumes after, if any.
-    pub(crate) fn new(last_id: Option<u64>, quota: StreamQuota) -> Self {
+    /// Creates a splitter; `ids` are those of the events before, if the stream is resumed.
+    pub(crate) fn new(ids: EventIds, quota: StreamQuota) -> Self {
         Self {
             buffer: BytesMut::new(),
             lines: LineScanner::new(),
-            last_id,
+            ids,
             quota,
         }
     }
@@ -106,9 +109,9 @@
         self.quota
     }
 
-    /// Returns the id of the last complete event.
-    pub(crate) const fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// Returns the ids of the complete events, those before the stream was resumed included.
+    pub(crate) const fn ids(&self) -> EventIds {
+        self.ids
     }
 
     /// Appends bytes and returns the events that they complete. Blocks of comments and empty lines
@@ -122,12 +125,17 @@
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         let mut count = 0;
+        let mut first_id = None;
         for index in scanned..self.buffer.len() {
             match self.lines.push(self.buffer[index]) {
                 LineEvent::EmptyLine => {
                     let block = &self.buffer[end..=index];
-                    if let Some(id) = event_id(block) {
-                        self.last_id = Some(id);
+                    let id = event_id(block);
+                    if let Some(id) = id {
+                        self.ids.record(id);
+                    }
+                    if count == 0 {
+                        first_id = id;
                     }
                     count += u64::from(has_field(block));
                     end = index + 1;
@@ -142,6 +150,7 @@
         let batch = EventBatch {
             bytes: self.buffer.split_to(end).freeze(),
             count,
+            first_id,
         };
         self.quota.consume(&batch)?;
         Ok(batch)
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod chosen_replica;
 pub(crate) mod directory;
 pub(crate) mod engine;
+mod event_ids;
 pub(crate) mod events;
 pub(crate) mod feed_link;
 pub(crate) mod feed_sync;
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -12,15 +12,19 @@
 
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
+use super::event_ids::EventIds;
 use super::events::{EventSplitter, StreamQuota, StreamTooLong};
 use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
-use super::run::{AnsweredTry, Run};
+use super::run::{discard_body, AnsweredTry, Run};
 
 /// Minimum time without an event after which a resumable stream is resumed elsewhere.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Stall timeout as a multiple of the route's longest allowed pause between two events.
 const STALL_TIMEOUT_PAUSES: u32 = 4;
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A stream from one replica, after its first event or its end was received.
 pub(super) struct OpenStream {
     pub(super) status: u16,
@@ -28,6 +32,8 @@
     pub(super) chosen: Option<ChosenReplica>,
     body: AnswerBody,
     splitter: EventSplitter,
+    /// Ids of the events before, if the stream is resumed.
+    ids_before: Option<EventIds>,
     first_bytes: Bytes,
     first_events: u64,
     end: Option<BodyEnd>,
@@ -42,14 +48,19 @@
 }
 
 impl OpenStream {
-    /// Creates a stream; `last_id` is the id of the event that it resumes after, if any.
-    pub(super) fn new(answer: ReplicaAnswer, last_id: Option<u64>, quota: StreamQuota) -> Self {
+    /// Creates a stream; `ids_before` are those of the events that it resumes after, if any.
+    pub(super) fn new(
+        answer: ReplicaAnswer,
+        ids_before: Option<EventIds>,
+        quota: StreamQuota,
+    ) -> Self {
         Self {
             status: answer.status,
             headers: answer.headers,
             chosen: None,
             body: answer.body,
-            splitter: EventSplitter::new(last_id, quota),
+            splitter: EventSplitter::new(ids_before.unwrap_or_default(), quota),
+            ids_before,
             first_bytes: Bytes::new(),
             first_events: 0,
             end: None,
@@ -60,15 +71,21 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body breaks off or exceeds its quota.
+    /// Fails when the body breaks off or exceeds its quota, or does not continue the stream that it
+    /// should.
     pub(super) async fn read_first_event(&mut self) -> Result<(), BrokenBody> {
+        if self.ids_before.is_some() && !is_event_stream(&self.headers) {
+            return Err(not_continued_error("no stream of events"));
+        }
         let mut first_bytes = BytesMut::new();
+        let mut first_id = None;
         while self.first_events == 0 && self.end.is_none() {
             match self.body.next().await? {
                 BodyPart::Data(chunk) => {
                     let batch = self.splitter.push(&chunk).map_err(too_long_error)?;
                     first_bytes.extend_from_slice(&batch.bytes);
                     self.first_events = batch.count;
+                    first_id = batch.first_id;
                 }
                 BodyPart::End(end) => self.end = Some(end),
             }
@@ -77,6 +94,22 @@
         if self.first_events == 0 {
             self.check_event_end()?;
         }
+        self.check_continuation(first_id)
+    }
+
+    /// Checks that a resumed stream begins where the events before it ended. A stream without
+    /// events must state its end and have nothing else either.
+    fn check_continuation(&self, first_id: Option<u64>) -> Result<(), BrokenBody> {
+        let Some(ids_before) = self.ids_before else {
+            return Ok(());
+        };
+        let is_empty = !self.has_events();
+        if is_empty && (self.end != Some(BodyEnd::Stated) || self.splitter.is_inside_event()) {
+            return Err(not_continued_error("no event and no stated end"));
+        }
+        if !is_empty && !ids_before.is_continued_by(first_id) {
+            return Err(not_continued_error("the first event is not the next one"));
+        }
         Ok(())
     }
 
@@ -104,6 +137,22 @@
     }
 }
 
+fn not_continued_error(reason: &str) -> BrokenBody {
+    BrokenBody {
+        reason: reason.into(),
+        is_connection_lost: false,
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get("content-type");
+    let content_type = content_type.and_then(|content_type| content_type.to_str().ok());
+    content_type.is_some_and(|content_type| {
+        let essence = content_type.split(';').next().unwrap_or_default();
+        essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    })
+}
+
 fn timed_out_error() -> BrokenBody {
     BrokenBody {
         reason: "the route's time is over".into(),
@@ -205,7 +254,7 @@
                     is_connection_lost: true,
                 },
             };
-            let last_id = open_stream.splitter.last_id();
+            let (status, ids) = (open_stream.status, open_stream.splitter.ids());
             let quota = open_stream.splitter.quota();
             let chosen = open_stream.chosen.take();
             // Closes the connection before the stream is resumed at another replica.
@@ -213,7 +262,7 @@
             if let Some(chosen) = chosen {
                 run.record_broken(&chosen, &reason).await;
             }
-            let Some(resumed) = resume(&mut run, last_id, quota).await else {
+            let Some(resumed) = resume(&mut run, status, ids, quota).await else {
                 run.record.set_outcome("stream_broken");
                 yield Err(reason);
                 return;
@@ -235,19 +284,26 @@
 }
 
 /// Resumes a stream at another replica. Returns `None` if that is not allowed or fails.
-async fn resume(run: &mut Run, last_id: Option<u64>, quota: StreamQuota) -> Option<OpenStream> {
+async fn resume(
+    run: &mut Run,
+    status: u16,
+    ids: EventIds,
+    quota: StreamQuota,
+) -> Option<OpenStream> {
     if run.route.kind != RouteKind::ResumableStream {
         return None;
     }
-    let last_id = last_id?;
+    let last_id = ids.last()?;
     while run.take_resume() {
         let AnsweredTry { answer, mut chosen } = run.next_answer(Some(last_id)).await.ok()?;
-        if !(200..300).contains(&answer.status) {
+        if answer.status != status {
+            chosen.record_failure();
             run.record
                 .add_try(chosen.replica.id.as_str(), answer.status);
+            discard_body(answer.body).await;
             continue;
         }
-        let mut open_stream = OpenStream::new(answer, Some(last_id), quota);
+        let mut open_stream = OpenStream::new(answer, Some(ids), quota);
         let first_event = tokio::time::timeout_at(run.deadline, open_stream.read_first_event())
             .await
             .ok()?;
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -12,6 +12,7 @@
 use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
 use super::engine::Exchange;
+use super::event_ids::EventIds;
 use super::events::StreamQuota;
 use super::grants::Reservation;
 use super::record::RequestRecord;
@@ -178,8 +179,8 @@
             }
             let output_tokens = self.request.tokens.map(|bound| bound.max_output_tokens);
             let quota = StreamQuota::new(output_tokens);
-            let mut open_stream =
-                super::relay::OpenStream::new(answer, self.request.resume_after, quota);
+            let ids_before = self.request.resume_after.map(EventIds::ending_with);
+            let mut open_stream = super::relay::OpenStream::new(answer, ids_before, quota);
             match tokio::time::timeout_at(self.deadline, open_stream.read_first_event()).await {
                 Ok(Ok(())) => {
                     if open_stream.has_events() {
@@ -455,7 +456,7 @@
 }
 
 /// Reads and drops the rest of a body, so that its connection can be reused.
-async fn discard_body(mut body: AnswerBody) {
+pub(super) async fn discard_body(mut body: AnswerBody) {
     // After a timeout only the connection is lost.
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_until_end(&mut body)).await;
 }
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -85,6 +85,8 @@
     RequestBackoff(Duration),
     /// Sends a complete answer that states this text as its rate limit.
     Limit(&'static str),
+    /// Writes this text, in which `{id}` is the attempt's id, and closes the connection.
+    Raw(String),
     /// Answers like the inner behaviour, with the header that announces its shutdown.
     Leaving(Box<Behaviour>),
 }
@@ -390,6 +392,7 @@
             }
             return false;
         }
+        Behaviour::Raw(text) => return send_raw(stream, &text.replace("{id}", id)).await,
         Behaviour::Unframed {
             content_type, body, ..
         } => {
@@ -414,8 +417,7 @@
             return false;
         }
         Behaviour::BreakStream { after } => {
-            send_broken_stream(stream, &stream_head(id, leaving_line), *after).await;
-            return false;
+            return send_broken_stream(stream, &stream_head(id, leaving_line), *after).await;
         }
     };
     let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
@@ -469,20 +471,27 @@
     }
 }
 
+/// Sends a text. Returns false, as its connection cannot be used afterwards.
+async fn send_raw(stream: &mut TcpStream, text: &str) -> bool {
+    // Ignores the error when the router has closed the connection.
+    let _ = stream.write_all(text.as_bytes()).await;
+    // Lets the bytes arrive before the connection closes.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    false
+}
+
 /// Sends an answer without a length, which ends when the connection closes.
 async fn send_unframed(stream: &mut TcpStream, id: &str, content_type: &str, body: &str) {
     let text = format!(
         "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
          Currantlever-Replica-Signature: sig\r\nContent-Type: {content_type}\r\n\r\n{body}"
     );
-    // Ignores the error when the router has closed the connection.
-    let _ = stream.write_all(text.as_bytes()).await;
-    // Lets the bytes arrive before the connection closes.
-    tokio::time::sleep(Duration::from_millis(20)).await;
+    send_raw(stream, &text).await;
 }
 
-/// Sends some whole events and a part of the next one.
-async fn send_broken_stream(stream: &mut TcpStream, head: &str, events: u64) {
+/// Sends some whole events and a part of the next one. Returns false, as its connection cannot be
+/// used afterwards.
+async fn send_broken_stream(stream: &mut TcpStream, head: &str, events: u64) -> bool {
     let mut text = head.to_owned();
     for event in 1..=events {
         text.push_str(&chunk(&event_text(event)));
@@ -491,6 +500,7 @@
     let _ = stream.write_all(text.as_bytes()).await;
     let _ = stream.flush().await;
     tokio::time::sleep(Duration::from_millis(50)).await;
+    false
 }
 
 /// Sends events or parts of one until the router closes the connection.
@@ -518,11 +528,11 @@
     format!("id: {event}\ndata: piece {event}\n\n")
 }
 
-fn chunk(text: &str) -> String {
+pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn stream_head(id: &str, leaving_line: &str) -> String {
+pub fn stream_head(id: &str, leaving_line: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n{leaving_line}\
          Currantlever-Replica-Signature: sig\r\nContent-Type: text/event-stream\r\n\
