Test listings of one object a page

The pages of three did not end with the name that has to be encoded, so the test did not show that fault. With pages of one, on the code without the encoding: odd_entries_of_replicas_in_a_listing_...: timed out waiting until a replica is known

--- a/tests/entry/odd_entries.rs
+++ b/tests/entry/odd_entries.rs
@@ -192,7 +192,7 @@
 /// Guards against the same where the odd entries are in the first listing, on any of its pages.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_entries_of_replicas_in_a_listing_name_no_replica_and_stop_nothing() {
-    for page_items in [None, Some(3)] {
+    for page_items in [None, Some(1), Some(3)] {
         let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
         put_all(&site, "servers");
         site.store.put_raw("servers", "odd name&after=z%", b"null");
