Answer 502 for a refusal that does not state that nothing ran

Callers saw (in the test): a replica's 408, 429 or 503 without `Currantlever-Not-Executed`, for a request that is not idempotent. To a caller these statuses promise that the request was not run and never will be, but only that header states it; without it the request may have run.

For requests that run at most once, such an answer counts as lost now: 502, without a signature, and no other try. Requests that may run more than once get it unchanged, as before.

--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -256,9 +256,28 @@
     if response.status().is_success() && !headers.contains_key(names::SIGNATURE) {
         return Err("success without signature");
     }
+    if dispatch.runs_once && promises_not_run(response.status()) && !is_not_run(response) {
+        return Err("refusal that does not state that the request was not run");
+    }
     Ok(())
 }
 
+/// Returns true for a status by which callers are promised that the request was not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns true if an answer states that the request was not run.
+fn is_not_run(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::MISDIRECTED_REQUEST
+        || response.headers().contains_key(names::NOT_EXECUTED)
+}
+
 /// Decodes the state that a replica reports in its answer. An answer 421 comes from a replica that
 /// the request was not meant for, so it says nothing about the intended one.
 fn decode_replica_status(response: &Response<Incoming>) -> ReplicaStatus {
@@ -295,10 +314,10 @@
         mut connection: Connection,
         dispatch: &Dispatch<'_>,
     ) -> ReplicaAnswer {
+        let is_not_run = is_not_run(&response);
         let (parts, body) = response.into_parts();
         let end = body_end(&parts.headers, &body);
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let is_not_run = is_misdirected || parts.headers.contains_key(names::NOT_EXECUTED);
         if is_not_run {
             connection.record_refused(dispatch.request.attempt.clone());
         }
--- a/tests/entry/earlier_refusal.rs
+++ b/tests/entry/earlier_refusal.rs
@@ -9,8 +9,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::replica::Behaviour;
 use super::site::{free_port, Call, Router, Site};
-use super::AMPLE_PAID_TOKENS;
+use super::{received_count, site_with, AMPLE_PAID_TOKENS};
 
 /// Time that a request runs before it is answered.
 const RUN_TIME: Duration = Duration::from_millis(10);
@@ -200,3 +201,23 @@
         check(Moment::After(Duration::from_micros(time_us))).await;
     }
 }
+
+/// Guards against a promise that no replica made: only a refusal with the header states that the
+/// request was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_does_not_state_that_nothing_ran_is_not_passed_on() {
+    for status in [408, 429, 503] {
+        for route in ["book", "draft"] {
+            let refusal = format!(
+                "HTTP/1.1 {status} X\r\nCurrantlever-Attempt-Id: {{id}}\r\n\
+                 Currantlever-Replica-Signature: sig\r\nContent-Length: 0\r\n\r\n"
+            );
+            let refuses = Behaviour::Raw(refusal);
+            let (site, replicas) = site_with(&[refuses.clone(), refuses]).await;
+            let router = site.ready_router("r-1").await;
+            let got = Call::new(route, "a-1").send(router.callers_address).await;
+            assert_eq!(got.unwrap().status, 502, "{status} on {route}");
+            assert_eq!(received_count(&replicas), 1, "{status} on {route}");
+        }
+    }
+}
