--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -12,12 +12,16 @@
 
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
+use super::event_ids::EventIds;
 use super::events::{EventBatch, EventSplitter, StreamQuota, StreamTooLong};
 use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
 use super::retries::NotResumed;
-use super::run::{AnsweredTry, Run};
+use super::run::{discard_body, AnsweredTry, Run};
 use super::silence::{hand_over, Handover, Silence};
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A stream from one replica, after its first event or its end was received.
 pub(super) struct OpenStream {
     pub(super) status: u16,
@@ -25,6 +29,8 @@
     pub(super) chosen: Option<ChosenReplica>,
     body: AnswerBody,
     splitter: EventSplitter,
+    /// Ids of the events before, if the stream is resumed.
+    ids_before: Option<EventIds>,
     first_bytes: Bytes,
     first_events: u64,
     end: Option<BodyEnd>,
@@ -39,14 +45,19 @@
 }
 
 impl OpenStream {
-    /// Creates a stream; `last_id` is the id of the event that it resumes after, if any.
-    pub(super) fn new(answer: ReplicaAnswer, last_id: Option<u64>, quota: StreamQuota) -> Self {
+    /// Creates a stream; `ids_before` are those of the events that it resumes after, if any.
+    pub(super) fn new(
+        answer: ReplicaAnswer,
+        ids_before: Option<EventIds>,
+        quota: StreamQuota,
+    ) -> Self {
         Self {
             status: answer.status,
             headers: answer.headers,
             chosen: None,
             body: answer.body,
-            splitter: EventSplitter::new(last_id, quota),
+            splitter: EventSplitter::new(ids_before.unwrap_or_default(), quota),
+            ids_before,
             first_bytes: Bytes::new(),
             first_events: 0,
             end: None,
@@ -57,15 +68,21 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body breaks off or exceeds its quota.
+    /// Fails when the body breaks off or exceeds its quota, or does not continue the stream that it
+    /// should.
     pub(super) async fn read_first_event(&mut self) -> Result<(), BrokenBody> {
+        if self.ids_before.is_some() && !is_event_stream(&self.headers) {
+            return Err(not_continued_error("no stream of events"));
+        }
         let mut first_bytes = BytesMut::new();
+        let mut first_id = None;
         while self.first_events == 0 && self.end.is_none() {
             match self.body.next().await? {
                 BodyPart::Data(chunk) => {
                     let batch = self.splitter.push(&chunk).map_err(too_long_error)?;
                     first_bytes.extend_from_slice(&batch.bytes);
                     self.first_events = batch.count;
+                    first_id = batch.first_id;
                 }
                 BodyPart::End(end) => self.end = Some(end),
             }
@@ -74,6 +91,22 @@
         if self.first_events == 0 {
             self.check_event_end()?;
         }
+        self.check_continuation(first_id)
+    }
+
+    /// Checks that a resumed stream begins where the events before it ended. A stream without
+    /// events must state its end and have nothing else either.
+    fn check_continuation(&self, first_id: Option<u64>) -> Result<(), BrokenBody> {
+        let Some(ids_before) = self.ids_before else {
+            return Ok(());
+        };
+        let is_empty = !self.has_events();
+        if is_empty && (self.end != Some(BodyEnd::Stated) || self.splitter.is_inside_event()) {
+            return Err(not_continued_error("no event and no stated end"));
+        }
+        if !is_empty && !ids_before.is_continued_by(first_id) {
+            return Err(not_continued_error("the first event is not the next one"));
+        }
         Ok(())
     }
 
@@ -96,9 +129,13 @@
         }
     }
 
-    /// Returns the id of the last complete event and the remaining quota.
-    pub(super) const fn position(&self) -> (Option<u64>, StreamQuota) {
-        (self.splitter.last_id(), self.splitter.quota())
+    /// Returns where the stream stands.
+    pub(super) const fn position(&self) -> StreamPosition {
+        StreamPosition {
+            status: self.status,
+            ids: self.splitter.ids(),
+            quota: self.splitter.quota(),
+        }
     }
 
     /// Closes the connection to the replica, if its answer has not ended.
@@ -130,6 +167,22 @@
     }
 }
 
+fn not_continued_error(reason: &str) -> BrokenBody {
+    BrokenBody {
+        reason: reason.into(),
+        is_connection_lost: false,
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get("content-type");
+    let content_type = content_type.and_then(|content_type| content_type.to_str().ok());
+    content_type.is_some_and(|content_type| {
+        let essence = content_type.split(';').next().unwrap_or_default();
+        essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    })
+}
+
 fn timed_out_error() -> BrokenBody {
     BrokenBody {
         reason: "the route's time is over".into(),
@@ -137,6 +190,14 @@
     }
 }
 
+/// Where a stream stands, for another replica to go on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StreamPosition {
+    status: u16,
+    ids: EventIds,
+    quota: StreamQuota,
+}
+
 /// How the segment of a stream that one replica generated has ended.
 #[derive(Debug)]
 pub(super) enum SegmentEnd {
@@ -236,8 +297,7 @@
     mut open_stream: OpenStream,
     end: SegmentEnd,
 ) -> Result<Option<OpenStream>, BrokenBody> {
-    let (last_id, quota) = open_stream.position();
-    let status = open_stream.status;
+    let position = open_stream.position();
     let chosen = open_stream.chosen.take();
     // Closes the connection before the stream is resumed at another replica.
     drop(open_stream);
@@ -249,7 +309,7 @@
             if let Some(chosen) = &chosen {
                 chosen.record_success();
             }
-            run.record_whole_stream(status, replica, body_end);
+            run.record_whole_stream(position.status, replica, body_end);
             Ok(None)
         }
         SegmentEnd::TimedOut => {
@@ -283,7 +343,7 @@
             if let Some(chosen) = &chosen {
                 run.record_broken(chosen, &error).await;
             }
-            let resumed = resume_broken(run, last_id, quota, &error).await;
+            let resumed = resume_broken(run, position, &error).await;
             resumed.map(Some).ok_or(error)
         }
     }
@@ -299,11 +359,10 @@
 /// Resumes a stream that broke off, and records what came of it.
 async fn resume_broken(
     run: &mut Run,
-    last_id: Option<u64>,
-    quota: StreamQuota,
+    position: StreamPosition,
     cause: &BrokenBody,
 ) -> Option<OpenStream> {
-    match resume(run, last_id, quota).await {
+    match resume(run, position).await {
         Ok(resumed) => {
             run.exchange.metrics.count_stream_left("resumed");
             run.record.count_stream_resume("resumed");
@@ -327,13 +386,12 @@
 /// Returns the reason if that is not allowed or fails.
 pub(super) async fn resume(
     run: &mut Run,
-    last_id: Option<u64>,
-    quota: StreamQuota,
+    position: StreamPosition,
 ) -> Result<OpenStream, NotResumed> {
     if run.route.kind != RouteKind::ResumableStream {
         return Err(NotResumed::NotResumable);
     }
-    let last_id = last_id.ok_or(NotResumed::NoEventId)?;
+    let last_id = position.ids.last().ok_or(NotResumed::NoEventId)?;
     loop {
         run.progress.reset();
         let point = run
@@ -343,12 +401,14 @@
         let answered = run.next_answer(Some(&point)).await;
         let AnsweredTry { answer, mut chosen } =
             answered.map_err(|rejection| NotResumed::Rejected(rejection.kind))?;
-        if !(200..300).contains(&answer.status) {
+        if answer.status != position.status {
+            chosen.record_failure();
             run.record
                 .add_try(chosen.replica.id.as_str(), answer.status);
+            discard_body(answer.body).await;
             continue;
         }
-        let mut open_stream = OpenStream::new(answer, Some(last_id), quota);
+        let mut open_stream = OpenStream::new(answer, Some(position.ids), position.quota);
         let first_event = tokio::time::timeout_at(run.deadline, open_stream.read_first_event())
             .await
             .map_err(|_| NotResumed::NoEventInTime)?;
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -13,6 +13,7 @@
 use super::chosen_replica::ChosenReplica;
 use super::dispatch_progress::DispatchProgress;
 use super::engine::Exchange;
+use super::event_ids::EventIds;
 use super::events::StreamQuota;
 use super::grants::Reservation;
 use super::record::RequestRecord;
@@ -186,8 +187,10 @@
             }
             let output_tokens = self.request.tokens.map(|bound| bound.max_output_tokens);
             let quota = StreamQuota::new(output_tokens);
-            let last_id = resume.as_ref().map(|resume| resume.last_event_id);
-            let mut open_stream = super::relay::OpenStream::new(answer, last_id, quota);
+            let ids_before = resume
+                .as_ref()
+                .map(|resume| EventIds::ending_with(resume.last_event_id));
+            let mut open_stream = super::relay::OpenStream::new(answer, ids_before, quota);
             match tokio::time::timeout_at(self.deadline, open_stream.read_first_event()).await {
                 Ok(Ok(())) if !self.may_forward(&open_stream, &chosen, resume.as_ref()) => {
                     if !self.take_retry() {
@@ -458,7 +461,7 @@
 }
 
 /// Reads and drops the rest of a body, so that its connection can be reused.
-async fn discard_body(mut body: AnswerBody) {
+pub(super) async fn discard_body(mut body: AnswerBody) {
     // After a timeout only the connection is lost.
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_until_end(&mut body)).await;
 }
--- a/src/exchange/silence.rs
+++ b/src/exchange/silence.rs
@@ -110,11 +110,11 @@
 
 /// Resumes the stream at another replica while the silent one may still go on.
 async fn request_successor(run: &mut Run, stream: &mut OpenStream) -> Handover {
-    let (last_id, quota) = stream.position();
+    let position = stream.position();
     run.progress.reset();
     let taken = run.progress.watch().taken();
     let mut taken = std::pin::pin!(taken);
-    let mut resumed = std::pin::pin!(resume(run, last_id, quota));
+    let mut resumed = std::pin::pin!(resume(run, position));
     let result = loop {
         tokio::select! {
             biased;
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,8 @@
 //! The entry router as a separate process, with a fake store and fake replicas.
 
+mod broken_resume;
 mod config_changes;
+mod earlier_refusal;
 mod ending;
 mod endless;
 mod eras;
@@ -9,6 +11,7 @@
 mod limits;
 mod load;
 mod lost;
+mod odd_entries;
 mod prompt_parts;
 mod rate_limits;
 mod removals;
