Let a stream go on at an ejected replica if its version has no other

Callers saw streams cut, and takeups refused, while replicas of their version served: after three failures in a row a replica is ejected for half a second or more, and with three replicas of a version all of them were at times.

An ejection sends requests to other replicas; a stream to resume has none. Incarnations that are known to have ended stay excluded.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -222,6 +222,14 @@
         self.has_probe = false;
     }
 
+    /// Returns the replica as it is without an ejection.
+    #[must_use]
+    pub fn without_ejection(&self) -> Self {
+        let mut candidate = self.clone();
+        candidate.record_success();
+        candidate
+    }
+
     /// Returns the milliseconds for which no request may be sent there.
     fn blocked_left_ms(&self, now_ms: u64) -> u64 {
         self.backoff_left_ms(now_ms)
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -14,7 +14,7 @@
 use super::request::{ReplicaAddress, ResumePoint};
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::{
-    choose_replica, Admission, PlacementOutcome, PlacementRequest, PromptInfo,
+    choose_replica, Admission, PlacementOutcome, PlacementRequest, PromptInfo, ReplicaCandidate,
 };
 use crate::util::lock;
 
@@ -120,6 +120,12 @@
                 &mut state.rng,
             )
         };
+        let choice = match choice {
+            PlacementOutcome::NoReplica if query.resume.is_some() => {
+                choose_ejected(pool, &placement_request, &mut state.rng)
+            }
+            choice => choice,
+        };
         match choice {
             PlacementOutcome::Replica {
                 index,
@@ -182,6 +188,21 @@
     Cow::Owned(excluded)
 }
 
+/// Chooses a replica for a stream to resume when all replicas of its version are ejected: it cannot
+/// go on at any other.
+fn choose_ejected(
+    pool: &Pool,
+    request: &PlacementRequest<'_>,
+    rng: &mut SmallRng,
+) -> PlacementOutcome {
+    let mut candidates: Vec<ReplicaCandidate> = pool
+        .candidates
+        .iter()
+        .map(ReplicaCandidate::without_ejection)
+        .collect();
+    choose_replica(&mut candidates, request, &pool.mix, rng)
+}
+
 /// Chooses the replica that the request has a permit for, if it is still usable.
 fn choose_permitted(
     pool: &mut Pool,
