Say when to come back only where the routers that may know a stream are not reached yet

A lone router refused a stream of unknown origin with a Retry-After, though nobody else could be asked: found by a_caller_cannot_take_up_a_stream_of_unknown_origin_among_several_versions. A takeup whose first replica has another version by the time it breaks off again is not resumed either; only the first attempt's stream was checked.

The tests of the only version each take up a stream of their own now: a stream that was taken up once is remembered, so the fixed first attempt was no unknown one any more. The checks are the same.

--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -159,6 +159,11 @@
         &self.limits
     }
 
+    /// Returns true once the other routers of the fleet are known.
+    pub(crate) fn is_fleet_found(&self) -> bool {
+        self.members.is_fleet_found()
+    }
+
     /// Applies the rules of the pools in a catalog.
     pub(crate) fn apply_catalog(&self, catalog: &Catalog) {
         let mut state = lock(&self.state);
--- a/src/exchange/stream_resume.rs
+++ b/src/exchange/stream_resume.rs
@@ -18,7 +18,7 @@
 
 /// Digest that stands for any replica in the origin of a stream whose replica is unknown.
 const UNKNOWN_REPLICA: u32 = 0;
-/// `Retry-After` when no other router replied on what began a stream.
+/// `Retry-After` when no other router is known yet, or none replied.
 const NO_REPLY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Source of a version that is stated in the entry of the stream's replica.
 const FROM_ENTRY: &str = "entry of the replica";
@@ -158,8 +158,9 @@
                     Duration::ZERO,
                 ))
             }
-            // A router that has just started knows the others soon.
-            FoundOrigin::Unknown { answered: 0, .. } => {
+            FoundOrigin::Unknown {
+                asked, answered: 0, ..
+            } if asked > 0 || !self.pools.is_fleet_found() => {
                 Err(unknown.with_retry_after(NO_REPLY_RETRY_AFTER))
             }
             FoundOrigin::Unknown { .. } | FoundOrigin::Conflicting => Err(unknown),
@@ -208,14 +209,8 @@
     /// Returns the point after which the stream in progress may go on at another replica; `None` if
     /// its version is not known for certain.
     pub(super) fn resume_point(&mut self, last_event_id: u64) -> Option<ResumePoint> {
-        if let Some(resume) = &self.resume {
-            let origin = resume.origin.clone();
-            return Some(ResumePoint {
-                last_event_id,
-                origin,
-            });
-        }
-        let Some(origin) = self.origin.clone() else {
+        let taken_up = self.resume.as_ref().map(|resume| &resume.origin);
+        let Some(origin) = taken_up.or(self.origin.as_ref()).cloned() else {
             self.record.set_refused_resume(RefusedResume::OriginUnknown);
             return None;
         };
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -257,11 +257,11 @@
     assert!(cut_count > 0);
 }
 
-/// Returns a call that takes up a stream after its third event.
+/// Returns a call that takes up, after its third event, a stream that no other call takes up.
 fn takeup(attempt: &str) -> Call {
     Call::new("chat", attempt)
         .with("last-event-id", "3")
-        .with("resumes", "a-first")
+        .with("resumes", &format!("first-of-{attempt}"))
 }
 
 /// Takes a stream up as soon as the router knows that all streams have the version v1.
@@ -305,7 +305,7 @@
     let lines = router.log_lines("request");
     let refused = lines.iter().find(|line| line["request"] == "a-0").unwrap();
     assert_eq!(refused["outcome"], "origin_unknown");
-    assert_eq!(refused["resumes"], "a-first");
+    assert_eq!(refused["resumes"], "first-of-a-0");
     // A second version makes the origin of a stream unknown.
     site.register_version(&replicas[1], &json!("v2"), BORN_MS + 1);
     wait_for_entry(&router, &replicas[1], "born_ms", &json!(BORN_MS + 1)).await;
@@ -318,6 +318,8 @@
 async fn a_caller_cannot_take_up_a_stream_of_unknown_origin_among_several_versions() {
     let (site, replicas) = site_of(&["v1", "v2"]).await;
     let router = warm_router(&site, "r-1", &replicas).await;
+    // From then on the router knows that there is no other.
+    site.wait_until_watched().await;
     for number in 0..10 {
         let call = Call::new("chat", &format!("a-{number}"))
             .with("last-event-id", "3")
