End the grace of a router's start when the watchers lost the store

Cause: a router waits 3 s after its start for watchers in sync, and 1.2 to 2 s more, before it watches the store itself. If the watchers do not reach the store, it goes by its first listing, which may be stale, for that long.

Fix: a polled watcher that is out of sync because its calls fail shows that the fleet has not just started, so the wait ends. A watcher that reads its first lists has seen no failure and does not end it.

--- a/src/core/outage.rs
+++ b/src/core/outage.rs
@@ -9,6 +9,12 @@
 /// Longest time between two calls of a router that the store does not answer, in milliseconds.
 const MAX_RETRY_INTERVAL_MS: u64 = 3_500;
 
+/// Returns true for the age of a failure of a router that repeats its calls without success.
+#[must_use]
+pub const fn is_recent_failure(age_ms: u64) -> bool {
+    age_ms <= MAX_RETRY_INTERVAL_MS
+}
+
 /// A span of failed calls of one router, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FailedCalls {
@@ -36,7 +42,7 @@
     /// in an outage until now. One whose calls did not fail recently is reading its first lists.
     #[must_use]
     pub fn new(received_ms: u64, is_available: bool, failure_age_ms: Option<u64>) -> Self {
-        let is_ongoing = |age_ms: u64| !is_available && age_ms <= MAX_RETRY_INTERVAL_MS;
+        let is_ongoing = |age_ms: u64| !is_available && is_recent_failure(age_ms);
         let failures = failure_age_ms.map(|age_ms| {
             let age_ms = if is_ongoing(age_ms) { 0 } else { age_ms };
             let last_ms = received_ms.saturating_sub(age_ms);
--- a/src/exchange/feed_link.rs
+++ b/src/exchange/feed_link.rs
@@ -16,6 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::members::{Members, RouterStateSource};
+use crate::core::outage::is_recent_failure;
 use crate::core::presence::RouterState;
 use crate::store::feed::Feed;
 use crate::store::feed_log::{FeedDelta, LoggedChange};
@@ -271,6 +272,8 @@
 pub(super) struct PollOutcome {
     /// True if the polled router's own watches are in sync with the store.
     pub is_current: bool,
+    /// True if they are not because the store does not answer that router.
+    pub is_store_failing: bool,
 }
 
 /// Connection to a router that is polled for news.
@@ -338,6 +341,8 @@
         }
         Ok(PollOutcome {
             is_current: answer.is_current,
+            is_store_failing: !answer.is_current
+                && answer.failure_age_ms.is_some_and(is_recent_failure),
         })
     }
 }
--- a/src/exchange/feed_sync.rs
+++ b/src/exchange/feed_sync.rs
@@ -227,6 +227,10 @@
                     self.record_current();
                     self.is_stand_in = false;
                 } else {
+                    if answer.is_store_failing {
+                        // The fleet runs already, so there is no start to wait for.
+                        self.last_current = self.last_current.min(Instant::now());
+                    }
                     self.skip_source(router, SkipReason::OutOfStep);
                 }
             }
--- a/tests/entry/feed.rs
+++ b/tests/entry/feed.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use super::replica::{Behaviour, FakeReplica};
 use super::site::{lists, wait_ready, wait_until, Call, Router, Site};
@@ -140,6 +141,33 @@
     fleet.put_and_wait(3, all).await;
 }
 
+/// Guards against using servers that left, as a stale first listing shows them, for longer than a
+/// router may be out of date after its start, while the watchers do not reach the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_while_the_watchers_are_partitioned_is_soon_up_to_date() {
+    const CONTACT_TIME: Duration = Duration::from_secs(3);
+    let fleet = Fleet::start().await;
+    fleet.site.store.freeze_stale_listings();
+    fleet.link_of_watchers.store(false, Ordering::Relaxed);
+    wait_until("the watchers detect the partition", || async {
+        let lost = |router: &Router| !router.log_lines("store unavailable").is_empty();
+        fleet.watchers.iter().all(lost)
+    })
+    .await;
+    fleet.site.store.remove("servers", &fleet.replicas[0].id);
+    let started_at = Instant::now();
+    let newcomer = fleet.site.ready_router("small-new").await;
+    wait_until("the replica is removed", || async {
+        !newcomer.log_lines("replica removed").is_empty()
+    })
+    .await;
+    assert!(
+        started_at.elapsed() < CONTACT_TIME,
+        "{:?}",
+        started_at.elapsed()
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_watcher_delays_no_change() {
     let fleet = Fleet::start().await;
