Hold the ports of the entry tests against other test processes

A test of prompt_parts failed now and then in whole runs beside other test processes (503, servers that never became known). Cause: two processes of these tests chose the same ports, as their ids differ by one and a port is free while its server is down between a crash and its restart. No check changed.

--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -31,17 +31,26 @@
 /// choice and the start of the router, or while a router restarts.
 const PORTS: std::ops::Range<u32> = 10_000..30_000;
 
-/// Returns a free port that is not returned again in this process.
+/// Address on which a chosen port is held, so that no other test process chooses it while its server
+/// is down.
+const CLAIM_ADDRESS: &str = "127.0.0.2";
+
+/// Returns a free port that is not returned again while this process runs, here or in another one.
 pub fn free_port() -> u16 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     let length = PORTS.end - PORTS.start;
     let first = std::process::id().wrapping_mul(101);
     for _ in PORTS {
         let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % length;
         let port = u16::try_from(PORTS.start + offset).unwrap();
+        let Ok(claim) = TcpListener::bind((CLAIM_ADDRESS, port)) else {
+            continue;
+        };
         let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
             && UdpSocket::bind(("127.0.0.1", port)).is_ok();
         if is_free {
+            CLAIMS.lock().unwrap().push(claim);
             return port;
         }
     }
