Ask who may know a stream before concluding its version, and three more findings of the review

By reading, a reviewer who had not seen the work found: (1) a router concluded a stream's version from its own lists before asking the routers that had been told, though the newest version is what lists lag behind in; it asks first now, and takes another router's word on a single version only if all asked replied. (2) An entry of an earlier incarnation, brought back by an older copy of the store, brought its version back; shown by an_entry_of_an_earlier_incarnation_does_not_bring_its_version_back, which failed with piece 4 of v2 after piece 3 of v1 and passes now. (3) A probe that ends late marked the next incarnation as crashed. (4) While a stream is offered, a try that may have run restarted the time after which the silent server is left, so both could run for over 400 ms (TWICE). (1), (3) and (4) have no test of their own.

The tests' ports: a child process between fork and exec kept a port in use that was only being checked (config_changes failed in 2 of 4 runs, 'Address already in use'); checks and starts exclude each other now.

--- a/src/exchange/broken_answers.rs
+++ b/src/exchange/broken_answers.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinHandle;
 
 use super::chosen_replica::ChosenReplica;
+use super::pools::Incarnation;
 use super::request::{BodyEnd, BrokenBody};
 use super::run::Run;
 use super::server_crashes::{LostConnection, ServerState};
@@ -76,6 +77,9 @@
             fingerprint: self.fingerprint,
             request: self.request.attempt.clone(),
             replica: chosen.replica.clone(),
+            incarnation: Incarnation {
+                born_ms: chosen.key.born_ms,
+            },
             ran: chosen.chosen_at.elapsed(),
             waiting_parts: if self.has_first_token {
                 Arc::default()
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -206,6 +206,8 @@
                 let has_new_version = pool.set_version(index, entry.version.as_ref(), now_ms);
                 return is_changed || has_new_version;
             }
+            // An older copy of the store may bring back the entry of an incarnation that has ended.
+            has_crashed = entry.born_ms < pool.replicas[index].born_ms;
             pool.remove_at(index, now_ms);
         }
         let mut candidate =
@@ -226,14 +228,15 @@
         true
     }
 
-    /// Records that a replica has crashed, which ejects it for a time.
-    pub(crate) fn mark_crashed(&self, id: &ReplicaId) {
+    /// Records that an incarnation of a replica has crashed, which ejects it for a time.
+    pub(crate) fn mark_crashed(&self, id: &ReplicaId, incarnation: Incarnation) {
         let now_ms = self.now_ms();
         let mut state = lock(&self.state);
         for pool in state.pools.values_mut() {
             if let Some(index) = pool.index_of(id) {
                 pool.candidates[index].record_unreachable(now_ms);
-                pool.replicas[index].has_crashed = true;
+                let replica = &mut pool.replicas[index];
+                replica.has_crashed |= replica.born_ms == incarnation.born_ms;
             }
         }
     }
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -393,7 +393,6 @@
     }
     let last_id = position.ids.last().ok_or(NotResumed::NoEventId)?;
     loop {
-        run.progress.reset();
         let point = run
             .resume_point(last_id)
             .ok_or(NotResumed::VersionUnavailable)?;
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -257,7 +257,7 @@
                 progress: &self.progress,
             };
             let sent = tokio::time::timeout_at(self.deadline, transport.send(dispatch)).await;
-            if !matches!(&sent, Ok(Ok(answer)) if !answer.is_not_run && !answer.is_misdirected) {
+            if has_not_run(&sent) {
                 self.progress.reset();
             }
             let replica = chosen.replica.id.as_str();
@@ -443,6 +443,15 @@
     Stream(Box<super::relay::OpenStream>),
 }
 
+/// Returns true if it is certain that the replica did not run the request.
+const fn has_not_run(sent: &TimedSendResult) -> bool {
+    match sent {
+        Ok(Ok(answer)) => answer.is_not_run || answer.is_misdirected,
+        Ok(Err(DispatchError::NotSent { .. })) => true,
+        Ok(Err(DispatchError::Unknown { .. })) | Err(_) => false,
+    }
+}
+
 /// Reads a body into memory until its end.
 async fn read_until_end(body: &mut AnswerBody) -> Result<(Bytes, BodyEnd), BrokenBody> {
     let mut buffer = BytesMut::new();
--- a/src/exchange/server_crashes.rs
+++ b/src/exchange/server_crashes.rs
@@ -41,6 +41,8 @@
     pub request: CompactString,
     /// Server at the other end.
     pub replica: ReplicaAddress,
+    /// Incarnation that the request was sent to.
+    pub incarnation: Incarnation,
     /// Time for which the request had been there.
     pub ran: Duration,
     /// Parts of its prompt, without the last, if it waited for its first token.
@@ -137,7 +139,9 @@
                     let Some(loss_id) = loss_id else {
                         return ServerState::Unknown;
                     };
-                    crashes.pools.mark_crashed(&lost.replica.id);
+                    crashes
+                        .pools
+                        .mark_crashed(&lost.replica.id, lost.incarnation);
                     crashes.resolve_losses(CrashEvidence::Refused, |unresolved| {
                         unresolved.loss_id == loss_id
                     });
--- a/src/exchange/stream_resume.rs
+++ b/src/exchange/stream_resume.rs
@@ -106,8 +106,9 @@
         })
     }
 
-    /// Returns what began a stream: as this router was told or found out before, by the only version
-    /// that it can have, or as other routers know it.
+    /// Returns what began a stream: as this router or others know it, else by the only version that
+    /// it can have. The lists may lag behind a router that began a stream at a new version, so
+    /// others are asked first.
     ///
     /// # Errors
     ///
@@ -121,20 +122,12 @@
         let unknown = Rejection::new(RejectKind::OriginUnknown);
         let attempt = resume.first_attempt.as_deref();
         let stream = attempt.map(|attempt| stream_id(team, attempt));
-        let is_known_here = stream.is_some_and(|stream| self.origins.is_known(stream));
-        if !is_known_here {
-            if let Some(single) = self.single_versions.find(route) {
-                return Ok(ResolvedOrigin::of_single_version(
-                    single.pool,
-                    single.version,
-                    FROM_SINGLE_VERSION.into(),
-                    single.age,
-                ));
-            }
-        }
-        let (Some(stream), Some(pool)) = (stream, route.pools.first()) else {
+        let Some(pool) = route.pools.first() else {
             return Err(unknown);
         };
+        let Some(stream) = stream else {
+            return self.single_version_origin(route).ok_or(unknown);
+        };
         let pool = &pool.pool;
         match self.origins.find(stream, pool).await {
             FoundOrigin::Known {
@@ -146,26 +139,43 @@
                 source: source.to_compact_string(),
                 age,
             }),
+            FoundOrigin::Conflicting => Err(unknown),
             FoundOrigin::Unknown {
-                single_version: Some((version, router)),
-                ..
-            } if route.pools.len() == 1 => {
-                let source = format_compact!("{FROM_SINGLE_VERSION}, by {router}");
-                Ok(ResolvedOrigin::of_single_version(
-                    pool.clone(),
-                    version,
-                    source,
-                    Duration::ZERO,
-                ))
+                asked,
+                answered,
+                single_version,
+            } => {
+                if let Some(origin) = self.single_version_origin(route) {
+                    return Ok(origin);
+                }
+                match single_version {
+                    // A router that did not reply may know the stream.
+                    Some((version, router)) if answered == asked && route.pools.len() == 1 => {
+                        Ok(ResolvedOrigin::of_single_version(
+                            pool.clone(),
+                            version,
+                            format_compact!("{FROM_SINGLE_VERSION}, by {router}"),
+                            Duration::ZERO,
+                        ))
+                    }
+                    _ if answered == 0 && (asked > 0 || !self.pools.is_fleet_found()) => {
+                        Err(unknown.with_retry_after(NO_REPLY_RETRY_AFTER))
+                    }
+                    _ => Err(unknown),
+                }
             }
-            FoundOrigin::Unknown {
-                asked, answered: 0, ..
-            } if asked > 0 || !self.pools.is_fleet_found() => {
-                Err(unknown.with_retry_after(NO_REPLY_RETRY_AFTER))
-            }
-            FoundOrigin::Unknown { .. } | FoundOrigin::Conflicting => Err(unknown),
         }
     }
+
+    fn single_version_origin(&self, route: &Route) -> Option<ResolvedOrigin> {
+        let single = self.single_versions.find(route)?;
+        Some(ResolvedOrigin::of_single_version(
+            single.pool,
+            single.version,
+            FROM_SINGLE_VERSION.into(),
+            single.age,
+        ))
+    }
 }
 
 impl Run {
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -31,6 +31,10 @@
 /// choice and the start of the router, or while a router restarts.
 const PORTS: std::ops::Range<u32> = 10_000..30_000;
 
+/// Held while sockets are open only to find a free port, and while a process is started: between fork
+/// and exec a child process has copies of all sockets, which would keep the port in use.
+static START_LOCK: Mutex<()> = Mutex::new(());
+
 /// Address on which a chosen port is held, so that no other test process chooses it while its server
 /// is down.
 const CLAIM_ADDRESS: &str = "127.0.0.2";
@@ -41,6 +45,7 @@
     static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
     let length = PORTS.end - PORTS.start;
     let first = std::process::id().wrapping_mul(101);
+    let _lock = START_LOCK.lock().unwrap();
     for _ in PORTS {
         let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % length;
         let port = u16::try_from(PORTS.start + offset).unwrap();
@@ -70,6 +75,7 @@
 }
 
 fn spawn(settings: &PathBuf, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let lock = START_LOCK.lock().unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_currantlever"))
         .arg("entry")
         .arg("--settings")
@@ -77,6 +83,7 @@
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
+    drop(lock);
     let stdout = child.stdout.take().unwrap();
     let log = Arc::clone(log);
     std::thread::spawn(move || {
@@ -161,6 +168,7 @@
 
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
+        let _lock = START_LOCK.lock().unwrap();
         assert!(Command::new("kill")
             .args([signal, &id])
             .status()
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -438,3 +438,32 @@
     })
     .await;
 }
+
+/// Guards against the entry of an ended incarnation that an older copy of the store brings back: the
+/// server runs the later version, so no stream of the earlier one goes on there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_of_an_earlier_incarnation_does_not_bring_its_version_back() {
+    let (site, replicas) = site_of(&["v1", "v1"]).await;
+    let router = warm_router(&site, "r-1", &replicas).await;
+    replicas[0].set_behaviour(breaking("v1"));
+    replicas[1].set_behaviour(whole("v2"));
+    site.register_version(&replicas[1], &json!("v2"), BORN_MS + 1);
+    wait_for_entry(&router, &replicas[1], "born_ms", &json!(BORN_MS + 1)).await;
+    let updates = || router.log_lines("replica added or updated").len();
+    let updates_before = updates();
+    site.register_version(&replicas[1], &json!("v1"), BORN_MS);
+    wait_until("the older entry is known", || async {
+        updates() > updates_before
+    })
+    .await;
+    let number = AtomicU32::new(0);
+    wait_until("streams have broken off", || async {
+        let number = number.fetch_add(1, Ordering::Relaxed);
+        let got = send(&router, &Call::new("chat", &format!("a-{number}"))).await;
+        assert!(versions_in(&got).len() <= 1, "{:?}", got.body);
+        tokio::time::sleep(REPEAT_DELAY).await;
+        replicas[0].received().len() > 5
+    })
+    .await;
+    assert_eq!(received_resumes(&replicas[1]), 0);
+}
