--- a/tests/entry/prompt_parts.rs
+++ b/tests/entry/prompt_parts.rs
@@ -127,7 +127,12 @@
             let got = poison(route, number).send(router.callers_address).await;
             assert_eq!(got.unwrap().status, 503, "{route}, request {number}");
             let got = sound(route, number).send(router.callers_address).await;
-            assert_eq!(got.unwrap().status, 200, "{route}, sound request {number}");
+            let got = got.unwrap();
+            assert_eq!(
+                got.status, 200,
+                "{route}, sound request {number}: {:?}",
+                got.body
+            );
         }
         assert_eq!(poison_arrivals(&replicas), arrivals, "{route}");
     }
@@ -163,7 +168,7 @@
             let call = prompt("draft", &format!("{part}:10,77:200"), 60_000 + number);
             let router = &routers[number % 2];
             let got = call.send(router.callers_address).await.unwrap();
-            assert_eq!(got.status, 200, "{part}");
+            assert_eq!(got.status, 200, "{part}: {:?}", got.body);
         }
     }
 }
