--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -60,7 +60,7 @@
     pub(super) version_since: Instant,
     /// True if this incarnation is known to have ended. The version of the next one is not known
     /// before its entry, though it may answer already.
-    pub(super) has_crashed: bool,
+    pub(super) has_ended: bool,
     /// True if it reported to this router, in an answer, that it is leaving.
     pub(super) has_reported_leaving: bool,
     /// Suspect requests of this router in progress there.
@@ -186,12 +186,12 @@
             .filter(|(id, _)| **id != entry.pool)
             .find_map(|(_, pool)| pool.index_of(&entry.id).map(|index| (pool, index)));
         let mut is_leaving = entry.is_draining;
-        let mut has_crashed = false;
+        let mut has_ended = false;
         if let Some((pool, index)) = moved {
             // A leaving replica never returns to service in the same incarnation.
             let is_same = pool.replicas[index].born_ms == entry.born_ms;
             is_leaving |= is_same && pool.candidates[index].is_leaving;
-            has_crashed = is_same && pool.replicas[index].has_crashed;
+            has_ended = is_same && pool.replicas[index].has_ended;
             pool.remove_at(index, now_ms);
         }
         let pool = state.pools.entry(entry.pool.clone()).or_default();
@@ -207,7 +207,7 @@
                 return is_changed || has_new_version;
             }
             // An older copy of the store may bring back the entry of an incarnation that has ended.
-            has_crashed = entry.born_ms < pool.replicas[index].born_ms;
+            has_ended = entry.born_ms < pool.replicas[index].born_ms;
             pool.remove_at(index, now_ms);
         }
         let mut candidate =
@@ -221,7 +221,7 @@
             born_ms: entry.born_ms,
             version: entry.version.clone(),
             version_since: Instant::now(),
-            has_crashed,
+            has_ended,
             has_reported_leaving: false,
             suspect_requests: 0,
         });
@@ -236,7 +236,7 @@
             if let Some(index) = pool.index_of(id) {
                 pool.candidates[index].record_unreachable(now_ms);
                 let replica = &mut pool.replicas[index];
-                replica.has_crashed |= replica.born_ms == incarnation.born_ms;
+                replica.has_ended |= replica.born_ms == incarnation.born_ms;
             }
         }
     }
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -396,7 +396,7 @@
         let point = run
             .resume_point(last_id)
             .ok_or(NotResumed::VersionUnavailable)?;
-        run.take_resume()?;
+        run.take_retry()?;
         let answered = run.next_answer(Some(&point)).await;
         let AnsweredTry { answer, mut chosen } =
             answered.map_err(|rejection| NotResumed::Rejected(rejection.kind))?;
--- a/src/exchange/replica_versions.rs
+++ b/src/exchange/replica_versions.rs
@@ -15,7 +15,7 @@
     /// Returns true if the replica is known to run a version. After a crash that is unknown until
     /// the entry of the next incarnation arrives.
     pub(super) fn runs(&self, version: &ReplicaVersion) -> bool {
-        !self.has_crashed && self.version.as_ref() == Some(version)
+        !self.has_ended && self.version.as_ref() == Some(version)
     }
 }
 
@@ -57,7 +57,7 @@
         let pool = state.pools.get_mut(pool);
         let replicas = pool.into_iter().flat_map(|pool| &mut pool.replicas);
         for replica in replicas.filter(|replica| replica.key() == key) {
-            replica.has_crashed = true;
+            replica.has_ended = true;
         }
     }
 
@@ -92,16 +92,16 @@
             born_ms: self.key.born_ms,
             version: self.version.clone()?,
         };
-        let is_certain = !self.has_crashed() && !self.pools.is_origin_uncertain(&origin);
+        let is_certain = !self.has_ended() && !self.pools.is_origin_uncertain(&origin);
         is_certain.then_some(origin)
     }
 
     /// Returns true if the replica's incarnation is known to have crashed, so that an answer from
     /// there comes from a later one.
-    fn has_crashed(&self) -> bool {
+    fn has_ended(&self) -> bool {
         let state = lock(&self.pools.state);
         let pool = state.pools.get(&self.pool);
         let replica = pool.and_then(|pool| Some(&pool.replicas[pool.index_of(&self.replica.id)?]));
-        replica.is_some_and(|replica| replica.key() == self.key && replica.has_crashed)
+        replica.is_some_and(|replica| replica.key() == self.key && replica.has_ended)
     }
 }
--- a/src/exchange/retries.rs
+++ b/src/exchange/retries.rs
@@ -47,22 +47,13 @@
 }
 
 impl Run {
-    /// Takes one retry from the retry budget. Returns false if no further try is allowed, in
-    /// particular if the prompt may crash another server.
-    pub(super) fn take_retry(&self) -> bool {
-        self.try_take_retry().is_ok()
-    }
-
-    /// Takes one retry for resuming a stream at another replica.
+    /// Takes one retry from the retry budget.
     ///
     /// # Errors
     ///
-    /// Returns the reason if no further try is allowed.
-    pub(super) fn take_resume(&self) -> Result<(), NoRetry> {
-        self.try_take_retry()
-    }
-
-    fn try_take_retry(&self) -> Result<(), NoRetry> {
+    /// Returns the reason if no further try is allowed, in particular if the prompt may crash another
+    /// server.
+    pub(super) fn take_retry(&self) -> Result<(), NoRetry> {
         let suspects = &self.exchange.suspects;
         if self.sent_count >= self.route.max_tries {
             return Err(NoRetry::TriesUsedUp);
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -136,7 +136,7 @@
                         chosen.record_failure();
                         self.record
                             .add_try(chosen.replica.id.as_str(), answer.status);
-                        if self.take_retry() {
+                        if self.take_retry().is_ok() {
                             continue;
                         }
                     } else {
@@ -153,7 +153,7 @@
                 }
                 Ok(Err(error)) => {
                     self.record_broken(&chosen, &error).await;
-                    if !self.route.kind.may_retry() || !self.take_retry() {
+                    if !self.route.kind.may_retry() || self.take_retry().is_err() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
                 }
@@ -193,7 +193,7 @@
             let mut open_stream = super::relay::OpenStream::new(answer, ids_before, quota);
             match tokio::time::timeout_at(self.deadline, open_stream.read_first_event()).await {
                 Ok(Ok(())) if !self.may_forward(&open_stream, &chosen, resume.as_ref()) => {
-                    if !self.take_retry() {
+                    if self.take_retry().is_err() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
                 }
@@ -207,7 +207,7 @@
                 }
                 Ok(Err(error)) => {
                     self.record_broken(&chosen, &error).await;
-                    if !self.route.kind.may_retry() || !self.take_retry() {
+                    if !self.route.kind.may_retry() || self.take_retry().is_err() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
                 }
@@ -272,7 +272,7 @@
                         chosen.record_unreachable();
                     }
                     discard_body(answer.body).await;
-                    if !self.take_retry() {
+                    if self.take_retry().is_err() {
                         return Err(self.refused_rejection());
                     }
                 }
@@ -308,7 +308,7 @@
                     if is_connection_lost {
                         self.investigate_lost_connection(&chosen).await;
                     }
-                    if !self.route.kind.may_retry() || !self.take_retry() {
+                    if !self.route.kind.may_retry() || self.take_retry().is_err() {
                         return Err(Rejection::new(RejectKind::AnswerLost));
                     }
                 }
--- a/tests/entry/config_changes.rs
+++ b/tests/entry/config_changes.rs
@@ -128,6 +128,21 @@
     .await;
 }
 
+/// Returns the behaviours of three servers that are silent for a time: two in mid-stream, one before
+/// the first event.
+pub fn silent_servers() -> [Behaviour; 3] {
+    let silent = Behaviour::SilentStream {
+        events: 8,
+        silent_after: 3,
+        silence: SILENCE,
+    };
+    let late = Behaviour::StreamAfter {
+        delay: SILENCE,
+        events: 8,
+    };
+    [silent.clone(), late, silent]
+}
+
 /// Guards against requests that get neither an answer nor a refusal beside changes of the
 /// configuration, while their servers are silent for a time or one is replaced.
 #[tokio::test(flavor = "multi_thread")]
@@ -135,16 +150,8 @@
     let mut runs = JoinSet::new();
     for (name, change) in changes() {
         runs.spawn(async move {
-            let silent = Behaviour::SilentStream {
-                events: 8,
-                silent_after: 3,
-                silence: SILENCE,
-            };
-            let late = Behaviour::StreamAfter {
-                delay: SILENCE,
-                events: 8,
-            };
-            let (site, replicas) = site_with(&[silent.clone(), late, silent.clone()]).await;
+            let behaviours = silent_servers();
+            let (site, replicas) = site_with(&behaviours).await;
             let router = site.ready_router("r-1").await;
             known_replicas(&router, replicas.len()).await;
             let is_over = Arc::new(AtomicBool::new(false));
@@ -157,7 +164,7 @@
             let drain_one = async {
                 tokio::time::sleep(CHANGE_TIME / 3).await;
                 site.register_in_phase(&replicas[0], "draining");
-                let successor = FakeReplica::start("i-9", silent).await;
+                let successor = FakeReplica::start("i-9", behaviours[0].clone()).await;
                 site.register(&successor);
                 successor
             };
--- a/tests/entry/restarts.rs
+++ b/tests/entry/restarts.rs
@@ -6,12 +6,10 @@
 
 use tokio::task::JoinSet;
 
-use super::replica::Behaviour;
+use super::config_changes::silent_servers;
 use super::site::{lists, wait_ready, wait_until, Call, Router};
 use super::{site_with, AMPLE_PAID_TOKENS};
 
-/// Silence of a server in the middle of its answer.
-const SILENCE: Duration = Duration::from_millis(1_500);
 /// Callers that send requests one after another.
 const CALLERS: usize = 6;
 
@@ -49,16 +47,7 @@
 /// with changes of the configuration at the same time.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_is_lost_beside_signals_while_servers_fall_silent() {
-    let silent = Behaviour::SilentStream {
-        events: 8,
-        silent_after: 3,
-        silence: SILENCE,
-    };
-    let late = Behaviour::StreamAfter {
-        delay: SILENCE,
-        events: 8,
-    };
-    let (site, replicas) = site_with(&[silent.clone(), late, silent]).await;
+    let (site, replicas) = site_with(&silent_servers()).await;
     let mut router = site.ready_router("r-1").await;
     for round in 1..=2 {
         wait_for_log(&router, "replica added or updated", round * replicas.len()).await;
