--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -308,6 +308,8 @@
         /// Milliseconds after which a refused caller may repeat its request.
         retry_after_ms: u64,
     },
+    /// All replicas in service are ejected: they failed or could not be reached.
+    Unreachable,
     /// No replica is in service.
     NoReplica,
 }
@@ -369,7 +371,13 @@
         .collect();
     let blocked_left_ms = |index: &usize| candidates[*index].blocked_left_ms(request.now_ms);
     let Some(left_ms) = in_service.iter().map(blocked_left_ms).min() else {
-        return PlacementOutcome::NoReplica;
+        let is_ejected =
+            |candidate: &ReplicaCandidate| !candidate.is_leaving && candidate.needs_probe();
+        return if candidates.iter().any(is_ejected) {
+            PlacementOutcome::Unreachable
+        } else {
+            PlacementOutcome::NoReplica
+        };
     };
     if left_ms > 0 {
         let retry_after_ms = |index: &usize| candidates[*index].admission.retry_after_ms();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,7 @@
 use crate::exchange::permits::Permits;
 use crate::exchange::pools::Pools;
 use crate::exchange::quarantine_store::{QuarantineSink, QuarantineWriter, QUARANTINE_KIND};
+use crate::exchange::replica_dialer::ReplicaDialer;
 use crate::exchange::server_crashes::ServerCrashes;
 use crate::exchange::single_version::SingleVersions;
 use crate::exchange::stream_origins::StreamOrigins;
@@ -115,7 +116,7 @@
         let vm_hash = stable_hash(&[&settings.callers_listen.to_string()]);
         let holder = holder_on_vm(vm_hash, process);
         let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
-        let transport = Arc::new(HttpTransport::default());
+        let transport = Arc::new(HttpTransport::new(ReplicaDialer::new(Arc::clone(&metrics))));
         let vm = settings.vm.as_str();
         let server_crashes = new_server_crashes(vm, &transport, &pools, &metrics, &log);
         let socket = bind_datagrams(&settings).await?;
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -27,6 +27,7 @@
     latency: Histogram,
     first_event: Histogram,
     store_calls: IntCounterVec,
+    replica_connects: IntCounterVec,
     lost_connections: IntCounterVec,
     stream_resumes: IntCounterVec,
     quarantined: IntCounter,
@@ -100,6 +101,11 @@
                 "Calls to the store by result",
                 "result",
             )?,
+            replica_connects: counters(
+                "currantlever_replica_connects",
+                "Connections opened to backend servers, by result",
+                "result",
+            )?,
             lost_connections: counters(
                 "currantlever_lost_connections",
                 "Connections to backend servers lost with a request in progress, by what was found",
@@ -172,6 +178,11 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a connection opened to a replica, by its result.
+    pub(crate) fn count_replica_connect(&self, result: &str) {
+        self.replica_connects.with_label_values(&[result]).inc();
+    }
+
     /// Counts a connection lost with a request in progress, by the finding about its server.
     pub(crate) fn count_lost_connection(&self, finding: &str) {
         self.lost_connections.with_label_values(&[finding]).inc();
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -34,6 +34,7 @@
 pub(crate) mod record;
 pub(crate) mod relay;
 pub(crate) mod replica_choice;
+pub(crate) mod replica_dialer;
 pub(crate) mod replica_reports;
 pub(crate) mod replica_search;
 pub(crate) mod replica_versions;
--- a/src/exchange/replica_choice.rs
+++ b/src/exchange/replica_choice.rs
@@ -97,6 +97,7 @@
             SearchResult::RateLimited(time) => {
                 (RejectKind::ReplicasRateLimited, with_jitter(*time))
             }
+            SearchResult::Unreachable => (RejectKind::ReplicasUnreachable, overload_retry_after()),
             SearchResult::NoReplica => (RejectKind::NoReplica, overload_retry_after()),
             SearchResult::Full | SearchResult::Found(_) | SearchResult::NeedsPermit { .. } => {
                 (RejectKind::Overloaded, overload_retry_after())
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -48,6 +48,8 @@
     /// All replicas are in a back-off or at their rate limit; a refused caller may repeat its
     /// request after this time.
     RateLimited(Duration),
+    /// All replicas in service are ejected: they failed or could not be reached.
+    Unreachable,
     /// No replica is in service.
     NoReplica,
 }
@@ -121,7 +123,9 @@
             )
         };
         let choice = match choice {
-            PlacementOutcome::NoReplica if query.resume.is_some() => {
+            PlacementOutcome::NoReplica | PlacementOutcome::Unreachable
+                if query.resume.is_some() =>
+            {
                 choose_ejected(pool, &placement_request, &mut state.rng)
             }
             choice => choice,
@@ -173,6 +177,7 @@
             PlacementOutcome::RateLimited { retry_after_ms } => {
                 SearchResult::RateLimited(Duration::from_millis(retry_after_ms))
             }
+            PlacementOutcome::Unreachable => SearchResult::Unreachable,
             PlacementOutcome::NoReplica => SearchResult::NoReplica,
         }
     }
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -321,6 +321,8 @@
     BudgetOutOfReach,
     /// No replica is in service.
     NoReplica,
+    /// All replicas in service have failed repeatedly or cannot be reached.
+    ReplicasUnreachable,
     /// The slots and queues of all replicas are full.
     Overloaded,
     /// All replicas are in a back-off that they requested.
@@ -355,6 +357,7 @@
             Self::NotReady
             | Self::Leaving
             | Self::NoReplica
+            | Self::ReplicasUnreachable
             | Self::Overloaded
             | Self::ReplicasQuiet
             | Self::ReplicasRateLimited
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -18,18 +18,13 @@
 
 use super::connections::{Connection, IdleConnections, OpenCounts};
 use super::names;
+use crate::exchange::replica_dialer::{DialError, ReplicaDialer};
 use crate::exchange::request::{
     AnswerBody, BodyEnd, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress,
     ReplicaAnswer, ReplicaStatus, ReplicaTransport, StatedLimit, UnsentCause,
 };
-use crate::tcp::connect;
 use crate::util::lock;
 
-/// Timeout for connecting to a replica, which is in the same region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
-/// as lost. Longer than the silence of a sound replica and the next TCP retransmission after it.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Idle time after which a connection is not reused, unless its replica's keep-alive timeout ends
 /// sooner.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
@@ -43,13 +38,23 @@
 const MAX_LOGGED_CHARS: usize = 40;
 
 /// HTTP client for replicas, with a pool of idle connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HttpTransport {
+    dialer: ReplicaDialer,
     idle: Arc<IdleConnections>,
     open_counts: Arc<OpenCounts>,
 }
 
 impl HttpTransport {
+    /// Creates a client without connections.
+    pub(crate) fn new(dialer: ReplicaDialer) -> Self {
+        Self {
+            dialer,
+            idle: Arc::default(),
+            open_counts: Arc::default(),
+        }
+    }
+
     /// Closes idle connections whose timeout has passed.
     pub(crate) fn close_expired_connections(&self) {
         self.idle.close_expired();
@@ -74,18 +79,14 @@
             return Ok(connection);
         }
         let guard = self.reserve_connection(replica)?;
-        let stream = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT)
-            .await
-            .map(TokioIo::new)
-            .map_err(|error| {
-                let cause = if is_refused(&error) {
-                    UnsentCause::Refused
-                } else {
-                    UnsentCause::Unreachable
-                };
-                not_sent(cause, error)
-            })?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(stream)
+        let stream = self.dialer.dial(replica.address).await.map_err(|error| {
+            let cause = match error {
+                DialError::Refused(_) => UnsentCause::Refused,
+                DialError::Unreachable(_) => UnsentCause::Unreachable,
+            };
+            not_sent(cause, error)
+        })?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(UnsentCause::Unreachable, error))?;
         // Errors of the connection are returned by the request on it.
@@ -144,10 +145,6 @@
     }
 }
 
-fn is_refused(error: &std::io::Error) -> bool {
-    error.kind() == std::io::ErrorKind::ConnectionRefused
-}
-
 fn not_sent(cause: UnsentCause, reason: impl std::fmt::Display) -> DispatchError {
     DispatchError::NotSent {
         cause,
@@ -232,11 +229,7 @@
     }
 
     async fn probe(&self, address: SocketAddr) -> ProbeResult {
-        match connect(address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await {
-            Ok(_) => ProbeResult::Accepted,
-            Err(error) if is_refused(&error) => ProbeResult::Refused,
-            Err(_) => ProbeResult::NoAnswer,
-        }
+        self.dialer.probe(address).await
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -51,6 +51,7 @@
     match choose_replica(candidates, request, mix, &mut StdRng::seed_from_u64(7)) {
         PlacementOutcome::Replica { index, .. } => Some(index),
         PlacementOutcome::Full
+        | PlacementOutcome::Unreachable
         | PlacementOutcome::NoReplica
         | PlacementOutcome::BackingOff { .. }
         | PlacementOutcome::RateLimited { .. } => None,
@@ -206,6 +207,31 @@
     );
 }
 
+/// Guards against a router without a path to any replica that reports the same as one without
+/// replicas.
+#[test]
+fn ejected_replicas_are_told_from_missing_ones() {
+    let domain = domain("a");
+    let mix = PromptMix::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut candidates = candidates(2);
+    let now = request(&domain, 1_000, None);
+    for candidate in &mut candidates {
+        candidate.record_unreachable(1_000);
+    }
+    assert_eq!(
+        choose_replica(&mut candidates, &now, &mix, &mut rng),
+        PlacementOutcome::Unreachable
+    );
+    for candidate in &mut candidates {
+        candidate.is_leaving = true;
+    }
+    assert_eq!(
+        choose_replica(&mut candidates, &now, &mix, &mut rng),
+        PlacementOutcome::NoReplica
+    );
+}
+
 #[test]
 fn a_replica_in_back_off_is_skipped_and_the_shortest_back_off_is_returned() {
     let domain = domain("a");
