Failing tests: callers of routers that reach no replica are refused

Four routers, each of which reaches four stand-in servers through gates of its own, so that one router's paths can be cut: new connections hang, are reset, or are refused while open ones live on.

--- /dev/null
+++ b/tests/entry/partition.rs
@@ -0,0 +1,209 @@
+//! Routers without a path to the replicas, which clients, the store and other routers still reach.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::gate::{Cut, Gate};
+use super::replica::{Behaviour, FakeReplica};
+use super::site::{wait_ready, wait_until, Call, Router, Site};
+use super::{events, site_with};
+
+/// Time after the start of a cut from which on callers must be served.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Pause between the calls at one router.
+const CALL_PAUSE: Duration = Duration::from_millis(60);
+/// Routes with the same share of the calls: idempotent, run once, resumable stream, stream.
+const ROUTES: [&str; 4] = ["look", "book", "chat", "draft"];
+
+/// Routers that reach the replicas through gates of their own.
+struct Fleet {
+    site: Site,
+    replicas: Vec<FakeReplica>,
+    routers: Vec<Router>,
+    gates: Vec<Vec<Gate>>,
+}
+
+impl Fleet {
+    /// Starts routers in two failure domains by turns, all of which reach all replicas.
+    async fn start(routers: usize, behaviours: &[Behaviour]) -> Self {
+        let (site, replicas) = site_with(behaviours).await;
+        let mut fleet = Self {
+            site,
+            replicas,
+            routers: Vec::new(),
+            gates: Vec::new(),
+        };
+        for number in 0..routers {
+            let mut gates = Vec::new();
+            for replica in &fleet.replicas {
+                gates.push(Gate::open(replica.address()).await);
+            }
+            let addresses = fleet.replicas.iter().zip(&gates);
+            let addresses = addresses.map(|(replica, gate)| (replica.address(), gate.address));
+            let store = fleet.site.store.open_view(addresses.collect()).await;
+            let domain = if number % 2 == 0 { "a" } else { "b" };
+            let name = format!("r-{number}");
+            let router = fleet.site.router_in_domain(&name, domain, store);
+            fleet.routers.push(router);
+            fleet.gates.push(gates);
+        }
+        for router in &fleet.routers {
+            wait_ready(router).await;
+            wait_until("all replicas and routers are known", || async {
+                router.log_lines("replica added or updated").len() >= behaviours.len()
+                    && router.log_lines("router discovered").len() + 1 >= routers
+            })
+            .await;
+        }
+        fleet
+    }
+
+    /// Cuts the paths of a router to all replicas, or restores them.
+    fn cut(&self, router: usize, cut: Cut) {
+        for gate in &self.gates[router] {
+            gate.cut(cut);
+        }
+    }
+
+    fn address(&self, router: usize) -> SocketAddr {
+        self.routers[router].callers_address
+    }
+
+    /// Returns how often a request ran, by its attempt id.
+    fn run_count(&self, attempt: &str) -> usize {
+        let received = self.replicas.iter().flat_map(FakeReplica::received);
+        received
+            .filter(|request| request.header("currantlever-attempt-id") == Some(attempt))
+            .count()
+    }
+}
+
+/// First tries at one router: how many were sent and how many were served.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tries {
+    sent: u32,
+    served: u32,
+}
+
+/// Sends calls to a router for a time and counts those sent after `counted_from`.
+async fn call_for(
+    router: SocketAddr,
+    name: String,
+    duration: Duration,
+    counted_from: Instant,
+) -> Tries {
+    let end = Instant::now() + duration;
+    let mut calls = tokio::task::JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        let route = ROUTES[number % ROUTES.len()];
+        let attempt = format!("{name}-{number}");
+        let is_counted = Instant::now() >= counted_from;
+        calls.spawn(async move {
+            let call = Call::new(route, &attempt).with("currantlever-deadline-ms", "2000");
+            let answer = call.send(router).await;
+            let is_served = answer.is_ok_and(|answer| answer.status == 200 && answer.is_whole);
+            (is_counted, is_served)
+        });
+        number += 1;
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+    let mut tries = Tries::default();
+    while let Some(result) = calls.join_next().await {
+        let (is_counted, is_served) = result.unwrap();
+        tries.sent += u32::from(is_counted);
+        tries.served += u32::from(is_counted && is_served);
+    }
+    tries
+}
+
+/// Short work, whose answer suits all routes.
+const fn work() -> Behaviour {
+    Behaviour::StreamAfter {
+        delay: Duration::from_millis(20),
+        events: 3,
+    }
+}
+
+/// Cuts the first `cut_count` of four routers and returns the first tries at the cut ones and at the
+/// others from `CONTACT_TIME` after the cut on.
+async fn play_cut(cut: Cut, cut_count: usize) -> (Fleet, Tries, Tries) {
+    let fleet = Fleet::start(4, &[work(), work(), work(), work()]).await;
+    let cut_at = Instant::now() + Duration::from_secs(1);
+    let calls: Vec<_> = (0..4)
+        .map(|router| {
+            let duration = Duration::from_secs(7);
+            let name = format!("{cut:?}-{router}");
+            tokio::spawn(call_for(
+                fleet.address(router),
+                name,
+                duration,
+                cut_at + CONTACT_TIME,
+            ))
+        })
+        .collect();
+    tokio::time::sleep_until(cut_at.into()).await;
+    for router in 0..cut_count {
+        fleet.cut(router, cut);
+    }
+    let (mut at_cut, mut at_others) = (Tries::default(), Tries::default());
+    for (router, calls) in calls.into_iter().enumerate() {
+        let tries = calls.await.unwrap();
+        let sum = if router < cut_count {
+            &mut at_cut
+        } else {
+            &mut at_others
+        };
+        sum.sent += tries.sent;
+        sum.served += tries.served;
+    }
+    (fleet, at_cut, at_others)
+}
+
+/// Asserts what the users' rule states: the cut routers serve at least two thirds of the share of
+/// first tries that the others serve, and fail no more than 10 and 1 in 50.
+fn assert_served(cut: Cut, at_cut: Tries, at_others: Tries) {
+    assert!(at_cut.sent > 50 && at_others.sent > 50, "{cut:?}");
+    let failed = at_cut.sent - at_cut.served;
+    assert!(
+        failed <= 10 + at_cut.sent / 50,
+        "{cut:?}: {at_cut:?}, the others {at_others:?}"
+    );
+    assert!(
+        at_cut.served * at_others.sent * 3 >= at_others.served * at_cut.sent * 2,
+        "{cut:?}: {at_cut:?}, the others {at_others:?}"
+    );
+    assert!(
+        at_others.served * 50 >= at_others.sent * 49,
+        "{cut:?}: the others {at_others:?}"
+    );
+}
+
+/// Guards against routers without a path to the replicas that refuse their callers, for each way in
+/// which connections fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_partitioned_routers_are_served_when_connections_hang() {
+    let (_fleet, at_cut, at_others) = play_cut(Cut::Hang, 2).await;
+    assert_served(Cut::Hang, at_cut, at_others);
+}
+
+/// See [`callers_of_partitioned_routers_are_served_when_connections_hang`].
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_partitioned_routers_are_served_when_connections_are_reset() {
+    let (_fleet, at_cut, at_others) = play_cut(Cut::Reset, 2).await;
+    assert_served(Cut::Reset, at_cut, at_others);
+}
+
+/// See [`callers_of_partitioned_routers_are_served_when_connections_hang`].
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_partitioned_routers_are_served_when_only_new_connections_are_refused() {
+    let (_fleet, at_cut, at_others) = play_cut(Cut::RefuseNew, 1).await;
+    assert_served(Cut::RefuseNew, at_cut, at_others);
+}
+
+/// Guards against a fleet of which one router alone reaches the replicas.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_router_with_a_path_is_enough_for_all() {
+    let (_fleet, at_cut, at_others) = play_cut(Cut::Hang, 3).await;
+    assert_served(Cut::Hang, at_cut, at_others);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -85,7 +85,7 @@
         let connections = Arc::new(Mutex::new(Vec::new()));
         let is_available = Arc::new(AtomicBool::new(true));
         let shared = (&objects, &changed, &connections);
-        let address = listen(shared, &is_available).await;
+        let address = listen(shared, &is_available, Vec::new()).await;
         Self {
             address,
             objects,
@@ -102,7 +102,16 @@
     pub async fn open_link(&self) -> (SocketAddr, Arc<AtomicBool>) {
         let is_available = Arc::new(AtomicBool::new(true));
         let shared = (&self.objects, &self.changed, &self.connections);
-        (listen(shared, &is_available).await, is_available)
+        let address = listen(shared, &is_available, Vec::new()).await;
+        (address, is_available)
+    }
+
+    /// Opens another address of the store, whose answers name the second address of each pair in
+    /// place of the first one.
+    pub async fn open_view(&self, addresses: Vec<(SocketAddr, SocketAddr)>) -> SocketAddr {
+        let is_available = Arc::new(AtomicBool::new(true));
+        let shared = (&self.objects, &self.changed, &self.connections);
+        listen(shared, &is_available, addresses).await
     }
 
     pub fn set_faults(&self, faults: StoreFaults) {
@@ -235,7 +244,12 @@
     &'a Arc<Mutex<Vec<JoinHandle<()>>>>,
 );
 
-async fn listen(shared: Shared<'_>, is_available: &Arc<AtomicBool>) -> SocketAddr {
+async fn listen(
+    shared: Shared<'_>,
+    is_available: &Arc<AtomicBool>,
+    replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
+) -> SocketAddr {
+    let replaced_addresses = Arc::new(replaced_addresses);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (objects, changed) = (Arc::clone(shared.0), shared.1.clone());
@@ -244,8 +258,10 @@
         while let Ok((stream, _)) = listener.accept().await {
             let (objects, changed) = (Arc::clone(&objects), changed.clone());
             let is_available = Arc::clone(&is_available);
+            let replaced_addresses = Arc::clone(&replaced_addresses);
             let service = service_fn(move |request| {
                 let (objects, changed) = (Arc::clone(&objects), changed.clone());
+                let replaced_addresses = Arc::clone(&replaced_addresses);
                 let is_available = is_available.load(Ordering::Relaxed);
                 async move {
                     let shared = Arc::clone(&objects);
@@ -255,6 +271,9 @@
                         answer(503, &json!({}))
                     };
                     response = with_raw_values(response, &shared).await;
+                    if !replaced_addresses.is_empty() {
+                        response = with_addresses(response, &replaced_addresses).await;
+                    }
                     let era = shared.lock().unwrap().era;
                     if let Some(era) = era {
                         response.headers_mut().insert("store-era", era.into());
@@ -344,6 +363,20 @@
     Response::from_parts(parts, Full::new(bytes.into()))
 }
 
+/// Replaces addresses in an answer.
+async fn with_addresses(
+    response: Response<Full<Bytes>>,
+    replaced: &[(SocketAddr, SocketAddr)],
+) -> Response<Full<Bytes>> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.unwrap().to_bytes();
+    let mut text = String::from_utf8(body.to_vec()).unwrap();
+    for (from, to) in replaced {
+        text = text.replace(&from.to_string(), &to.to_string());
+    }
+    Response::from_parts(parts, Full::new(text.into()))
+}
+
 fn query_text<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let query = request.uri().query()?;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
