--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 pub mod presence;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod replica_path;
 pub mod retry_budget;
 pub mod retry_share;
 pub mod routing;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry router: the exchange between callers and replicas on one VM of a platform.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,13 +12,16 @@
 use tokio::sync::{watch, Mutex};
 use tokio::time::Instant;
 
-use crate::core::ids::PoolId;
 use crate::core::policy::PolicyName;
 use crate::core::presence::RouterState;
+use crate::entry_parts::{
+    count_connections, new_directory, new_origins, new_permits, new_pools, new_server_crashes,
+    new_transport, own_entry,
+};
 use crate::entry_settings::EntrySettings;
 use crate::exchange::directory::Directory;
 use crate::exchange::engine::{Exchange, ExchangeParts};
-use crate::exchange::feed_link::{serve_feed, FeedContext};
+use crate::exchange::feed_link::FeedContext;
 use crate::exchange::feed_sync::FeedSync;
 use crate::exchange::grants::{holder_on_vm, Grants};
 use crate::exchange::headroom::Headroom;
@@ -27,17 +31,18 @@
 };
 use crate::exchange::ledger_sync::LedgerSync;
 use crate::exchange::limits::ReplicaLimits;
-use crate::exchange::members::{Members, RouterEntry, RouterStateSource};
+use crate::exchange::members::{Members, RouterStateSource};
 use crate::exchange::metrics::ExchangeMetrics;
+use crate::exchange::path_monitor::PathMonitor;
+use crate::exchange::peer_link::serve_routers;
 use crate::exchange::permits::Permits;
 use crate::exchange::pools::Pools;
 use crate::exchange::quarantine_store::{QuarantineSink, QuarantineWriter, QUARANTINE_KIND};
-use crate::exchange::replica_dialer::ReplicaDialer;
-use crate::exchange::server_crashes::ServerCrashes;
 use crate::exchange::single_version::SingleVersions;
 use crate::exchange::stream_origins::StreamOrigins;
 use crate::exchange::suspects::Suspects;
 use crate::exchange::transfers::send_transfers;
+use crate::exchange::tunnel::TunnelServer;
 use crate::platform::ingress::Ingress;
 use crate::platform::names::{CONFIG_KIND, SERVER_KIND};
 use crate::platform::objects::PlatformStore;
@@ -95,6 +100,8 @@
     ledger_task: tokio::task::JoinHandle<()>,
     last_sync: Arc<Mutex<LedgerSync>>,
     grants: Arc<Grants>,
+    /// Tunnels of other routers to replicas.
+    tunnel_count: Arc<AtomicUsize>,
     log: Logger,
 }
 
@@ -116,17 +123,13 @@
         let vm_hash = stable_hash(&[&settings.callers_listen.to_string()]);
         let holder = holder_on_vm(vm_hash, process);
         let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
-        let transport = Arc::new(HttpTransport::new(ReplicaDialer::new(Arc::clone(&metrics))));
+        let paths = Arc::new(PathMonitor::new(Arc::clone(&metrics), log.clone()));
+        let transport = new_transport(&members, &pools, &paths, &metrics);
+        let tunnel_count = Arc::new(AtomicUsize::new(0));
         let vm = settings.vm.as_str();
         let server_crashes = new_server_crashes(vm, &transport, &pools, &metrics, &log);
         let socket = bind_datagrams(&settings).await?;
-        let permits = Arc::new(Permits::new(
-            Arc::clone(&members),
-            Arc::clone(&pools),
-            Arc::clone(&socket),
-            Arc::clone(&metrics),
-            log.clone(),
-        ));
+        let permits = new_permits(&members, &pools, &socket, &metrics, &log);
         let single_versions = SingleVersions::new(Arc::clone(&pools), Arc::clone(&store_health));
         let single_versions = Arc::new(single_versions);
         let origins = new_origins(&members, &socket, &metrics, &single_versions, &log);
@@ -144,7 +147,9 @@
         let exchange = Arc::new(Exchange::new(parts, log.clone()));
         let directory = new_directory(&pools, &server_crashes, &store_health, &log);
         let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
-        let headroom = new_headroom(settings.max_descriptors, &ingress, &transport);
+        let connections = count_connections(&ingress, &transport, &tunnel_count);
+        let headroom = Headroom::new(settings.max_descriptors, connections, Arc::clone(&paths));
+        let headroom = Arc::new(headroom);
         let router_endpoints = Arc::new(RouterEndpoints::new(
             Arc::clone(&members),
             Arc::clone(&exchange),
@@ -168,6 +173,9 @@
             permits: &permits,
             origins: &origins,
             transport: &transport,
+            paths: &paths,
+            tunnel_count: &tunnel_count,
+            metrics: &metrics,
             log: &log,
         }
         .spawn(socket, feed_listener, process);
@@ -195,6 +203,7 @@
             store,
             ledger_task,
             grants,
+            tunnel_count,
             log,
         })
     }
@@ -214,7 +223,9 @@
         let _ = tokio::time::timeout(LEAVING_PERIOD, removal).await;
         tokio::time::sleep_until((requested_at + LEAVING_PERIOD).min(end)).await;
         self.exchange.close();
-        while self.ingress.request_count() > 0 && Instant::now() < end {
+        let is_busy =
+            || self.ingress.request_count() > 0 || self.tunnel_count.load(Ordering::Relaxed) > 0;
+        while is_busy() && Instant::now() < end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.ingress.close_idle();
@@ -256,6 +267,9 @@
     permits: &'a Arc<Permits>,
     origins: &'a Arc<StreamOrigins>,
     transport: &'a Arc<HttpTransport>,
+    paths: &'a Arc<PathMonitor>,
+    tunnel_count: &'a Arc<AtomicUsize>,
+    metrics: &'a Arc<ExchangeMetrics>,
     log: &'a Logger,
 }
 
@@ -271,6 +285,7 @@
             grants: grants(),
             pools: Arc::clone(self.pools),
             headroom: Arc::clone(self.headroom),
+            paths: Arc::clone(self.paths),
             suspects: Arc::clone(self.suspects),
             permits: Arc::clone(self.permits),
             origins: Arc::clone(self.origins),
@@ -347,7 +362,20 @@
             members: Arc::clone(self.members),
             own_state: self.own_state(),
         };
-        tokio::spawn(serve_feed(listener, context.clone(), self.log.clone()));
+        let tunnels = Arc::new(TunnelServer::new(
+            Arc::clone(self.pools),
+            Arc::clone(self.paths),
+            self.own_state(),
+            Arc::clone(self.tunnel_count),
+            Arc::clone(self.metrics),
+            self.log.clone(),
+        ));
+        tokio::spawn(serve_routers(
+            listener,
+            context.clone(),
+            tunnels,
+            self.log.clone(),
+        ));
         let feed_sync = FeedSync::new(store(), context, is_watching, self.log.clone());
         tokio::spawn(feed_sync.run());
         let quarantine_writer = QuarantineWriter::new(
@@ -371,94 +399,6 @@
     }
 }
 
-/// Returns the entry by which this router registers in the store.
-fn own_entry(settings: &EntrySettings) -> RouterEntry {
-    RouterEntry {
-        callers_address: settings.callers_listen,
-        peer_address: settings.peer_listen,
-        failure_domain: settings.failure_domain.clone(),
-        cpu_millis: settings.cpu_millis(),
-    }
-}
-
-fn new_pools(
-    settings: &EntrySettings,
-    members: &Arc<Members>,
-    limits: ReplicaLimits,
-    seed: u64,
-) -> Arc<Pools> {
-    Arc::new(Pools::new(
-        settings.failure_domain.clone(),
-        Arc::clone(members),
-        Arc::new(limits),
-        settings.retries.rule(),
-        seed,
-    ))
-}
-
-fn new_directory(
-    pools: &Arc<Pools>,
-    server_crashes: &Arc<ServerCrashes>,
-    store_health: &Arc<StoreHealth>,
-    log: &Logger,
-) -> Arc<Directory> {
-    Arc::new(Directory::new(
-        Arc::clone(pools),
-        Arc::clone(server_crashes),
-        Arc::clone(store_health),
-        log.clone(),
-    ))
-}
-
-fn new_origins(
-    members: &Arc<Members>,
-    socket: &Arc<UdpSocket>,
-    metrics: &Arc<ExchangeMetrics>,
-    single_versions: &Arc<SingleVersions>,
-    log: &Logger,
-) -> Arc<StreamOrigins> {
-    let single_versions = Arc::clone(single_versions);
-    let single_version = move |pool: &PoolId| {
-        let single = single_versions.find_in_pool(pool);
-        single.map(|single| single.version)
-    };
-    Arc::new(StreamOrigins::new(
-        Arc::clone(members),
-        Arc::clone(socket),
-        Arc::clone(metrics),
-        Arc::new(single_version),
-        log.clone(),
-    ))
-}
-
-fn new_server_crashes(
-    vm: &str,
-    transport: &Arc<HttpTransport>,
-    pools: &Arc<Pools>,
-    metrics: &Arc<ExchangeMetrics>,
-    log: &Logger,
-) -> Arc<ServerCrashes> {
-    let suspects = Suspects::new(vm.into(), Arc::clone(metrics), log.clone());
-    Arc::new(ServerCrashes::new(
-        Arc::clone(transport) as _,
-        Arc::clone(pools),
-        suspects,
-        Arc::clone(metrics),
-        log.clone(),
-    ))
-}
-
-/// Creates the headroom of this router, which counts its connections to callers and replicas.
-fn new_headroom(
-    max_descriptors: u32,
-    ingress: &Arc<Ingress>,
-    transport: &Arc<HttpTransport>,
-) -> Arc<Headroom> {
-    let (ingress, transport) = (Arc::clone(ingress), Arc::clone(transport));
-    let open_connections = move || ingress.connection_count() + transport.connection_count();
-    Arc::new(Headroom::new(max_descriptors, Box::new(open_connections)))
-}
-
 fn listen_error(setting: &'static str, address: SocketAddr, source: std::io::Error) -> EntryError {
     EntryError::Listen {
         setting,
--- /dev/null
+++ b/src/entry_parts.rs
@@ -0,0 +1,150 @@
+//! Creates the parts of an entry router from its settings.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use slog::Logger;
+use tokio::net::UdpSocket;
+
+use crate::core::ids::PoolId;
+use crate::entry_settings::EntrySettings;
+use crate::exchange::directory::Directory;
+use crate::exchange::headroom::OpenConnections;
+use crate::exchange::limits::ReplicaLimits;
+use crate::exchange::members::{Members, RouterEntry};
+use crate::exchange::metrics::ExchangeMetrics;
+use crate::exchange::path_monitor::PathMonitor;
+use crate::exchange::permits::Permits;
+use crate::exchange::pools::Pools;
+use crate::exchange::replica_dialer::ReplicaDialer;
+use crate::exchange::server_crashes::ServerCrashes;
+use crate::exchange::single_version::SingleVersions;
+use crate::exchange::stream_origins::StreamOrigins;
+use crate::exchange::suspects::Suspects;
+use crate::platform::ingress::Ingress;
+use crate::platform::transport::HttpTransport;
+use crate::store::health::StoreHealth;
+
+/// Returns the entry by which this router registers in the store.
+pub(crate) fn own_entry(settings: &EntrySettings) -> RouterEntry {
+    RouterEntry {
+        callers_address: settings.callers_listen,
+        peer_address: settings.peer_listen,
+        failure_domain: settings.failure_domain.clone(),
+        cpu_millis: settings.cpu_millis(),
+    }
+}
+
+pub(crate) fn new_pools(
+    settings: &EntrySettings,
+    members: &Arc<Members>,
+    limits: ReplicaLimits,
+    seed: u64,
+) -> Arc<Pools> {
+    Arc::new(Pools::new(
+        settings.failure_domain.clone(),
+        Arc::clone(members),
+        Arc::new(limits),
+        settings.retries.rule(),
+        seed,
+    ))
+}
+
+pub(crate) fn new_directory(
+    pools: &Arc<Pools>,
+    server_crashes: &Arc<ServerCrashes>,
+    store_health: &Arc<StoreHealth>,
+    log: &Logger,
+) -> Arc<Directory> {
+    Arc::new(Directory::new(
+        Arc::clone(pools),
+        Arc::clone(server_crashes),
+        Arc::clone(store_health),
+        log.clone(),
+    ))
+}
+
+pub(crate) fn new_origins(
+    members: &Arc<Members>,
+    socket: &Arc<UdpSocket>,
+    metrics: &Arc<ExchangeMetrics>,
+    single_versions: &Arc<SingleVersions>,
+    log: &Logger,
+) -> Arc<StreamOrigins> {
+    let single_versions = Arc::clone(single_versions);
+    let single_version = move |pool: &PoolId| {
+        let single = single_versions.find_in_pool(pool);
+        single.map(|single| single.version)
+    };
+    Arc::new(StreamOrigins::new(
+        Arc::clone(members),
+        Arc::clone(socket),
+        Arc::clone(metrics),
+        Arc::new(single_version),
+        log.clone(),
+    ))
+}
+
+pub(crate) fn new_server_crashes(
+    vm: &str,
+    transport: &Arc<HttpTransport>,
+    pools: &Arc<Pools>,
+    metrics: &Arc<ExchangeMetrics>,
+    log: &Logger,
+) -> Arc<ServerCrashes> {
+    let suspects = Suspects::new(vm.into(), Arc::clone(metrics), log.clone());
+    Arc::new(ServerCrashes::new(
+        Arc::clone(transport) as _,
+        Arc::clone(pools),
+        suspects,
+        Arc::clone(metrics),
+        log.clone(),
+    ))
+}
+
+/// Returns a count of this router's connections to callers and replicas. A tunnel has two.
+pub(crate) fn count_connections(
+    ingress: &Arc<Ingress>,
+    transport: &Arc<HttpTransport>,
+    tunnel_count: &Arc<AtomicUsize>,
+) -> OpenConnections {
+    let (ingress, transport) = (Arc::clone(ingress), Arc::clone(transport));
+    let tunnel_count = Arc::clone(tunnel_count);
+    Box::new(move || {
+        let tunnel_connections = 2 * tunnel_count.load(Ordering::Relaxed);
+        ingress.connection_count() + transport.connection_count() + tunnel_connections
+    })
+}
+
+/// Creates the client for replicas, and starts to watch the path to them.
+pub(crate) fn new_transport(
+    members: &Arc<Members>,
+    pools: &Arc<Pools>,
+    paths: &Arc<PathMonitor>,
+    metrics: &Arc<ExchangeMetrics>,
+) -> Arc<HttpTransport> {
+    let dialer = Arc::new(ReplicaDialer::new(
+        Arc::clone(members),
+        Arc::clone(pools),
+        Arc::clone(paths),
+        Arc::clone(metrics),
+    ));
+    tokio::spawn(Arc::clone(&dialer).watch_path());
+    Arc::new(HttpTransport::new(dialer))
+}
+
+pub(crate) fn new_permits(
+    members: &Arc<Members>,
+    pools: &Arc<Pools>,
+    socket: &Arc<UdpSocket>,
+    metrics: &Arc<ExchangeMetrics>,
+    log: &Logger,
+) -> Arc<Permits> {
+    Arc::new(Permits::new(
+        Arc::clone(members),
+        Arc::clone(pools),
+        Arc::clone(socket),
+        Arc::clone(metrics),
+        log.clone(),
+    ))
+}
--- a/src/exchange/chosen_replica.rs
+++ b/src/exchange/chosen_replica.rs
@@ -6,7 +6,7 @@
 
 use super::limits::ReplicaKey;
 use super::pools::Pools;
-use super::request::{ReplicaAddress, ReplicaStatus};
+use super::request::{ConnectionShare, ReplicaAddress, ReplicaStatus};
 use crate::core::ids::{PoolId, ReplicaVersion};
 use crate::core::placement::ReplicaCandidate;
 use crate::util::millis;
@@ -18,6 +18,8 @@
     pub(super) pool: PoolId,
     /// The replica.
     pub replica: ReplicaAddress,
+    /// Connections to it that may be open.
+    pub connections: ConnectionShare,
     /// Its incarnation.
     pub key: ReplicaKey,
     /// Version of its software, by its entry at the time of the choice.
--- a/src/exchange/feed_link.rs
+++ b/src/exchange/feed_link.rs
@@ -6,41 +6,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
-use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
-use slog::{debug, Logger};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::members::{Members, RouterStateSource};
+use super::peer_link::{open_link, receive, send, Link, PeerRequest};
 use crate::core::outage::is_recent_failure;
 use crate::core::presence::RouterState;
 use crate::store::feed::Feed;
 use crate::store::feed_log::{FeedDelta, LoggedChange};
 use crate::store::health::StoreHealth;
 use crate::store::kinds::{Change, KindObject, Revision};
-use crate::tcp::{connect, set_keepalive};
 use crate::util::millis;
 
-/// Largest message, which holds all objects of all kinds.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Upper bound on the long-poll timeout that a poll may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// Timeout for connecting to another router.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without acknowledgement after which a connection counts as lost.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time allowed for transmission in addition to the long-poll timeout.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
-/// Pause after a failed accept, mostly caused by a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Poll for news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct FeedPoll {
+pub(super) struct FeedPoll {
     /// For each kind, the revision up to which all changes are known.
     known: Vec<Option<Revision>>,
     /// How long to wait for news, in milliseconds.
@@ -51,7 +38,7 @@
 
 /// Answer to a poll, with or without news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct FeedAnswer {
+pub(super) struct FeedAnswer {
     /// True if the answering router's own watches are in sync with the store.
     is_current: bool,
     /// Time since the store last failed to answer that router, in milliseconds.
@@ -172,64 +159,12 @@
     }
 }
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn frame(stream: TcpStream) -> Link {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_codec();
-    Framed::new(stream, codec)
-}
-
-async fn send<T>(link: &mut Link, message: &T) -> io::Result<()>
-where
-    T: Serialize + Sync,
-{
-    let bytes = postcard::to_allocvec(message).map_err(io::Error::other)?;
-    link.send(Bytes::from(bytes)).await
-}
-
-async fn receive<T>(link: &mut Link) -> io::Result<T>
-where
-    T: for<'a> Deserialize<'a>,
-{
-    let bytes = link.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    postcard::from_bytes(&bytes).map_err(io::Error::other)
-}
-
-/// Answers the polls of other routers until the listener is dropped.
-pub(crate) async fn serve_feed(listener: TcpListener, context: FeedContext, log: Logger) {
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let (context, log) = (context.clone(), log.clone());
-        tokio::spawn(async move {
-            // The polling router continues with another one.
-            if let Err(error) = answer_polls(stream, &context).await {
-                debug!(log, "feed connection closed"; "router" => peer.to_string(),
-                    "reason" => error.to_string());
-            }
-        });
-    }
-}
-
-async fn answer_polls(stream: TcpStream, context: &FeedContext) -> io::Result<()> {
-    set_keepalive(&stream, TCP_USER_TIMEOUT)?;
-    let mut link = frame(stream);
-    loop {
-        let poll: FeedPoll = receive(&mut link).await?;
-        let poller = poll.poller;
-        context
-            .members
-            .record_heartbeat(poller.router, poller.state(), poller.age());
-        let answer = answer_poll(&poll, context).await;
-        send(&mut link, &answer).await?;
-    }
-}
-
-async fn answer_poll(poll: &FeedPoll, context: &FeedContext) -> FeedAnswer {
+/// Answers a poll as soon as there is news, or after its timeout.
+pub(super) async fn answer_poll(poll: &FeedPoll, context: &FeedContext) -> FeedAnswer {
+    let poller = poll.poller;
+    context
+        .members
+        .record_heartbeat(poller.router, poller.state(), poller.age());
     let (feed, health) = (&context.feed, &context.health);
     let mut changed = feed.subscribe();
     let wait = Duration::from_millis(u64::from(poll.wait_ms)).min(MAX_WAIT);
@@ -286,11 +221,8 @@
 impl FeedSource {
     /// Connects to a router.
     pub(super) async fn open(router: SocketAddr) -> io::Result<Self> {
-        let stream = connect(router, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await?;
-        Ok(Self {
-            router,
-            link: frame(stream),
-        })
+        let link = open_link(router).await?;
+        Ok(Self { router, link })
     }
 
     /// Polls for news, applies it and returns the polled router's state. `is_local` means that the
@@ -312,7 +244,7 @@
             poller: context.own_presence(),
         };
         let answer = async {
-            send(&mut self.link, &poll).await?;
+            send(&mut self.link, &PeerRequest::Poll(poll)).await?;
             receive::<FeedAnswer>(&mut self.link).await
         };
         let answer = tokio::time::timeout(wait + ANSWER_MARGIN, answer)
--- a/src/exchange/headroom.rs
+++ b/src/exchange/headroom.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
+use super::path_monitor::PathMonitor;
 use crate::util::millis;
 
 /// Descriptors not available for connections: files, listeners, the store and other routers.
@@ -13,6 +15,10 @@
 /// Weight of a new sample in the moving average of the lag, in hundredths.
 const LAG_WEIGHT_PERCENT: u64 = 20;
 
+/// Spare capacity reported by a router without a path to the replicas, so that callers are told
+/// others while these have more.
+const NO_PATH_HEADROOM_PERCENT: u8 = 5;
+
 /// Returns the number of open connections.
 pub(crate) type OpenConnections = Box<dyn Fn() -> usize + Send + Sync>;
 
@@ -20,6 +26,7 @@
 pub(crate) struct Headroom {
     descriptors: u64,
     open_connections: OpenConnections,
+    paths: Arc<PathMonitor>,
     lag_ms: AtomicU64,
 }
 
@@ -31,12 +38,17 @@
 
 impl Headroom {
     /// Creates the capacity for a limit of descriptors.
-    pub(crate) fn new(max_descriptors: u32, open_connections: OpenConnections) -> Self {
+    pub(crate) fn new(
+        max_descriptors: u32,
+        open_connections: OpenConnections,
+        paths: Arc<PathMonitor>,
+    ) -> Self {
         Self {
             descriptors: u64::from(max_descriptors)
                 .saturating_sub(RESERVED_DESCRIPTORS)
                 .max(1),
             open_connections,
+            paths,
             lag_ms: AtomicU64::new(0),
         }
     }
@@ -49,12 +61,18 @@
         self.lag_ms.store(average, Ordering::Relaxed);
     }
 
-    /// Returns the free share of descriptors or of timer lag, whichever is less, in hundredths.
+    /// Returns the free share of descriptors or of timer lag, whichever is less, in hundredths; a
+    /// small share while this router has no path to the replicas.
     pub(crate) fn percent(&self) -> u8 {
         let open = (self.open_connections)() as u64;
         let free = self.descriptors.saturating_sub(open) * 100 / self.descriptors;
         let lag_ms = self.lag_ms.load(Ordering::Relaxed).min(MAX_LAG_MS);
         let time = (MAX_LAG_MS - lag_ms) * 100 / MAX_LAG_MS;
-        u8::try_from(free.min(time)).unwrap_or(100)
+        let percent = u8::try_from(free.min(time)).unwrap_or(100);
+        if self.paths.has_path() {
+            percent
+        } else {
+            percent.min(NO_PATH_HEADROOM_PERCENT)
+        }
     }
 }
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -11,6 +11,7 @@
 use super::grants::Grants;
 use super::headroom::Headroom;
 use super::members::{entry_name, Hello, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS};
+use super::path_monitor::PathMonitor;
 use super::permits::Permits;
 use super::pools::Pools;
 use super::stream_origins::StreamOrigins;
@@ -45,6 +46,8 @@
     pub pools: Arc<Pools>,
     /// This router's spare capacity.
     pub headroom: Arc<Headroom>,
+    /// This router's path to the replicas.
+    pub paths: Arc<PathMonitor>,
     /// Suspect requests, during which servers crashed.
     pub suspects: Arc<Suspects>,
     /// Permits for rate-limited replicas.
@@ -67,6 +70,7 @@
         grants,
         pools,
         headroom,
+        paths,
         suspects,
         log,
         ..
@@ -104,6 +108,7 @@
             sequence,
             is_ready: own_state.is_ready,
             headroom_percent: own_state.headroom_percent,
+            has_path: paths.has_path(),
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             loads: pools.load_reports(),
             status_reports: pools.status_reports(),
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -101,6 +101,8 @@
     pub is_ready: bool,
     /// Its spare capacity, in hundredths.
     pub headroom_percent: u8,
+    /// False if it has no path to the replicas.
+    pub has_path: bool,
     /// Time until its next hello to the same router, in milliseconds.
     pub interval_ms: u32,
     /// Its load at each replica that has any.
@@ -147,6 +149,7 @@
     sequence: u64,
     pub(super) is_ready: bool,
     pub(super) headroom_percent: u8,
+    has_path: bool,
     interval: Duration,
     loads: Vec<ReplicaLoadReport>,
     /// True once its timeout was handled.
@@ -157,6 +160,11 @@
     pub(super) fn is_alive(&self) -> bool {
         self.at.elapsed() < self.interval * TIMEOUT_HELLOS
     }
+
+    /// Returns true if the router connects others to replicas.
+    fn opens_tunnels(&self) -> bool {
+        self.is_alive() && self.is_ready && self.has_path
+    }
 }
 
 /// Which routers draw on the ledger for all.
@@ -286,6 +294,7 @@
             sequence: hello.sequence,
             is_ready: hello.is_ready,
             headroom_percent: hello.headroom_percent,
+            has_path: hello.has_path,
             interval: Duration::from_millis(u64::from(hello.interval_ms)),
             loads: hello.loads,
             is_timed_out: false,
@@ -426,6 +435,30 @@
         others.members.keys().copied().sample(rng, limit)
     }
 
+    /// Returns the routers that connect others to replicas, and whether each is in this router's
+    /// failure domain.
+    pub(crate) fn tunnel_routers(&self) -> Vec<(SocketAddr, bool)> {
+        let others = lock(&self.others);
+        let members = others.members.iter().filter(|(_, member)| {
+            let last_hello = member.last_hello.as_ref();
+            last_hello.is_some_and(LastHello::opens_tunnels)
+        });
+        members
+            .map(|(address, member)| {
+                let is_local = member.entry.failure_domain == self.own.failure_domain;
+                (*address, is_local)
+            })
+            .collect()
+    }
+
+    /// Returns true if a router connects others to replicas.
+    pub(crate) fn opens_tunnels(&self, router: SocketAddr) -> bool {
+        let others = lock(&self.others);
+        let member = others.members.get(&router);
+        let last_hello = member.and_then(|member| member.last_hello.as_ref());
+        last_hello.is_some_and(LastHello::opens_tunnels)
+    }
+
     /// Returns the addresses of routers without a hello for at least `time`.
     pub(crate) fn timed_out_for(&self, time: Duration) -> Vec<SocketAddr> {
         if self.started.elapsed() < time {
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -8,6 +8,7 @@
     Opts, Registry, TextEncoder,
 };
 
+use super::path_metrics::PathMetrics;
 use crate::core::rate_limit::RateLimit;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -27,7 +28,7 @@
     latency: Histogram,
     first_event: Histogram,
     store_calls: IntCounterVec,
-    replica_connects: IntCounterVec,
+    paths: PathMetrics,
     lost_connections: IntCounterVec,
     stream_resumes: IntCounterVec,
     quarantined: IntCounter,
@@ -101,11 +102,6 @@
                 "Calls to the store by result",
                 "result",
             )?,
-            replica_connects: counters(
-                "currantlever_replica_connects",
-                "Connections opened to backend servers, by result",
-                "result",
-            )?,
             lost_connections: counters(
                 "currantlever_lost_connections",
                 "Connections to backend servers lost with a request in progress, by what was found",
@@ -142,6 +138,7 @@
             replicas: register(&registry, replicas)?,
             rate_limits: register(&registry, rate_limits)?,
             store_era: register(&registry, store_era)?,
+            paths: PathMetrics::new(&registry)?,
             registry,
         })
     }
@@ -178,9 +175,9 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
-    /// Counts a connection opened to a replica, by its result.
-    pub(crate) fn count_replica_connect(&self, result: &str) {
-        self.replica_connects.with_label_values(&[result]).inc();
+    /// Returns the metrics of the network path to the replicas.
+    pub(super) const fn paths(&self) -> &PathMetrics {
+        &self.paths
     }
 
     /// Counts a connection lost with a request in progress, by the finding about its server.
@@ -255,7 +252,7 @@
 }
 
 /// Registers a metric and returns it.
-fn register<M>(registry: &Registry, metric: M) -> Result<M, prometheus::Error>
+pub(super) fn register<M>(registry: &Registry, metric: M) -> Result<M, prometheus::Error>
 where
     M: Collector + Clone + 'static,
 {
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -6,12 +6,14 @@
 
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::SeedableRng;
 use tokio::time::Instant;
 
 use super::catalog::{Catalog, EngineRules};
 use super::limits::{ReplicaKey, ReplicaLimits};
 use super::members::Members;
+use super::request::ReplicaAddress;
 use crate::core::ids::{FailureDomain, PoolId, ReplicaId, ReplicaVersion};
 use crate::core::placement::{PromptMix, ReplicaCandidate};
 use crate::core::retry_share::{RetryRule, RetryShare};
@@ -95,6 +97,14 @@
             .position(|candidate| candidate.id == *id)
     }
 
+    fn address_at(&self, index: usize) -> ReplicaAddress {
+        ReplicaAddress {
+            id: self.candidates[index].id.clone(),
+            born_ms: self.replicas[index].born_ms,
+            address: self.replicas[index].address,
+        }
+    }
+
     fn remove_at(&mut self, index: usize, now_ms: u64) {
         self.candidates.swap_remove(index);
         let replica = self.replicas.swap_remove(index);
@@ -241,6 +251,41 @@
         }
     }
 
+    /// Returns an incarnation of a replica, unless it is unknown or leaving.
+    pub(super) fn find_replica(
+        &self,
+        id: &ReplicaId,
+        born_ms: Option<u64>,
+    ) -> Option<ReplicaAddress> {
+        let state = lock(&self.state);
+        state.pools.values().find_map(|pool| {
+            let index = pool.index_of(id)?;
+            let replica = pool.address_at(index);
+            (replica.born_ms == born_ms && !pool.candidates[index].is_leaving).then_some(replica)
+        })
+    }
+
+    /// Returns a random sample of the replicas in service.
+    pub(super) fn sample_replicas(&self, count: usize) -> Vec<ReplicaAddress> {
+        let mut state = lock(&self.state);
+        let State { pools, rng } = &mut *state;
+        let in_service = pools.values().flat_map(|pool| {
+            let indices = 0..pool.candidates.len();
+            let indices = indices.filter(|index| !pool.candidates[*index].is_leaving);
+            indices.map(|index| pool.address_at(index))
+        });
+        in_service.sample(rng, count)
+    }
+
+    /// Ends all ejections, after the path to the replicas has changed.
+    pub(super) fn end_ejections(&self) {
+        let mut state = lock(&self.state);
+        let pools = state.pools.values_mut();
+        for candidate in pools.flat_map(|pool| &mut pool.candidates) {
+            candidate.record_success();
+        }
+    }
+
     /// Returns the current incarnation of a replica, if it is known.
     pub(crate) fn incarnation(&self, id: &ReplicaId) -> Option<Incarnation> {
         let state = lock(&self.state);
--- a/src/exchange/record.rs
+++ b/src/exchange/record.rs
@@ -1,6 +1,7 @@
 //! Access log line and metrics of one request, written once when it ends.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
     pub resumes: Option<CompactString>,
     /// Version of the stream.
     pub origin: Option<OriginNote>,
+    /// Router through which the last answer came, by its hello address; `None` if directly.
+    pub via: Option<SocketAddr>,
     refused_resume: Option<RefusedResume>,
     tries: CompactString,
     limits: CompactString,
@@ -112,6 +115,7 @@
             status: 0,
             resumes: None,
             origin: None,
+            via: None,
             refused_resume: None,
             tries: CompactString::default(),
             limits: CompactString::default(),
@@ -211,6 +215,7 @@
             "config_version" => self.config_version,
             "tries" => self.tries.as_str(),
             "limits" => self.limits.as_str(),
+            "via" => self.via.map(|router| router.to_string()),
             "resumes" => self.resumes.as_deref(),
             "stream_version" => origin.map(|origin| origin.version.as_str()),
             "version_source" => origin.map(|origin| origin.source.as_str()),
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -11,7 +11,7 @@
 use super::chosen_replica::ChosenReplica;
 use super::limits::ReplicaKey;
 use super::pools::{Pool, Pools};
-use super::request::{ReplicaAddress, ResumePoint};
+use super::request::{ConnectionShare, ReplicaAddress, ResumePoint};
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::placement::{
     choose_replica, Admission, PlacementOutcome, PlacementRequest, PromptInfo, ReplicaCandidate,
@@ -158,8 +158,11 @@
                     pool: query.pool.clone(),
                     replica: ReplicaAddress {
                         id: candidate.id.clone(),
+                        born_ms: pool.replicas[index].born_ms,
                         address: pool.replicas[index].address,
-                        connection_limit: share.saturating_add(in_use) as usize,
+                    },
+                    connections: ConnectionShare {
+                        max_open: share.saturating_add(in_use) as usize,
                         max_idle: share as usize,
                     },
                     key: pool.replicas[index].key(),
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -99,16 +99,23 @@
     }
 }
 
-/// Address and connection limits of a replica.
+/// An incarnation of a replica and its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ReplicaAddress {
-    /// Id of the replica; changes with each incarnation.
+    /// Id of the replica.
     pub id: ReplicaId,
+    /// Start of the incarnation, in milliseconds since the Unix epoch, if stated.
+    pub born_ms: Option<u64>,
     /// Address that the replica listens on.
     pub address: SocketAddr,
-    /// Maximum number of open connections from this router.
-    pub connection_limit: usize,
-    /// Maximum number of idle connections from this router.
+}
+
+/// This router's share of a replica's connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionShare {
+    /// Maximum number of open connections.
+    pub max_open: usize,
+    /// Maximum number of idle connections.
     pub max_idle: usize,
 }
 
@@ -119,6 +126,8 @@
     pub request: &'a ExchangeRequest,
     /// The replica.
     pub replica: &'a ReplicaAddress,
+    /// Connections to it that may be open.
+    pub connections: ConnectionShare,
     /// Time left until the deadline.
     pub time_left: Duration,
     /// Name of the team that is billed.
@@ -267,6 +276,8 @@
     pub is_misdirected: bool,
     /// Status that the replica reports.
     pub replica_status: ReplicaStatus,
+    /// Router through which it came, by its hello address; `None` if directly.
+    pub via: Option<SocketAddr>,
     /// Body.
     pub body: AnswerBody,
 }
@@ -298,7 +309,7 @@
     async fn send(&self, dispatch: Dispatch<'_>) -> Result<ReplicaAnswer, DispatchError>;
 
     /// Opens a connection without sending a request, to check whether a server listens.
-    async fn probe(&self, address: SocketAddr) -> ProbeResult;
+    async fn probe(&self, replica: &ReplicaAddress) -> ProbeResult;
 }
 
 /// Why the router rejects a request.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -249,6 +249,7 @@
             let dispatch = Dispatch {
                 request: &self.request,
                 replica: &chosen.replica,
+                connections: chosen.connections,
                 time_left,
                 team: self.team.as_ref().map(|team| team.budget.as_str()),
                 rank: self.rank,
@@ -279,6 +280,7 @@
                 Ok(Ok(answer)) => {
                     self.sent_count += 1;
                     self.may_have_run = true;
+                    self.record.via = answer.via;
                     return Ok(AnsweredTry { answer, chosen });
                 }
                 Ok(Err(error @ DispatchError::NotSent { cause, .. })) => {
--- a/src/exchange/server_crashes.rs
+++ b/src/exchange/server_crashes.rs
@@ -5,7 +5,6 @@
 //! its entry is replaced or removed soon after, it crashed with the request in progress.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -134,7 +133,7 @@
         let crashes = Arc::clone(self);
         tokio::spawn(async move {
             let loss_id = crashes.track(lost.clone());
-            match crashes.probe(lost.replica.address, patience).await {
+            match crashes.probe(&lost.replica, patience).await {
                 ProbeResult::Refused => {
                     let Some(loss_id) = loss_id else {
                         return ServerState::Unknown;
@@ -161,10 +160,10 @@
         })
     }
 
-    async fn probe(&self, address: SocketAddr, patience: Duration) -> ProbeResult {
+    async fn probe(&self, replica: &ReplicaAddress, patience: Duration) -> ProbeResult {
         let end = Instant::now() + patience;
         loop {
-            let result = self.transport.probe(address).await;
+            let result = self.transport.probe(replica).await;
             if result != ProbeResult::NoAnswer || Instant::now() >= end {
                 return result;
             }
--- /dev/null
+++ b/src/exchange/tunnel.rs
@@ -0,0 +1,259 @@
+//! Connections to replicas on behalf of routers that have no path to them.
+//!
+//! A tunnel forwards bytes between another router and a replica and knows nothing of the requests
+//! in them: which request runs where, and what it costs, is decided by the router that received it.
+//! A tunnel leads to a replica that this router knows by its id, never to any other address, and
+//! through one router only. It ends as the replica's connection does, by a close or a reset.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use slog::{info, Logger};
+use strum::Display;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::members::RouterStateSource;
+use super::metrics::ExchangeMetrics;
+use super::path_monitor::PathMonitor;
+use super::peer_link::{send, Link};
+use super::pools::Pools;
+use super::request::ReplicaAddress;
+use crate::core::ids::ReplicaId;
+use crate::tcp::{connect, reset_on_close};
+use crate::util::millis;
+
+/// Timeout for connecting to a replica; shorter than that of the router that waits for it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
+/// as lost; the same as for the router's own connections.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Spare capacity, in percent, below which a router opens no tunnels, which its own callers need.
+const MIN_HEADROOM_PERCENT: u8 = 20;
+/// Bytes forwarded at once in one direction.
+const BUFFER_BYTES: usize = 8 * 1024;
+/// Time in which the other router must close its connection after the replica closed its own.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Request for a connection to a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct TunnelRequest {
+    /// Router that requests it, by its hello address.
+    pub router: SocketAddr,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its incarnation.
+    pub born_ms: Option<u64>,
+    /// Attempt id of the first request on it; empty for a probe.
+    pub request: CompactString,
+}
+
+/// Answer to a request for a tunnel. After `Opened` the connection is the replica's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum TunnelAnswer {
+    /// The replica accepted a connection.
+    Opened,
+    /// The replica's address refuses connections.
+    Refused,
+    /// The replica cannot be reached from here.
+    Unreachable,
+    /// This router has no path to replicas itself.
+    NoPath,
+    /// This router needs its capacity for its own callers.
+    Busy,
+    /// This router is leaving.
+    Leaving,
+    /// This router knows no such incarnation.
+    UnknownReplica,
+}
+
+/// Opens connections to replicas for other routers.
+pub(crate) struct TunnelServer {
+    pools: Arc<Pools>,
+    paths: Arc<PathMonitor>,
+    own_state: RouterStateSource,
+    open_count: Arc<AtomicUsize>,
+    metrics: Arc<ExchangeMetrics>,
+    log: Logger,
+}
+
+impl TunnelServer {
+    /// Creates a server whose open tunnels are counted.
+    pub(crate) fn new(
+        pools: Arc<Pools>,
+        paths: Arc<PathMonitor>,
+        own_state: RouterStateSource,
+        open_count: Arc<AtomicUsize>,
+        metrics: Arc<ExchangeMetrics>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            pools,
+            paths,
+            own_state,
+            open_count,
+            metrics,
+            log,
+        }
+    }
+
+    /// Opens a connection to a replica and forwards bytes until it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection to the other router breaks before the answer was sent.
+    pub(super) async fn serve(&self, mut link: Link, request: TunnelRequest) -> io::Result<()> {
+        let opened = self.open(&request).await;
+        let answer = match &opened {
+            Ok(_) => TunnelAnswer::Opened,
+            Err(answer) => *answer,
+        };
+        let metrics = self.metrics.paths();
+        metrics.count_tunnel_served(&answer.to_string());
+        send(&mut link, &answer).await?;
+        let Ok(replica) = opened else {
+            info!(self.log, "tunnel not opened"; "router" => request.router.to_string(),
+                "replica" => request.replica.as_str(), "request" => request.request.as_str(),
+                "reason" => answer.to_string());
+            return Ok(());
+        };
+        let opened_at = Instant::now();
+        let _open = OpenTunnel::new(&self.open_count);
+        let bytes = Forwarded::default();
+        let end = forward(link.into_inner(), replica, &bytes).await;
+        info!(self.log, "tunnel closed"; "router" => request.router.to_string(),
+            "replica" => request.replica.as_str(), "request" => request.request.as_str(),
+            "open_ms" => millis(opened_at.elapsed()),
+            "request_bytes" => bytes.to_replica.load(Ordering::Relaxed),
+            "answer_bytes" => bytes.to_router.load(Ordering::Relaxed),
+            "end" => end.to_string());
+        Ok(())
+    }
+
+    async fn open(&self, request: &TunnelRequest) -> Result<TcpStream, TunnelAnswer> {
+        let own_state = (self.own_state)();
+        if !own_state.is_ready {
+            return Err(TunnelAnswer::Leaving);
+        }
+        if !self.paths.has_path() {
+            return Err(TunnelAnswer::NoPath);
+        }
+        if own_state.headroom_percent < MIN_HEADROOM_PERCENT {
+            return Err(TunnelAnswer::Busy);
+        }
+        let replica = self
+            .pools
+            .find_replica(&request.replica, request.born_ms)
+            .ok_or(TunnelAnswer::UnknownReplica)?;
+        self.connect(&replica).await
+    }
+
+    async fn connect(&self, replica: &ReplicaAddress) -> Result<TcpStream, TunnelAnswer> {
+        match connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await {
+            Ok(stream) => {
+                self.paths.record_direct(&replica.id);
+                Ok(stream)
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(TunnelAnswer::Refused)
+            }
+            Err(_) => Err(TunnelAnswer::Unreachable),
+        }
+    }
+}
+
+/// Counts a tunnel while it is open.
+struct OpenTunnel<'a>(&'a AtomicUsize);
+
+impl<'a> OpenTunnel<'a> {
+    fn new(open_count: &'a AtomicUsize) -> Self {
+        open_count.fetch_add(1, Ordering::Relaxed);
+        Self(open_count)
+    }
+}
+
+impl Drop for OpenTunnel<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Bytes forwarded so far.
+#[derive(Debug, Default)]
+struct Forwarded {
+    to_replica: AtomicU64,
+    to_router: AtomicU64,
+}
+
+/// How a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum TunnelEnd {
+    /// The other router closed or lost its connection.
+    RouterLeft,
+    /// The replica closed its connection.
+    ReplicaClosed,
+    /// The replica's connection was reset or lost.
+    ReplicaLost,
+}
+
+/// Forwards bytes in both directions until one of the two connections ends, and ends the other one
+/// in the same way.
+async fn forward(router: TcpStream, replica: TcpStream, bytes: &Forwarded) -> TunnelEnd {
+    let (mut from_router, mut to_router) = router.into_split();
+    let (mut from_replica, mut to_replica) = replica.into_split();
+    let end = tokio::select! {
+        _ = copy(&mut from_router, &mut to_replica, &bytes.to_replica) => TunnelEnd::RouterLeft,
+        side = copy(&mut from_replica, &mut to_router, &bytes.to_router) => match side {
+            CopyEnd::Closed => TunnelEnd::ReplicaClosed,
+            CopyEnd::ReadFailed => TunnelEnd::ReplicaLost,
+            CopyEnd::WriteFailed => TunnelEnd::RouterLeft,
+        },
+    };
+    match end {
+        TunnelEnd::RouterLeft => {}
+        TunnelEnd::ReplicaLost => reset_on_close(to_router.as_ref()),
+        TunnelEnd::ReplicaClosed => {
+            // Closing at once would discard bytes that the router has not read yet.
+            let _ = to_router.shutdown().await;
+            let mut sink = tokio::io::sink();
+            let rest = tokio::io::copy(&mut from_router, &mut sink);
+            let _ = tokio::time::timeout(CLOSE_TIMEOUT, rest).await;
+        }
+    }
+    end
+}
+
+/// Why one direction of a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyEnd {
+    Closed,
+    ReadFailed,
+    WriteFailed,
+}
+
+async fn copy<R, W>(reader: &mut R, writer: &mut W, count: &AtomicU64) -> CopyEnd
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = match reader.read(&mut buffer).await {
+            Ok(0) => return CopyEnd::Closed,
+            Ok(length) => length,
+            Err(_) => return CopyEnd::ReadFailed,
+        };
+        if writer.write_all(&buffer[..length]).await.is_err() {
+            return CopyEnd::WriteFailed;
+        }
+        count.fetch_add(length as u64, Ordering::Relaxed);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod core;
 mod daemon;
 mod entry;
+mod entry_parts;
 mod entry_settings;
 mod exchange;
 pub mod fakes;
@@ -65,6 +66,7 @@
     CrashRecordOutcome, Fingerprint, Quarantine, ServerCrash, Suspicion, QUARANTINE_RETENTION_MS,
 };
 pub use crate::core::rate_limit::{RateLimit, RateLimitError};
+pub use crate::core::replica_path::{PathChoice, ReplicaPath};
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{
--- a/src/platform/connections.rs
+++ b/src/platform/connections.rs
@@ -25,6 +25,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) task: AbortHandle,
     pub(super) address: SocketAddr,
+    /// Router through which it leads, by its hello address; `None` if it is direct.
+    pub(super) via: Option<SocketAddr>,
     pub(super) is_used: bool,
     pub(super) idle_since: Instant,
     pub(super) usable_until: Instant,
@@ -78,18 +80,24 @@
 }
 
 impl IdleConnections {
-    /// Removes and returns the most recently used connection that can be reused for an attempt.
-    pub(super) fn take(
+    /// Removes and returns the most recently used connection that can be reused for an attempt, of
+    /// those that are expected to work.
+    pub(super) fn take<F>(
         &self,
         address: SocketAddr,
         limit: Duration,
         attempt: &str,
-    ) -> Option<Connection> {
+        is_working: F,
+    ) -> Option<Connection>
+    where
+        F: Fn(&Connection) -> bool,
+    {
         let mut idle = lock(&self.by_address);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections
             .retain(|connection| !connection.sender.is_closed() && connection.usable_until > now);
+        connections.retain(is_working);
         let index = connections
             .iter()
             .rposition(|connection| !connection.has_refused(attempt))?;
@@ -110,12 +118,18 @@
         }
     }
 
-    /// Closes connections whose idle timeout has passed.
-    pub(super) fn close_expired(&self) {
+    /// Closes connections whose idle timeout has passed, and those through routers that are not to
+    /// be used any more.
+    pub(super) fn close_expired<F>(&self, may_use_router: F)
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
         let now = Instant::now();
         lock(&self.by_address).retain(|_, connections| {
             connections.retain(|connection| {
-                !connection.sender.is_closed() && connection.usable_until > now
+                !connection.sender.is_closed()
+                    && connection.usable_until > now
+                    && connection.via.is_none_or(&may_use_router)
             });
             !connections.is_empty()
         });
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -18,7 +18,8 @@
 
 use super::connections::{Connection, IdleConnections, OpenCounts};
 use super::names;
-use crate::exchange::replica_dialer::{DialError, ReplicaDialer};
+use crate::exchange::path_monitor::PathMonitor;
+use crate::exchange::replica_dialer::{DialError, Dialed, ReplicaDialer};
 use crate::exchange::request::{
     AnswerBody, BodyEnd, BrokenBody, Dispatch, DispatchError, ProbeResult, ReplicaAddress,
     ReplicaAnswer, ReplicaStatus, ReplicaTransport, StatedLimit, UnsentCause,
@@ -40,14 +41,14 @@
 /// HTTP client for replicas, with a pool of idle connections.
 #[derive(Debug)]
 pub(crate) struct HttpTransport {
-    dialer: ReplicaDialer,
+    dialer: Arc<ReplicaDialer>,
     idle: Arc<IdleConnections>,
     open_counts: Arc<OpenCounts>,
 }
 
 impl HttpTransport {
     /// Creates a client without connections.
-    pub(crate) fn new(dialer: ReplicaDialer) -> Self {
+    pub(crate) fn new(dialer: Arc<ReplicaDialer>) -> Self {
         Self {
             dialer,
             idle: Arc::default(),
@@ -57,7 +58,8 @@
 
     /// Closes idle connections whose timeout has passed.
     pub(crate) fn close_expired_connections(&self) {
-        self.idle.close_expired();
+        self.idle
+            .close_expired(|router| self.dialer.may_use_router(router));
     }
 
     /// Returns the number of open connections to replicas.
@@ -72,14 +74,17 @@
         } else {
             IDLE_LIMIT
         };
-        if let Some(connection) = self
-            .idle
-            .take(replica.address, limit, &dispatch.request.attempt)
-        {
+        let attempt = dispatch.request.attempt.as_str();
+        let is_working = |connection: &Connection| {
+            self.dialer
+                .may_reuse(replica, connection.via, connection.idle_since)
+        };
+        let idle = self.idle.take(replica.address, limit, attempt, is_working);
+        if let Some(connection) = idle {
             return Ok(connection);
         }
-        let guard = self.reserve_connection(replica)?;
-        let stream = self.dialer.dial(replica.address).await.map_err(|error| {
+        let guard = self.reserve_connection(dispatch)?;
+        let Dialed { stream, via } = self.dialer.dial(replica, attempt).await.map_err(|error| {
             let cause = match error {
                 DialError::Refused(_) => UnsentCause::Refused,
                 DialError::Unreachable(_) => UnsentCause::Unreachable,
@@ -97,6 +102,7 @@
             sender,
             task: task.abort_handle(),
             address: replica.address,
+            via,
             is_used: false,
             idle_since: Instant::now(),
             usable_until: Instant::now() + IDLE_LIMIT,
@@ -105,19 +111,17 @@
         })
     }
 
-    fn reserve_connection(
-        &self,
-        replica: &ReplicaAddress,
-    ) -> Result<OpenCountGuard, DispatchError> {
+    fn reserve_connection(&self, dispatch: &Dispatch<'_>) -> Result<OpenCountGuard, DispatchError> {
+        let address = dispatch.replica.address;
         let mut open = lock(&self.open_counts.by_address);
-        let count = open.entry(replica.address).or_default();
-        if *count >= replica.connection_limit {
+        let count = open.entry(address).or_default();
+        if *count >= dispatch.connections.max_open {
             let reason = "the share of the replica's connections is used up";
             return Err(not_sent(UnsentCause::NoConnectionLeft, reason));
         }
         *count += 1;
         Ok(OpenCountGuard {
-            address: replica.address,
+            address,
             open_counts: Some(Arc::clone(&self.open_counts)),
         })
     }
@@ -201,13 +205,22 @@
         let mut connection = self.connection(&dispatch).await?;
         let is_first = !std::mem::replace(&mut connection.is_used, true);
         dispatch.progress.record_sent();
-        let response = match connection.sender.try_send_request(request).await {
-            Ok(response) => response,
+        let paths = connection.via.is_none().then(|| self.dialer.paths());
+        let waiting = paths.map(PathMonitor::start_waiting);
+        let sent = connection.sender.try_send_request(request).await;
+        drop(waiting);
+        let response = match sent {
+            Ok(response) => {
+                if let Some(paths) = paths {
+                    paths.record_received();
+                }
+                response
+            }
             Err(mut error) => {
                 let was_sent = error.take_message().is_none();
                 let error = error.into_error();
                 return Err(if was_sent {
-                    outcome_unknown(describe(&error))
+                    outcome_unknown(describe_on(&error, connection.via))
                 } else {
                     not_sent(UnsentCause::ConnectionClosed, describe(&error))
                 });
@@ -228,8 +241,8 @@
         Ok(self.answer(response, replica_status, connection, &dispatch))
     }
 
-    async fn probe(&self, address: SocketAddr) -> ProbeResult {
-        self.dialer.probe(address).await
+    async fn probe(&self, replica: &ReplicaAddress) -> ProbeResult {
+        self.dialer.probe(replica).await
     }
 }
 
@@ -313,6 +326,8 @@
         let is_not_run = is_not_run(&response);
         let (parts, body) = response.into_parts();
         let end = body_end(&parts.headers, &body);
+        let via = connection.via;
+        let paths = via.is_none().then(|| Arc::clone(self.dialer.paths()));
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_not_run {
             connection.record_refused(dispatch.request.attempt.clone());
@@ -327,13 +342,14 @@
             is_not_run,
             is_misdirected,
             replica_status,
+            via,
             body: AnswerBody::new(
                 read_body(
                     body,
                     connection,
                     reuse_limit,
-                    Arc::clone(&self.idle),
-                    dispatch.replica.max_idle,
+                    (Arc::clone(&self.idle), dispatch.connections.max_idle),
+                    paths,
                 ),
                 end,
             ),
@@ -376,13 +392,16 @@
     mut body: Incoming,
     mut connection: Connection,
     reuse_limit: Option<Duration>,
-    idle: Arc<IdleConnections>,
-    max_idle: usize,
+    (idle, max_idle): (Arc<IdleConnections>, usize),
+    paths: Option<Arc<PathMonitor>>,
 ) -> BoxStream<'static, Result<Bytes, BrokenBody>> {
     let pieces = stream! {
         while let Some(frame) = body.frame().await {
             match frame {
                 Ok(frame) => {
+                    if let Some(paths) = &paths {
+                        paths.record_received();
+                    }
                     if let Ok(piece) = frame.into_data() {
                         yield Ok(piece);
                     }
@@ -423,6 +442,15 @@
     headers.remove("content-length");
 }
 
+/// Formats an error of a connection, with the router through which it led, if any.
+fn describe_on(error: &hyper::Error, via: Option<SocketAddr>) -> CompactString {
+    let reason = describe(error);
+    match via {
+        Some(router) => compact_str::format_compact!("{reason}, via {router}"),
+        None => reason,
+    }
+}
+
 /// Formats an error with its cause.
 pub(super) fn describe(error: &hyper::Error) -> CompactString {
     let cause = std::error::Error::source(error);
--- a/src/tcp.rs
+++ b/src/tcp.rs
@@ -29,3 +29,9 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(user_timeout))
 }
+
+/// Makes a connection end with a reset instead of a close when it is dropped.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    // If this fails, the other end sees a close.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
--- a/tests/entry/gate.rs
+++ b/tests/entry/gate.rs
@@ -1,8 +1,6 @@
 //! A TCP gate before a replica, through which one router reaches it and which can be cut.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::{Domain, SockAddr, Socket, Type};
@@ -34,32 +32,21 @@
 pub struct Gate {
     pub address: SocketAddr,
     cut: watch::Sender<Cut>,
-    accepted: Arc<AtomicU32>,
 }
 
 impl Gate {
     /// Opens a path to a replica.
-    pub async fn open(replica: SocketAddr) -> Self {
+    pub fn open(replica: SocketAddr) -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let (cut, changed) = watch::channel(Cut::None);
-        let accepted = Arc::default();
-        tokio::spawn(run(address, replica, changed, Arc::clone(&accepted)));
-        Self {
-            address,
-            cut,
-            accepted,
-        }
+        tokio::spawn(run(address, replica, changed));
+        Self { address, cut }
     }
 
     /// Cuts the path, or restores it with [`Cut::None`].
     pub fn cut(&self, cut: Cut) {
         self.cut.send_replace(cut);
     }
-
-    /// Returns the number of connections accepted so far.
-    pub fn accepted(&self) -> u32 {
-        self.accepted.load(Ordering::SeqCst)
-    }
 }
 
 fn listen(address: SocketAddr) -> Option<TcpListener> {
@@ -71,12 +58,7 @@
     TcpListener::from_std(socket.into()).ok()
 }
 
-async fn run(
-    address: SocketAddr,
-    replica: SocketAddr,
-    mut cut: watch::Receiver<Cut>,
-    accepted: Arc<AtomicU32>,
-) {
+async fn run(address: SocketAddr, replica: SocketAddr, mut cut: watch::Receiver<Cut>) {
     let mut listener = None;
     let mut fillers = Vec::new();
     loop {
@@ -119,7 +101,6 @@
                 }
                 stream = open.accept() => {
                     if let Ok((stream, _)) = stream {
-                        accepted.fetch_add(1, Ordering::SeqCst);
                         tokio::spawn(forward(stream, replica, cut.clone()));
                     }
                 }
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -6,7 +6,7 @@
 use super::gate::{Cut, Gate};
 use super::replica::{Behaviour, FakeReplica};
 use super::site::{wait_ready, wait_until, Call, Router, Site};
-use super::{events, site_with};
+use super::site_with;
 
 /// Time after the start of a cut from which on callers must be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -36,7 +36,7 @@
         for number in 0..routers {
             let mut gates = Vec::new();
             for replica in &fleet.replicas {
-                gates.push(Gate::open(replica.address()).await);
+                gates.push(Gate::open(replica.address()));
             }
             let addresses = fleet.replicas.iter().zip(&gates);
             let addresses = addresses.map(|(replica, gate)| (replica.address(), gate.address));
@@ -69,12 +69,26 @@
         self.routers[router].callers_address
     }
 
-    /// Returns how often a request ran, by its attempt id.
-    fn run_count(&self, attempt: &str) -> usize {
+    /// Returns the attempts of requests that must run once and reached replicas more than once.
+    fn doubled_attempts(&self) -> Vec<String> {
         let received = self.replicas.iter().flat_map(FakeReplica::received);
-        received
-            .filter(|request| request.header("currantlever-attempt-id") == Some(attempt))
-            .count()
+        let mut attempts: Vec<String> = received
+            .filter(|request| request.head.starts_with("POST /book/"))
+            .filter_map(|request| request.header("currantlever-attempt-id").map(str::to_owned))
+            .collect();
+        attempts.sort_unstable();
+        let doubled = attempts.windows(2).filter(|pair| pair[0] == pair[1]);
+        doubled.map(|pair| pair[0].clone()).collect()
+    }
+
+    /// Asserts that no router takes the cut for crashes of servers, and that no request that must
+    /// run once ran twice.
+    fn assert_no_wrong_conclusion(&self) {
+        assert_eq!(self.doubled_attempts(), Vec::<String>::new());
+        for router in &self.routers {
+            let crashes = router.log_lines("server crashed with a request in progress");
+            assert_eq!(crashes, Vec::<serde_json::Value>::new());
+        }
     }
 }
 
@@ -125,14 +139,14 @@
     }
 }
 
-/// Cuts the first `cut_count` of four routers and returns the first tries at the cut ones and at the
-/// others from `CONTACT_TIME` after the cut on.
-async fn play_cut(cut: Cut, cut_count: usize) -> (Fleet, Tries, Tries) {
-    let fleet = Fleet::start(4, &[work(), work(), work(), work()]).await;
+/// Cuts some routers of a fleet and returns the first tries at these and at the others from
+/// `CONTACT_TIME` after the cut on.
+async fn play_cut(cut: Cut, routers: usize, cut_routers: &[usize]) -> (Fleet, Tries, Tries) {
+    let fleet = Fleet::start(routers, &[work(), work(), work(), work()]).await;
     let cut_at = Instant::now() + Duration::from_secs(1);
-    let calls: Vec<_> = (0..4)
+    let calls: Vec<_> = (0..routers)
         .map(|router| {
-            let duration = Duration::from_secs(7);
+            let duration = Duration::from_secs(8);
             let name = format!("{cut:?}-{router}");
             tokio::spawn(call_for(
                 fleet.address(router),
@@ -143,13 +157,13 @@
         })
         .collect();
     tokio::time::sleep_until(cut_at.into()).await;
-    for router in 0..cut_count {
-        fleet.cut(router, cut);
+    for router in cut_routers {
+        fleet.cut(*router, cut);
     }
     let (mut at_cut, mut at_others) = (Tries::default(), Tries::default());
     for (router, calls) in calls.into_iter().enumerate() {
         let tries = calls.await.unwrap();
-        let sum = if router < cut_count {
+        let sum = if cut_routers.contains(&router) {
             &mut at_cut
         } else {
             &mut at_others
@@ -163,7 +177,7 @@
 /// Asserts what the users' rule states: the cut routers serve at least two thirds of the share of
 /// first tries that the others serve, and fail no more than 10 and 1 in 50.
 fn assert_served(cut: Cut, at_cut: Tries, at_others: Tries) {
-    assert!(at_cut.sent > 50 && at_others.sent > 50, "{cut:?}");
+    assert!(at_cut.sent > 50 && at_others.sent > 50, "{cut:?}: too few");
     let failed = at_cut.sent - at_cut.served;
     assert!(
         failed <= 10 + at_cut.sent / 50,
@@ -183,27 +197,31 @@
 /// which connections fail.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_partitioned_routers_are_served_when_connections_hang() {
-    let (_fleet, at_cut, at_others) = play_cut(Cut::Hang, 2).await;
+    let (fleet, at_cut, at_others) = play_cut(Cut::Hang, 4, &[0, 1]).await;
     assert_served(Cut::Hang, at_cut, at_others);
+    fleet.assert_no_wrong_conclusion();
 }
 
 /// See [`callers_of_partitioned_routers_are_served_when_connections_hang`].
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_partitioned_routers_are_served_when_connections_are_reset() {
-    let (_fleet, at_cut, at_others) = play_cut(Cut::Reset, 2).await;
+    let (fleet, at_cut, at_others) = play_cut(Cut::Reset, 4, &[0, 1]).await;
     assert_served(Cut::Reset, at_cut, at_others);
+    fleet.assert_no_wrong_conclusion();
 }
 
 /// See [`callers_of_partitioned_routers_are_served_when_connections_hang`].
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_partitioned_routers_are_served_when_only_new_connections_are_refused() {
-    let (_fleet, at_cut, at_others) = play_cut(Cut::RefuseNew, 1).await;
+    let (fleet, at_cut, at_others) = play_cut(Cut::RefuseNew, 4, &[0]).await;
     assert_served(Cut::RefuseNew, at_cut, at_others);
+    fleet.assert_no_wrong_conclusion();
 }
 
 /// Guards against a fleet of which one router alone reaches the replicas.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_router_with_a_path_is_enough_for_all() {
-    let (_fleet, at_cut, at_others) = play_cut(Cut::Hang, 3).await;
+    let (fleet, at_cut, at_others) = play_cut(Cut::Hang, 4, &[0, 1, 2]).await;
     assert_served(Cut::Hang, at_cut, at_others);
+    fleet.assert_no_wrong_conclusion();
 }
