Count a refused connection as a crash only by a router that reaches others

Cause: a router whose connection was refused asked two routers of its own failure domain, which had lost their paths as well and were refused too. Both counted as witnesses that the server was down, so no tunnel was ever opened and the lost path not noticed. The class: a witness that shares the observer's fault.

Change: a router that is refused answers so only if another replica accepts a connection from it at that moment; else it says that it does not reach the replica, and the next router is asked: one of the own domain first, then those of others.

--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -33,8 +33,8 @@
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Most routers that are asked for one connection.
 const MAX_ROUTERS: usize = 4;
-/// Routers that must report that a replica refuses connections before it counts as ended.
-const MIN_REFUSALS: usize = 2;
+/// Routers of the own failure domain that are asked first.
+const LOCAL_ROUTERS_FIRST: usize = 1;
 /// Time for which a router that opened no tunnel is asked last.
 const ROUTER_BACKOFF: Duration = Duration::from_secs(1);
 /// Interval at which the path is checked while there is reason to.
@@ -66,8 +66,8 @@
 /// Why no tunnel to a replica was opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 enum TunnelError {
-    /// Other routers report that it refuses connections.
-    #[error("other routers were refused as well")]
+    /// Another router, which reaches other replicas, reports that it refuses connections.
+    #[error("another router was refused as well")]
     Refused,
     /// Other routers were asked, and none reached it.
     #[error("no other router reached it")]
@@ -289,7 +289,6 @@
             born_ms: replica.born_ms,
             request: request.into(),
         };
-        let mut refusals = 0;
         for router in &routers {
             let answer = open_tunnel(*router, tunnel_request.clone());
             let (result, stream) = match tokio::time::timeout(TUNNEL_TIMEOUT, answer).await {
@@ -305,37 +304,34 @@
                         via: Some(*router),
                     })
                 }
-                Err(TunnelAnswer::Refused) => {
-                    refusals += 1;
-                    if refusals >= MIN_REFUSALS.min(routers.len()) {
-                        return Err(TunnelError::Refused);
-                    }
-                }
+                Err(TunnelAnswer::Refused) => return Err(TunnelError::Refused),
                 Err(_) => lock(&self.failed_routers).push((*router, Instant::now())),
             }
         }
         if routers.is_empty() {
             Err(TunnelError::NoRouter)
-        } else if refusals > 0 {
-            Err(TunnelError::Refused)
         } else {
             Err(TunnelError::NotReached)
         }
     }
 
-    /// Returns the routers to ask for a tunnel: those of the own failure domain first, those that
-    /// have just failed last.
+    /// Returns the routers to ask for a tunnel: a few of the own failure domain first, as it may
+    /// have lost its paths as a whole, and those that have just failed last.
     fn routers_to_ask(&self) -> Vec<SocketAddr> {
-        let mut failed = lock(&self.failed_routers);
-        failed.retain(|(_, at)| at.elapsed() < ROUTER_BACKOFF);
+        let mut failures = lock(&self.failed_routers);
+        failures.retain(|(_, at)| at.elapsed() < ROUTER_BACKOFF);
+        let has_failed = |router: &SocketAddr| failures.iter().any(|(failed, _)| failed == router);
         let mut routers = self.members.tunnel_routers();
         routers.shuffle(&mut rand::rng());
-        routers.sort_by_key(|(router, is_local)| {
-            let has_failed = failed.iter().any(|(failed, _)| failed == router);
-            (has_failed, !is_local)
-        });
-        let routers = routers.into_iter().map(|(router, _)| router);
-        routers.take(MAX_ROUTERS).collect()
+        let (failed, fresh): (Vec<_>, Vec<_>) = routers
+            .into_iter()
+            .partition(|(router, _)| has_failed(router));
+        let (mut local, remote): (Vec<_>, Vec<_>) =
+            fresh.into_iter().partition(|(_, is_local)| *is_local);
+        let later_local = local.split_off(local.len().min(LOCAL_ROUTERS_FIRST));
+        let ordered = local.into_iter().chain(remote).chain(later_local);
+        let ordered = ordered.chain(failed).map(|(router, _)| router);
+        ordered.take(MAX_ROUTERS).collect()
     }
 }
 
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -36,6 +36,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Spare capacity, in percent, below which a router opens no tunnels, which its own callers need.
 const MIN_HEADROOM_PERCENT: u8 = 20;
+/// Other replicas that are connected to, to tell a replica that refuses from a path that is cut.
+const WITNESS_REPLICAS: usize = 2;
 /// Bytes forwarded at once in one direction.
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Time in which the other router must close its connection after the replica closed its own.
@@ -60,7 +62,7 @@
 pub(super) enum TunnelAnswer {
     /// The replica accepted a connection.
     Opened,
-    /// The replica's address refuses connections.
+    /// The replica's address refuses connections, and other replicas accept them.
     Refused,
     /// The replica cannot be reached from here.
     Unreachable,
@@ -162,11 +164,30 @@
                 Ok(stream)
             }
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                Err(TunnelAnswer::Refused)
+                if self.reaches_other_replica(&replica.id).await {
+                    Err(TunnelAnswer::Refused)
+                } else {
+                    Err(TunnelAnswer::Unreachable)
+                }
             }
             Err(_) => Err(TunnelAnswer::Unreachable),
         }
     }
+
+    /// Returns true if a replica other than this one accepts a connection now. Connections are also
+    /// refused where this router's own path is cut, which would confirm a wrong conclusion.
+    async fn reaches_other_replica(&self, refusing: &ReplicaId) -> bool {
+        let mut others = self.pools.sample_replicas(WITNESS_REPLICAS + 1);
+        others.retain(|replica| replica.id != *refusing);
+        for replica in others.iter().take(WITNESS_REPLICAS) {
+            let connected = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
+            if connected.is_ok() {
+                self.paths.record_direct(&replica.id);
+                return true;
+            }
+        }
+        false
+    }
 }
 
 /// Counts a tunnel while it is open.
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -225,3 +225,14 @@
     assert_served(Cut::Hang, at_cut, at_others);
     fleet.assert_no_wrong_conclusion();
 }
+
+/// Guards against routers of one failure domain that confirm to one another that all servers are
+/// down, when their domain has lost its paths.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_domain_without_paths_is_served_through_another_one() {
+    for cut in [Cut::Reset, Cut::Hang] {
+        let (fleet, at_cut, at_others) = play_cut(cut, 6, &[0, 2, 4]).await;
+        assert_served(cut, at_cut, at_others);
+        fleet.assert_no_wrong_conclusion();
+    }
+}
