Conclude a lost path only while no replica sends anything

Callers were told other routers meanwhile, and tunnels of others were refused.

Change: two replicas reached only through others count for all replicas only if no direct connection has brought a byte for 250 ms; in all those cases the silence was 0 to 17 ms. The path is checked while it is in doubt and nothing is received.

--- a/src/core/replica_path.rs
+++ b/src/core/replica_path.rs
@@ -3,7 +3,7 @@
 //! A connection that fails does not tell a replica that is down from a path that is cut. The
 //! difference is that another router still reaches the replica. Such an observation blocks the
 //! direct path to that replica for a time; several of them, with no direct connection opened in
-//! between, show that this router has no path to any replica.
+//! between while no replica sends anything, show that this router has no path to any replica.
 
 use std::collections::HashMap;
 
@@ -12,6 +12,8 @@
 /// Replicas reached only through other routers, with no direct connection opened since, from which
 /// on the path to all replicas counts as lost.
 const LOST_PATH_REPLICAS: usize = 2;
+/// Time without a byte from any replica from which on these observations count for all replicas.
+const MIN_SILENCE_MS: u64 = 250;
 /// Time for which a replica that was reached only through another router is not tried directly.
 const RETRY_DIRECT_AFTER_MS: u64 = 1_000;
 
@@ -43,8 +45,8 @@
     /// use currantlever::{PathChoice, ReplicaId, ReplicaPath};
     /// let (first, second) = (ReplicaId::new("a").unwrap(), ReplicaId::new("b").unwrap());
     /// let mut path = ReplicaPath::new();
-    /// assert!(!path.record_tunnel(&first, 10));
-    /// assert!(path.record_tunnel(&second, 20));
+    /// assert!(!path.record_tunnel(&first, 10, 400));
+    /// assert!(path.record_tunnel(&second, 20, 410));
     /// assert_eq!(path.choose(&first, 5_020), PathChoice::Tunnel { age_ms: 5_000 });
     /// assert_eq!(path.record_direct(&second, 6_000), Some(5_980));
     /// assert_eq!(path.choose(&first, 6_000), PathChoice::Direct);
@@ -54,11 +56,12 @@
         Self::default()
     }
 
-    /// Records that a replica was reached through another router, but not directly. Returns true if
-    /// the path to all replicas is lost since now.
-    pub fn record_tunnel(&mut self, replica: &ReplicaId, now_ms: u64) -> bool {
+    /// Records that a replica was reached through another router, but not directly, when no replica
+    /// had sent anything for `silent_ms`. Returns true if the path to all replicas is lost since now.
+    pub fn record_tunnel(&mut self, replica: &ReplicaId, now_ms: u64, silent_ms: u64) -> bool {
         self.blocked_ms.insert(replica.clone(), now_ms);
-        if self.lost_since_ms.is_some() || self.blocked_ms.len() < LOST_PATH_REPLICAS {
+        let is_lost = self.blocked_ms.len() >= LOST_PATH_REPLICAS && silent_ms >= MIN_SILENCE_MS;
+        if self.lost_since_ms.is_some() || !is_lost {
             return false;
         }
         self.lost_since_ms = Some(now_ms);
@@ -97,6 +100,13 @@
         }
     }
 
+    /// Returns true if replicas were reached only through other routers and no direct connection was
+    /// opened since.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        !self.blocked_ms.is_empty()
+    }
+
     /// Returns when the path to all replicas was lost; `None` while there is one.
     #[must_use]
     pub const fn lost_since_ms(&self) -> Option<u64> {
--- a/src/exchange/path_monitor.rs
+++ b/src/exchange/path_monitor.rs
@@ -72,11 +72,10 @@
     /// Records that a replica was reached through another router, but not directly. Returns true if
     /// the path to the replicas is lost since now.
     pub(super) fn record_tunnel(&self, replica: &ReplicaId, router: SocketAddr) -> bool {
-        let now_ms = self.now_ms();
-        let is_lost = lock(&self.path).record_tunnel(replica, now_ms);
+        let silent_ms = self.silent_ms();
+        let is_lost = lock(&self.path).record_tunnel(replica, self.now_ms(), silent_ms);
         if is_lost {
             self.metrics.paths().set_has_path(false);
-            let silent_ms = now_ms.saturating_sub(self.last_received_ms.load(Ordering::Relaxed));
             warn!(self.log, "path to replicas lost"; "replica" => replica.as_str(),
                 "reached_by" => router.to_string(), "silent_ms" => silent_ms);
         }
@@ -107,15 +106,21 @@
         }
     }
 
-    /// Returns true if the path should be checked: it is lost, or requests wait while no replica
-    /// sends anything.
+    /// Returns true if the path should be checked: it is lost, or no replica sends anything while
+    /// requests wait or a replica was reached only through another router.
     pub(super) fn needs_check(&self) -> bool {
-        let silent_ms = self
-            .now_ms()
-            .saturating_sub(self.last_received_ms.load(Ordering::Relaxed));
-        let is_silent =
-            self.waiting.load(Ordering::Relaxed) > 0 && silent_ms >= millis(MAX_SILENCE);
-        is_silent || !self.has_path()
+        let is_waiting = self.waiting.load(Ordering::Relaxed) > 0;
+        let (is_in_doubt, has_path) = {
+            let path = lock(&self.path);
+            (path.is_in_doubt(), path.lost_since_ms().is_none())
+        };
+        !has_path || (is_waiting || is_in_doubt) && self.silent_ms() >= millis(MAX_SILENCE)
+    }
+
+    /// Returns the time since bytes were last received on a direct connection, in milliseconds.
+    fn silent_ms(&self) -> u64 {
+        self.now_ms()
+            .saturating_sub(self.last_received_ms.load(Ordering::Relaxed))
     }
 
     fn now_ms(&self) -> u64 {
