End a tunnel with a reset where the replica's connection was reset

Cause: the halves of a split connection send the end of the stream when they are dropped, so a reset towards the router that serves the caller was preceded by a regular end.

Before: an_answer_that_breaks_off_behind_another_router_is_broken_off failed for an answer that ends with its connection and is reset; the stand-in gate had the same fault, mended here too. After: passes. With it, tests that a planned stop of the other router cuts no stream, that a caller who leaves ends its run there, and that a crashed server is told from a lost path.

--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -227,9 +227,10 @@
 
 /// Forwards bytes in both directions until one of the two connections ends, and ends the other one
 /// in the same way.
-async fn forward(router: TcpStream, replica: TcpStream, bytes: &Forwarded) -> TunnelEnd {
-    let (mut from_router, mut to_router) = router.into_split();
-    let (mut from_replica, mut to_replica) = replica.into_split();
+async fn forward(mut router: TcpStream, mut replica: TcpStream, bytes: &Forwarded) -> TunnelEnd {
+    // Owned halves would send the end of a whole answer before a reset.
+    let (mut from_router, mut to_router) = router.split();
+    let (mut from_replica, mut to_replica) = replica.split();
     let end = tokio::select! {
         _ = copy(&mut from_router, &mut to_replica, &bytes.to_replica) => TunnelEnd::RouterLeft,
         side = copy(&mut from_replica, &mut to_router, &bytes.to_router) => match side {
--- a/tests/entry/gate.rs
+++ b/tests/entry/gate.rs
@@ -110,12 +110,13 @@
 }
 
 /// Forwards bytes in both directions, as the cut allows.
-async fn forward(router: TcpStream, replica: SocketAddr, mut cut: watch::Receiver<Cut>) {
-    let Ok(replica) = TcpStream::connect(replica).await else {
+async fn forward(mut router: TcpStream, replica: SocketAddr, mut cut: watch::Receiver<Cut>) {
+    let Ok(mut replica) = TcpStream::connect(replica).await else {
         return reset(&router);
     };
-    let (mut from_router, mut to_router) = router.into_split();
-    let (mut from_replica, mut to_replica) = replica.into_split();
+    // Owned halves would send an end of the stream before the reset.
+    let (mut from_router, mut to_router) = router.split();
+    let (mut from_replica, mut to_replica) = replica.split();
     let (mut upward, mut downward) = (vec![0; 4096], vec![0; 4096]);
     loop {
         let state = *cut.borrow_and_update();
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -6,7 +6,7 @@
 use super::gate::{Cut, Gate};
 use super::replica::{Behaviour, FakeReplica};
 use super::site::{wait_ready, wait_until, Call, Router, Site};
-use super::site_with;
+use super::{events, site_with};
 
 /// Time after the start of a cut from which on callers must be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -69,6 +69,12 @@
         self.routers[router].callers_address
     }
 
+    /// Returns true if a replica received the request with this attempt id.
+    fn has_received(&self, attempt: &str) -> bool {
+        let mut received = self.replicas.iter().flat_map(FakeReplica::received);
+        received.any(|request| request.header("currantlever-attempt-id") == Some(attempt))
+    }
+
     /// Returns the attempts of requests that must run once and reached replicas more than once.
     fn doubled_attempts(&self) -> Vec<String> {
         let received = self.replicas.iter().flat_map(FakeReplica::received);
@@ -132,6 +138,26 @@
 }
 
 /// Short work, whose answer suits all routes.
+/// Cuts a router and waits until it has noticed.
+async fn cut_and_wait(fleet: &Fleet, router: usize, cut: Cut) {
+    fleet.cut(router, cut);
+    let calls = async {
+        for number in 0.. {
+            let call = Call::new("look", &format!("notice-{router}-{number}"));
+            let _ = call.send(fleet.address(router)).await;
+        }
+    };
+    let noticed = wait_until("the lost path is noticed", || async {
+        !fleet.routers[router]
+            .log_lines("path to replicas lost")
+            .is_empty()
+    });
+    tokio::select! {
+        () = calls => {}
+        () = noticed => {}
+    }
+}
+
 const fn work() -> Behaviour {
     Behaviour::StreamAfter {
         delay: Duration::from_millis(20),
@@ -236,3 +262,99 @@
         fleet.assert_no_wrong_conclusion();
     }
 }
+
+/// Guards against a stream that is cut because the router through which it leads is stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_the_other_router_cuts_no_stream_through_it() {
+    let long_stream = Behaviour::Stream {
+        events: 40,
+        pause: Duration::from_millis(100),
+    };
+    let mut fleet = Fleet::start(2, &[work(), work()]).await;
+    cut_and_wait(&fleet, 0, Cut::Hang).await;
+    for replica in &fleet.replicas {
+        replica.set_behaviour(long_stream.clone());
+    }
+    let address = fleet.address(0);
+    let call = tokio::spawn(async move { Call::new("draft", "long").send(address).await.unwrap() });
+    wait_until("the stream has begun", || async {
+        fleet.has_received("long")
+    })
+    .await;
+    fleet.routers[1].terminate();
+    let answer = call.await.unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, events(1..=40));
+    assert_eq!(fleet.routers[1].exit_code().await, Some(0));
+    assert_eq!(fleet.doubled_attempts(), Vec::<String>::new());
+}
+
+/// Guards against a run that goes on at a replica behind another router after its caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_its_run_behind_another_router() {
+    let endless = Behaviour::Stream {
+        events: 1_000,
+        pause: Duration::from_millis(20),
+    };
+    let fleet = Fleet::start(2, &[work(), work()]).await;
+    cut_and_wait(&fleet, 0, Cut::Reset).await;
+    for replica in &fleet.replicas {
+        replica.set_behaviour(endless.clone());
+    }
+    let address = fleet.address(0);
+    let call = tokio::spawn(async move { Call::new("draft", "left").send(address).await });
+    wait_until("the stream has begun", || async {
+        fleet.has_received("left")
+    })
+    .await;
+    call.abort();
+    wait_until("the run has ended", || async {
+        fleet
+            .replicas
+            .iter()
+            .any(|replica| replica.disconnect_count() > 0)
+    })
+    .await;
+}
+
+/// Guards against an answer that breaks off behind another router and is forwarded as whole, or
+/// whose request is sent once more though it must run once.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_behind_another_router_is_broken_off() {
+    for broken in [
+        Behaviour::Truncated,
+        Behaviour::RunAndReset,
+        Behaviour::CloseDelimited { is_reset: true },
+    ] {
+        let fleet = Fleet::start(2, &[work(), work()]).await;
+        cut_and_wait(&fleet, 0, Cut::Hang).await;
+        for replica in &fleet.replicas {
+            replica.set_behaviour(broken.clone());
+        }
+        let answer = Call::new("book", "once").send(fleet.address(0)).await;
+        let is_served = answer.is_ok_and(|answer| answer.status == 200 && answer.is_whole);
+        let tunnels = fleet.routers[1].log_lines("tunnel closed");
+        assert!(!is_served, "{broken:?}: {tunnels:?}");
+        assert!(fleet.has_received("once"), "{broken:?}");
+        assert_eq!(fleet.doubled_attempts(), Vec::<String>::new());
+    }
+}
+
+/// Guards against a server that has crashed and is taken for one behind a lost path.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashed_server_is_told_from_a_lost_path() {
+    let fleet = Fleet::start(3, &[work(), work(), work()]).await;
+    for gates in &fleet.gates {
+        gates[0].cut(Cut::Reset);
+    }
+    for number in 0..30 {
+        let route = ROUTES[number % ROUTES.len()];
+        let call = Call::new(route, &format!("crash-{number}"));
+        let answer = call.send(fleet.address(number % 3)).await.unwrap();
+        assert_eq!(answer.status, 200, "{number}");
+    }
+    for router in &fleet.routers {
+        let lost = router.log_lines("path to replicas lost");
+        assert_eq!(lost, Vec::<serde_json::Value>::new());
+    }
+}
