Count the places at brittle replicas for all routers together

Cause: the header was read nowhere, and each router sends what it finds room for by loads that are up to 150 ms old; all together that is more than there is room for.

Change: while a pool is brittle by its newest answer, or by that of another router in a hello, a request needs a place at its replica. The issuers of permits give places out (core/places.rs): the first as many as the replica has slots, the others, which stand in for it without knowing, 25, 12 and 6 in 100 of that. A place is returned when the try ends, and expires 0.5 s after the request's deadline. A rejection pauses the replica's places for a second. Callers for whom there is no place are refused at once (`overloaded`).

Ruled out: sharing the slots among the routers (a replica of 6 slots and 295 routers), and back-offs after rejections alone, which all routers incur at the same moment.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod part_quarantine;
 pub mod permits;
 pub mod placement;
+pub mod places;
 pub mod policy;
 pub mod presence;
 pub mod quarantine;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -122,7 +122,7 @@
         ));
         let members = Arc::new(Members::new(own_entry(&settings)));
         let limits = ReplicaLimits::new(Arc::clone(&metrics), log.clone());
-        let pools = new_pools(&settings, &members, limits, process);
+        let pools = new_pools(&settings, &members, limits, &log, process);
         let vm_hash = stable_hash(&[&settings.callers_listen.to_string()]);
         let holder = holder_on_vm(vm_hash, process);
         let grants = Arc::new(Grants::new(holder, PolicyName::Cover.build()));
--- a/src/entry_parts.rs
+++ b/src/entry_parts.rs
@@ -8,6 +8,7 @@
 
 use crate::core::ids::PoolId;
 use crate::entry_settings::EntrySettings;
+use crate::exchange::brittleness::Brittleness;
 use crate::exchange::directory::Directory;
 use crate::exchange::headroom::OpenConnections;
 use crate::exchange::limits::ReplicaLimits;
@@ -39,12 +40,14 @@
     settings: &EntrySettings,
     members: &Arc<Members>,
     limits: ReplicaLimits,
+    log: &Logger,
     seed: u64,
 ) -> Arc<Pools> {
     Arc::new(Pools::new(
         settings.failure_domain.clone(),
         Arc::clone(members),
         Arc::new(limits),
+        Brittleness::new(log.clone()),
         settings.retries.rule(),
         seed,
     ))
--- a/src/exchange/chosen_replica.rs
+++ b/src/exchange/chosen_replica.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::limits::ReplicaKey;
+use super::places::Place;
 use super::pools::Pools;
 use super::request::{ConnectionShare, ReplicaAddress, ReplicaStatus};
 use crate::core::ids::{PoolId, ReplicaVersion};
@@ -30,6 +31,8 @@
     pub chosen_at: Instant,
     pub(super) prefill_tokens: u64,
     pub(super) is_suspect: bool,
+    /// Place there, if the replica is brittle.
+    pub(super) place: Option<Place>,
 }
 
 impl ChosenReplica {
--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -113,6 +113,7 @@
             loads: pools.load_reports(),
             status_reports: pools.status_reports(),
             limits: pools.limits().recent_reports(),
+            brittle: pools.brittleness().reports(),
             grants: grant_report,
             suspicions: suspects.reports(),
         };
@@ -175,6 +176,9 @@
                     Ok(PeerMessage::PermitReply(reply)) => {
                         context.permits.apply_reply(router, &reply);
                     }
+                    Ok(PeerMessage::PlaceRelease(release)) => {
+                        context.permits.apply_release(&release);
+                    }
                     Ok(PeerMessage::StreamOrigin(report)) => {
                         context.origins.handle_report(router, &report);
                     }
@@ -209,6 +213,9 @@
             "replica" => replica.as_str(), "router" => router.to_string());
     }
     context.pools.apply_limit_reports(router, &hello.limits);
+    for report in &hello.brittle {
+        context.pools.brittleness().apply_report(router, report);
+    }
     context
         .suspects
         .apply_reports(std::mem::take(&mut hello.suspicions));
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::brittleness::BrittleReport;
 use super::limits::LimitReport;
 use super::pooling::GrantReport;
 use super::replica_reports::ReplicaStatusReport;
@@ -111,6 +112,8 @@
     pub status_reports: Vec<ReplicaStatusReport>,
     /// Changes of replicas' rate limits that it observed.
     pub limits: Vec<LimitReport>,
+    /// Pools with brittle replicas.
+    pub brittle: Vec<BrittleReport>,
     /// Report on its grants.
     pub grants: GrantReport,
     /// Suspect requests, during which servers crashed.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! relays the answer and settles the reservation. It is independent of HTTP headers and of the
 //! store's formats, which are behind the traits `ReplicaTransport` and `KindStore`.
 
+pub(crate) mod brittleness;
 pub(crate) mod broken_answers;
 pub(crate) mod caller_addresses;
 pub(crate) mod catalog;
@@ -31,6 +32,7 @@
 pub(crate) mod peer_link;
 pub(crate) mod permit_issuers;
 pub(crate) mod permits;
+pub(crate) mod places;
 pub(crate) mod pooling;
 pub(crate) mod pools;
 pub(crate) mod quarantine_store;
--- a/src/exchange/permits.rs
+++ b/src/exchange/permits.rs
@@ -23,6 +23,7 @@
 use super::pools::Pools;
 use super::transfers::PeerMessage;
 use crate::core::permits::{PermitBucket, PermitDenial};
+use crate::core::places::PlaceTable;
 use crate::util::{lock, millis};
 
 /// Timeout for a reply to a permit request.
@@ -41,6 +42,11 @@
     wait_ms: 500,
     retry_after_ms: 1_000,
 };
+/// Denial when all places of a brittle replica are in use.
+const NO_PLACE_DENIAL: PermitDenial = PermitDenial {
+    wait_ms: 60,
+    retry_after_ms: 500,
+};
 /// Time after which an unused bucket is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_secs(60);
 /// Number of buckets, and of pending requests, from which on unused ones are dropped.
@@ -55,6 +61,8 @@
     rank: u8,
     /// The replica, and what the requesting router knows of its limit.
     report: LimitReport,
+    /// Lifetime of a place at the replica, in milliseconds, if the request is for a place.
+    place_lifetime_ms: Option<u32>,
 }
 
 /// Reply to a permit request.
@@ -137,6 +145,7 @@
     log: Logger,
     started: Instant,
     buckets: Mutex<HashMap<ReplicaKey, UsedBucket>>,
+    place_tables: Mutex<HashMap<ReplicaKey, PlaceTable>>,
     pending: Mutex<HashMap<u64, Pending>>,
     timeouts: Mutex<HashMap<SocketAddr, Timeouts>>,
 }
@@ -158,6 +167,7 @@
             log,
             started: Instant::now(),
             buckets: Mutex::default(),
+            place_tables: Mutex::default(),
             pending: Mutex::default(),
             timeouts: Mutex::default(),
         }
@@ -165,8 +175,7 @@
 
     /// Requests a permit for one request to a replica.
     pub(crate) async fn acquire(&self, key: ReplicaKey, rank: u8) -> PermitAnswer {
-        let issuers = self.members.permit_issuers(key);
-        let Some(issuer) = issuers.iter().find(|issuer| self.is_usable(issuer)) else {
+        let Some(issuer) = self.usable_issuer(key) else {
             self.metrics.count_permit("no_issuer");
             return PermitAnswer {
                 decision: Err(NO_ISSUER_DENIAL),
@@ -202,9 +211,17 @@
     pub(crate) fn handle_request(&self, router: SocketAddr, request: PermitRequest) {
         let key = request.report.key;
         self.pools.apply_limit_reports(router, &[request.report]);
+        let decision = match request.place_lifetime_ms {
+            None => self.issue(key, request.rank),
+            Some(lifetime_ms) => {
+                let lifetime = Duration::from_millis(u64::from(lifetime_ms));
+                let is_granted = self.issue_place(key, request.id, lifetime);
+                is_granted.then_some(()).ok_or(NO_PLACE_DENIAL)
+            }
+        };
         let reply = PermitReply {
             id: request.id,
-            decision: self.issue(key, request.rank).into(),
+            decision: decision.into(),
             report: self.pools.limits().report(key),
         };
         PeerMessage::PermitReply(reply).send(&self.socket, router);
@@ -243,7 +260,7 @@
         let Some(note) = self.pools.limits().note(key) else {
             return Ok(());
         };
-        let now_ms = millis(self.started.elapsed());
+        let now_ms = self.now_ms();
         let mut buckets = lock(&self.buckets);
         if buckets.len() >= PRUNE_COUNT {
             buckets.retain(|_, used| used.used_at.elapsed() < BUCKET_RETENTION);
@@ -267,7 +284,45 @@
         let Some(report) = self.pools.limits().report(key) else {
             return Some(Ok(()));
         };
-        let id = rand::rng().random();
+        let request = PermitRequest {
+            id: rand::rng().random(),
+            rank,
+            report,
+            place_lifetime_ms: None,
+        };
+        self.send_request(issuer, request).await
+    }
+
+    /// Requests a place from another router.
+    pub(super) async fn request_place(
+        &self,
+        issuer: SocketAddr,
+        key: ReplicaKey,
+        id: u64,
+        lifetime: Duration,
+    ) -> bool {
+        let unlimited = LimitReport {
+            key,
+            limit: None,
+            age_ms: u32::MAX,
+        };
+        let request = PermitRequest {
+            id,
+            rank: 0,
+            report: self.pools.limits().report(key).unwrap_or(unlimited),
+            place_lifetime_ms: Some(u32::try_from(millis(lifetime)).unwrap_or(u32::MAX)),
+        };
+        let decision = self.send_request(issuer, request).await;
+        matches!(decision, Some(Ok(())))
+    }
+
+    /// Sends a request to another router. Returns `None` if it does not reply.
+    async fn send_request(
+        &self,
+        issuer: SocketAddr,
+        request: PermitRequest,
+    ) -> Option<Result<(), PermitDenial>> {
+        let id = request.id;
         let (sender, receiver) = oneshot::channel();
         {
             let mut pending = lock(&self.pending);
@@ -282,7 +337,6 @@
                 },
             );
         }
-        let request = PermitRequest { id, rank, report };
         PeerMessage::PermitRequest(request).send(&self.socket, issuer);
         let reply = tokio::time::timeout(REPLY_TIMEOUT, receiver).await;
         let decision = reply.ok().and_then(Result::ok);
@@ -291,6 +345,52 @@
         decision
     }
 
+    /// Returns the first issuer of a replica's permits that can be asked.
+    pub(super) fn usable_issuer(&self, key: ReplicaKey) -> Option<PermitIssuer> {
+        let mut issuers = self.members.permit_issuers(key).into_iter();
+        issuers.find(|issuer| self.is_usable(issuer))
+    }
+
+    /// Returns the issuers of a replica's permits, the first one first.
+    pub(super) fn issuers(&self, key: ReplicaKey) -> Vec<PermitIssuer> {
+        self.members.permit_issuers(key)
+    }
+
+    /// Returns the places that this router has issued.
+    pub(super) const fn place_tables(&self) -> &Mutex<HashMap<ReplicaKey, PlaceTable>> {
+        &self.place_tables
+    }
+
+    /// Returns the number of requests that a replica runs at once, if it is known.
+    pub(super) fn slots_of(&self, key: ReplicaKey) -> Option<u32> {
+        self.pools.slots_of(key)
+    }
+
+    /// Returns true for this router's own hello address.
+    pub(super) fn is_own(&self, router: SocketAddr) -> bool {
+        self.members.own().peer_address == router
+    }
+
+    /// Returns the socket for datagrams to other routers.
+    pub(super) const fn socket(&self) -> &Arc<UdpSocket> {
+        &self.socket
+    }
+
+    /// Counts a request for a place.
+    pub(super) fn count_place(&self, is_granted: bool) {
+        let result = if is_granted {
+            "place_granted"
+        } else {
+            "place_denied"
+        };
+        self.metrics.count_permit(result);
+    }
+
+    /// Returns the time on this process's clock, in milliseconds.
+    pub(super) fn now_ms(&self) -> u64 {
+        millis(self.started.elapsed())
+    }
+
     fn record_reply(&self, issuer: SocketAddr, has_replied: bool) {
         let mut timeouts = lock(&self.timeouts);
         if has_replied {
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use tokio::time::Instant;
 
+use super::brittleness::Brittleness;
 use super::catalog::{Catalog, EngineRules};
 use super::limits::{ReplicaKey, ReplicaLimits};
 use super::members::Members;
@@ -137,6 +138,7 @@
     pub(super) failure_domain: FailureDomain,
     pub(super) members: Arc<Members>,
     pub(super) limits: Arc<ReplicaLimits>,
+    pub(super) brittleness: Brittleness,
     retry_rule: RetryRule,
     started: Instant,
     pub(super) state: Mutex<State>,
@@ -148,10 +150,12 @@
         failure_domain: FailureDomain,
         members: Arc<Members>,
         limits: Arc<ReplicaLimits>,
+        brittleness: Brittleness,
         retry_rule: RetryRule,
         seed: u64,
     ) -> Self {
         Self {
+            brittleness,
             failure_domain,
             members,
             limits,
@@ -169,6 +173,21 @@
         &self.limits
     }
 
+    /// Returns which pools have brittle replicas.
+    pub(crate) const fn brittleness(&self) -> &Brittleness {
+        &self.brittleness
+    }
+
+    /// Returns the number of requests that a replica runs at once, if it is known.
+    pub(super) fn slots_of(&self, key: ReplicaKey) -> Option<u32> {
+        let state = lock(&self.state);
+        state.pools.values().find_map(|pool| {
+            let mut replicas = pool.candidates.iter().zip(&pool.replicas);
+            let found = replicas.find(|(_, replica)| replica.key() == key);
+            found.map(|(candidate, _)| candidate.slots)
+        })
+    }
+
     /// Returns true once the other routers of the fleet are known.
     pub(crate) fn is_fleet_found(&self) -> bool {
         self.members.is_fleet_found()
--- a/src/exchange/replica_choice.rs
+++ b/src/exchange/replica_choice.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::time::Instant;
 
 use super::chosen_replica::ChosenReplica;
 use super::limits::ReplicaKey;
+use super::places::Place;
 use super::replica_search::{ReplicaQuery, SearchResult};
 use super::request::{RejectKind, Rejection, ResumePoint};
 use super::run::{overload_retry_after, Run};
@@ -27,13 +29,22 @@
         resume: Option<&ResumePoint>,
     ) -> Result<ChosenReplica, Rejection> {
         let mut permitted = None;
+        let mut place = None;
         let mut requests_left = MAX_PERMIT_REQUESTS;
         loop {
             match self.search_replica(resume, permitted, requests_left > 0) {
-                SearchResult::Found(chosen) => return Ok(chosen),
+                SearchResult::Found(mut chosen) => {
+                    chosen.place = place.filter(|_| permitted == Some(chosen.key));
+                    return Ok(*chosen);
+                }
                 SearchResult::NeedsPermit { id, key } => {
                     requests_left -= 1;
-                    let is_permitted = self.request_permit(&id, key).await;
+                    place = None;
+                    let mut is_permitted = self.request_permit(&id, key).await;
+                    if is_permitted && self.exchange.pools.brittleness().is_brittle(&self.pool) {
+                        place = self.request_place(key).await;
+                        is_permitted = place.is_some();
+                    }
                     permitted = is_permitted.then_some(key);
                 }
                 other => return Err(self.search_rejection(&other, resume)),
@@ -81,6 +92,9 @@
         let rank = self.permit_rank();
         let limits = Arc::clone(self.exchange.pools.limits());
         let note = limits.note(key);
+        if note.is_none() {
+            return true;
+        }
         let answer = self.exchange.permits.acquire(key, rank).await;
         if let Err(denial) = answer.decision {
             limits.record_denial(key, rank, denial);
@@ -91,9 +105,24 @@
         answer.decision.is_ok()
     }
 
+    /// Requests a place at a brittle replica.
+    async fn request_place(&self, key: ReplicaKey) -> Option<Place> {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let place = self.exchange.permits.acquire_place(key, time_left).await;
+        if place.is_none() {
+            self.exchange.pools.brittleness().record_denial(key);
+        }
+        place
+    }
+
     fn search_rejection(&self, result: &SearchResult, resume: Option<&ResumePoint>) -> Rejection {
         let (kind, retry_after) = match result {
             SearchResult::BackingOff(remaining) => (RejectKind::ReplicasQuiet, *remaining),
+            SearchResult::RateLimited(_)
+                if self.exchange.pools.brittleness().is_brittle(&self.pool) =>
+            {
+                (RejectKind::Overloaded, overload_retry_after())
+            }
             SearchResult::RateLimited(time) => {
                 (RejectKind::ReplicasRateLimited, with_jitter(*time))
             }
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) enum SearchResult {
     /// A replica was chosen.
-    Found(ChosenReplica),
+    Found(Box<ChosenReplica>),
     /// All replicas are full.
     Full,
     /// The best replica has a rate limit, so the request needs a permit first.
@@ -89,16 +89,7 @@
         let Some(pool) = state.pools.get_mut(query.pool) else {
             return SearchResult::NoReplica;
         };
-        let admissions = self.limits.admissions(query.permit_rank);
-        for (candidate, replica) in pool.candidates.iter_mut().zip(&pool.replicas) {
-            candidate.peer_load = self.members.others_load(replica.digest);
-            let admission = admissions.get(&replica.key()).copied();
-            candidate.admission = match admission.unwrap_or_default() {
-                _ if query.permitted == Some(replica.key()) => Admission::Open,
-                Admission::NeedsPermit if !query.may_request_permit => UNREQUESTED,
-                admission => admission,
-            };
-        }
+        self.update_candidates(pool, query);
         let excluded = excluded_replicas(pool, query);
         let placement_request = PlacementRequest {
             now_ms,
@@ -153,7 +144,7 @@
                 // the slots.
                 let share = (pool.connection_limit / routers).max(MIN_CONNECTIONS);
                 let in_use = candidate.slots.saturating_add(candidate.slots / 2);
-                SearchResult::Found(ChosenReplica {
+                SearchResult::Found(Box::new(ChosenReplica {
                     pools: Arc::clone(self),
                     pool: query.pool.clone(),
                     replica: ReplicaAddress {
@@ -171,7 +162,8 @@
                     chosen_at: Instant::now(),
                     prefill_tokens,
                     is_suspect: query.is_suspect,
-                })
+                    place: None,
+                }))
             }
             PlacementOutcome::Full => SearchResult::Full,
             PlacementOutcome::BackingOff { left_ms } => {
@@ -186,6 +178,27 @@
     }
 }
 
+impl Pools {
+    /// Updates what other routers and the limits of the replicas mean for this choice.
+    fn update_candidates(&self, pool: &mut Pool, query: &ReplicaQuery<'_>) {
+        let admissions = self.limits.admissions(query.permit_rank);
+        let is_brittle = self.brittleness.is_brittle(query.pool);
+        for (candidate, replica) in pool.candidates.iter_mut().zip(&pool.replicas) {
+            candidate.peer_load = self.members.others_load(replica.digest);
+            let admission = admissions.get(&replica.key()).copied();
+            let admission = match admission.unwrap_or_default() {
+                Admission::Open if is_brittle => self.brittleness.admission(replica.key()),
+                admission => admission,
+            };
+            candidate.admission = match admission {
+                _ if query.permitted == Some(replica.key()) => Admission::Open,
+                Admission::NeedsPermit if !query.may_request_permit => UNREQUESTED,
+                admission => admission,
+            };
+        }
+    }
+}
+
 /// Returns the replicas that were tried and those at which the stream must not go on.
 fn excluded_replicas<'a>(pool: &Pool, query: &ReplicaQuery<'a>) -> Cow<'a, [ReplicaId]> {
     let Some(resume) = query.resume else {
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -167,6 +167,8 @@
     pub backoff: Option<Duration>,
     /// Rate limit for the requests of all routers together.
     pub limit: StatedLimit,
+    /// Rejections in a second that the replica bears, if it is brittle.
+    pub max_rejections: Option<u32>,
 }
 
 /// What an answer states on the replica's rate limit.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -19,7 +19,7 @@
 use super::record::RequestRecord;
 use super::request::{
     AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
-    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, ResumePoint, UnsentCause,
+    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, ResumePoint, StatedLimit, UnsentCause,
 };
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::part_quarantine::PartId;
@@ -337,6 +337,14 @@
         if let Some(report) = changed {
             self.exchange.permits.report_change(report);
         }
+        if replica_status.limit != StatedLimit::Unknown {
+            let brittleness = self.exchange.pools.brittleness();
+            brittleness.record_answer(&self.pool, replica_status.max_rejections, request);
+        }
+        let is_rejected = matches!(sent, Ok(Ok(answer)) if answer.is_not_run);
+        if is_rejected && replica_status.max_rejections.is_some() {
+            self.exchange.permits.report_rejection(chosen.key);
+        }
         if !replica_status.is_leaving && replica_status.backoff.is_none() {
             return;
         }
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -13,6 +13,7 @@
 use super::members::Hello;
 use super::origin_messages::{OriginAck, OriginQuery, OriginReply, OriginReport};
 use super::permits::{PermitReply, PermitRequest};
+use super::places::PlaceRelease;
 use super::pooling::{TransferReply, TransferRequest};
 use super::suspect_parts::PartReport;
 use super::suspects::SuspicionReport;
@@ -37,6 +38,8 @@
     PermitRequest(PermitRequest),
     /// Reply to a permit request.
     PermitReply(PermitReply),
+    /// Return of a place at a brittle replica.
+    PlaceRelease(PlaceRelease),
     /// Parts of prompts that are suspected of crashing servers.
     Parts(Vec<PartReport>),
     /// Replica and version of the first event of a stream.
@@ -98,6 +101,7 @@
         | PeerMessage::Limit(_)
         | PeerMessage::PermitRequest(_)
         | PeerMessage::PermitReply(_)
+        | PeerMessage::PlaceRelease(_)
         | PeerMessage::StreamOrigin(_)
         | PeerMessage::OriginAck(_)
         | PeerMessage::OriginQuery(_)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
     choose_replica, Admission, PlacementOutcome, PlacementRequest, PromptInfo, PromptMix,
     ReplicaCandidate, ReplicaLoad,
 };
+pub use crate::core::places::{issuer_places, PlaceTable};
 pub use crate::core::policy::{DemandMeter, GrantDecision, GrantPolicy, GrantView, PolicyName};
 pub use crate::core::presence::{Presence, PresenceTable, RouterState, HEARTBEAT_TIMEOUT_MS};
 pub use crate::core::quarantine::{
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -22,6 +22,8 @@
 pub(crate) const LEAVING_VALUE: &str = "1";
 /// Requests per second that a replica accepts from all routers together; a decimal number.
 pub(crate) const SERVER_LIMIT: &str = "server-limit";
+/// Requests that a brittle replica may turn away in a second without falling over.
+pub(crate) const SERVER_BRITTLE: &str = "server-brittle";
 /// Time after which to retry, in fractional seconds.
 pub(crate) const RETRY_AFTER: &str = "retry-after";
 /// Era of the store, in all its answers; rises each time that it returns from an older copy.
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -305,9 +305,15 @@
         is_leaving: text(names::LEAVING) == Some(names::LEAVING_VALUE),
         backoff,
         limit: decode_limit(text(names::SERVER_LIMIT)),
+        max_rejections: text(names::SERVER_BRITTLE).map(decode_max_rejections),
     }
 }
 
+/// Decodes how many rejections in a second a brittle replica bears; none if the text is no number.
+fn decode_max_rejections(text: &str) -> u32 {
+    text.parse().unwrap_or(0)
+}
+
 fn decode_limit(text: Option<&str>) -> StatedLimit {
     text.map_or(StatedLimit::None, |text| match text.parse() {
         Ok(limit) => StatedLimit::Rate(limit),
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The entry router as a separate process, with a fake store and fake replicas.
 
+mod brittle;
 mod broken_head;
 mod broken_resume;
 mod config_changes;
