Give tunnels the TCP user timeouts of the connections they stand for

Each of ours against what it is for: callers 4 s, replicas 3.5 s (a sound server's silence of a second or so and the next retransmission), other routers and the store 2 s (a poll or a watch is repeated elsewhere at no loss): these stay.

A tunnel began as a connection between routers, so it had their 2 s in both directions: an answer to a caller who takes no bytes for 2 s, or a request to a replica that takes none, would break where a direct connection bears 4 and 3.5 s. Now 5 s towards the router that waits for a caller, and 3.5 s towards the replica.

By reading; without a test of its own: it needs an answer larger than the buffers of four connections. tests/entry/partition.rs passes as before.

--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -19,7 +19,7 @@
 use super::request::{ProbeResult, ReplicaAddress};
 use super::tunnel::{TunnelAnswer, TunnelRequest};
 use crate::core::replica_path::PathChoice;
-use crate::tcp::connect;
+use crate::tcp::{connect, set_keepalive};
 use crate::util::lock;
 
 /// Timeout for connecting to a replica, which is in the same region.
@@ -343,6 +343,11 @@
     let mut link = open_link(router).await?;
     send(&mut link, &PeerRequest::Tunnel(request)).await?;
     let answer: TunnelAnswer = receive(&mut link).await?;
-    let stream = (answer == TunnelAnswer::Opened).then(|| link.into_inner());
-    Ok((answer, stream))
+    if answer != TunnelAnswer::Opened {
+        return Ok((answer, None));
+    }
+    let stream = link.into_inner();
+    // A tunnel is as patient as a direct connection.
+    set_keepalive(&stream, TCP_USER_TIMEOUT)?;
+    Ok((answer, Some(stream)))
 }
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -26,7 +26,7 @@
 use super::pools::Pools;
 use super::request::ReplicaAddress;
 use crate::core::ids::ReplicaId;
-use crate::tcp::{connect, reset_on_close};
+use crate::tcp::{connect, reset_on_close, set_keepalive};
 use crate::util::millis;
 
 /// Timeout for connecting to a replica; shorter than that of the router that waits for it.
@@ -34,6 +34,9 @@
 /// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
 /// as lost; the same as for the router's own connections.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Time in which the other router takes no bytes of an answer, after which its connection counts as
+/// lost. Longer than that of callers, for which it may have to wait.
+const ROUTER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Spare capacity, in percent, below which a router opens no tunnels, which its own callers need.
 const MIN_HEADROOM_PERCENT: u8 = 20;
 /// Other replicas that are connected to, to tell a replica that refuses from a path that is cut.
@@ -129,7 +132,9 @@
         let opened_at = Instant::now();
         let _open = OpenTunnel::new(&self.open_count);
         let bytes = Forwarded::default();
-        let end = forward(link.into_inner(), replica, &bytes).await;
+        let router = link.into_inner();
+        set_keepalive(&router, ROUTER_TCP_USER_TIMEOUT)?;
+        let end = forward(router, replica, &bytes).await;
         info!(self.log, "tunnel closed"; "router" => request.router.to_string(),
             "replica" => request.replica.as_str(), "request" => request.request.as_str(),
             "open_ms" => millis(opened_at.elapsed()),
