Confirm refused connections also while many servers are down

Found by six runs of prompt_parts:: in three processes at a time: in five, `timed out waiting until the crash is detected`. Before the tunnels a refused connection was evidence by itself; since, another router has to reach a further server, and it tried two at random: with five of twelve servers down it often found none, and the crash was never recorded.

Change: up to eight other servers, those without failures first; a refusal that nobody confirms is checked up to three times, 100 ms apart.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -242,7 +242,8 @@
     }
 
     /// Returns true if the replica was ejected, so that it first gets a single probe request.
-    const fn needs_probe(&self) -> bool {
+    #[must_use]
+    pub const fn needs_probe(&self) -> bool {
         self.failures >= FAILURES_TO_EJECT
     }
 
--- a/src/exchange/pools.rs
+++ b/src/exchange/pools.rs
@@ -6,7 +6,7 @@
 
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use rand::SeedableRng;
 use tokio::time::Instant;
 
@@ -284,16 +284,22 @@
         })
     }
 
-    /// Returns a random sample of the replicas in service.
+    /// Returns a random sample of the replicas in service, those without failures first.
     pub(super) fn sample_replicas(&self, count: usize) -> Vec<ReplicaAddress> {
         let mut state = lock(&self.state);
         let State { pools, rng } = &mut *state;
-        let in_service = pools.values().flat_map(|pool| {
-            let indices = 0..pool.candidates.len();
-            let indices = indices.filter(|index| !pool.candidates[*index].is_leaving);
-            indices.map(|index| pool.address_at(index))
-        });
-        in_service.sample(rng, count)
+        let mut in_service: Vec<(bool, ReplicaAddress)> = Vec::new();
+        for pool in pools.values() {
+            let candidates = pool.candidates.iter().enumerate();
+            let usable = candidates.filter(|(_, candidate)| !candidate.is_leaving);
+            in_service.extend(
+                usable.map(|(index, candidate)| (candidate.needs_probe(), pool.address_at(index))),
+            );
+        }
+        in_service.shuffle(rng);
+        in_service.sort_by_key(|(has_failed, _)| *has_failed);
+        let replicas = in_service.into_iter().map(|(_, replica)| replica);
+        replicas.take(count).collect()
     }
 
     /// Ends all ejections, after the path to the replicas has changed.
--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -37,6 +37,10 @@
 const LOCAL_ROUTERS_FIRST: usize = 1;
 /// Time for which a router that opened no tunnel is asked last.
 const ROUTER_BACKOFF: Duration = Duration::from_secs(1);
+/// Most times that other routers are asked to confirm that a replica refuses connections.
+const MAX_CONFIRMATIONS: u32 = 3;
+/// Pause between these.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(100);
 /// Interval at which the path is checked while there is reason to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Replicas that are connected to for one check.
@@ -53,9 +57,13 @@
     Unreachable(io::Error),
 }
 
+fn is_refused(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 impl From<io::Error> for DialError {
     fn from(error: io::Error) -> Self {
-        if error.kind() == io::ErrorKind::ConnectionRefused {
+        if is_refused(&error) {
             Self::Refused(error)
         } else {
             Self::Unreachable(error)
@@ -167,13 +175,19 @@
         self.dial_any(replica, request).await
     }
 
-    /// Opens a connection without using it, to check whether a server listens.
+    /// Opens a connection without using it, to check whether a server listens. A refusal that no
+    /// other router confirms is checked again.
     pub(crate) async fn probe(&self, replica: &ReplicaAddress) -> ProbeResult {
-        match self.dial(replica, "").await {
-            Ok(_) => ProbeResult::Accepted,
-            Err(DialError::Refused(_)) => ProbeResult::Refused,
-            Err(DialError::Unreachable(_)) => ProbeResult::NoAnswer,
+        for _ in 0..MAX_CONFIRMATIONS {
+            match self.dial(replica, "").await {
+                Ok(_) => return ProbeResult::Accepted,
+                Err(DialError::Refused(_)) => return ProbeResult::Refused,
+                Err(DialError::Unreachable(error)) if is_refused(&error) => {}
+                Err(DialError::Unreachable(_)) => return ProbeResult::NoAnswer,
+            }
+            tokio::time::sleep(CONFIRMATION_PAUSE).await;
         }
+        ProbeResult::NoAnswer
     }
 
     /// Returns true if an idle connection can be expected to work. A tunnel is given up as soon as
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -39,8 +39,9 @@
 const ROUTER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Spare capacity, in percent, below which a router opens no tunnels, which its own callers need.
 const MIN_HEADROOM_PERCENT: u8 = 20;
-/// Other replicas that are connected to, to tell a replica that refuses from a path that is cut.
-const WITNESS_REPLICAS: usize = 2;
+/// Most other replicas that are connected to, to tell a replica that refuses from a path that is cut.
+/// Several replicas may be down at once.
+const WITNESS_REPLICAS: usize = 8;
 /// Bytes forwarded at once in one direction.
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Time in which the other router must close its connection after the replica closed its own.
