Try more servers that refuse connections before a request is refused

What callers saw: a sound request is refused right after several servers ended, though others are there.

That limit is meant for connections that hang (0.3 s each); refused ones take milliseconds.

Change: refused connections have a limit of their own, 16.

Before: a_request_passes_over_servers_that_refuse_connections, 503 in the first round.

--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -313,6 +313,7 @@
             tried_replicas: Vec::new(),
             sent_count: 0,
             unsent_count: 0,
+            refused_count: 0,
             may_have_run: false,
             output_tokens: Tokens::ZERO,
             progress: DispatchProgress::new(),
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -29,8 +29,12 @@
 use crate::core::units::Tokens;
 use crate::util::millis;
 
-/// Tries that may fail without the request being sent, before it is rejected.
+/// Tries that may fail without the request being sent, before it is rejected; refused connections
+/// not counted.
 const MAX_UNSENT_TRIES: u32 = 4;
+/// Connections that may be refused before a request is rejected. That takes milliseconds, and
+/// servers that have just ended are not known to be down yet.
+const MAX_REFUSED_TRIES: u32 = 16;
 /// Largest body that is buffered, in bytes; a longer one fails the try.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Timeout for reading the rest of an answer that is not forwarded.
@@ -67,6 +71,7 @@
     pub(super) tried_replicas: Vec<ReplicaId>,
     pub(super) sent_count: u32,
     pub(super) unsent_count: u32,
+    pub(super) refused_count: u32,
     pub(super) may_have_run: bool,
     pub(super) output_tokens: Tokens,
     pub(super) progress: DispatchProgress,
@@ -293,8 +298,13 @@
                         | UnsentCause::NoConnectionLeft
                         | UnsentCause::BadRequest => {}
                     }
-                    self.unsent_count += 1;
-                    if self.unsent_count > MAX_UNSENT_TRIES {
+                    let (count, limit) = if cause == UnsentCause::Refused {
+                        (&mut self.refused_count, MAX_REFUSED_TRIES)
+                    } else {
+                        (&mut self.unsent_count, MAX_UNSENT_TRIES)
+                    };
+                    *count += 1;
+                    if *count > limit {
                         return Err(self.refused_rejection());
                     }
                 }
--- a/tests/entry/broken_resume.rs
+++ b/tests/entry/broken_resume.rs
@@ -259,6 +259,7 @@
                 break;
             }
         }
-        assert!(was_resumed, "after event {last_id}");
+        let cuts = router.log_lines("stream cut");
+        assert!(was_resumed, "after event {last_id}: {cuts:?}");
     }
 }
--- a/tests/entry/restarts.rs
+++ b/tests/entry/restarts.rs
@@ -9,7 +9,7 @@
 
 use super::config_changes::silent_servers;
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{lists, wait_ready, wait_until, Call, Router};
+use super::site::{free_port, lists, wait_ready, wait_until, Call, Router};
 use super::{site_with, AMPLE_PAID_TOKENS};
 
 /// Callers that send requests one after another.
@@ -87,6 +87,29 @@
     }
 }
 
+/// Guards against a sound request that is refused because the first servers chosen have just ended,
+/// which this router does not know yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_passes_over_servers_that_refuse_connections() {
+    for round in 0..4 {
+        let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+        for number in 0..12 {
+            let entry = json!({
+                "service": "pool", "address": format!("127.0.0.1:{}", free_port()), "zone": "a",
+                "version": "v1", "slots": 8, "phase": "ready", "cold_left_ms": 0, "sequence": 1,
+                "born": 1_000,
+            });
+            site.store
+                .put("servers", &format!("ended-{number}"), &entry);
+        }
+        let router = site.ready_router("r-1").await;
+        wait_for_log(&router, "replica added or updated", 13).await;
+        let call = Call::new("book", &format!("a-{round}"));
+        let got = call.send(router.callers_address).await.unwrap();
+        assert_eq!(got.status, 200, "round {round}: {:?}", got.body);
+    }
+}
+
 /// Guards against requests that are taken late in a short grace period and cut at its end, though
 /// their servers answer sooner than the grace period lasts.
 #[tokio::test(flavor = "multi_thread")]
