Bound the connections of witnesses while no server accepts any

By reading: a router that is asked for a connection and is refused looks for another server that accepts one, up to eight. While all servers are down each request of others cost nine connections, which routers of a large fleet would multiply.

Change: that no server accepted a connection is remembered for 250 ms. The connections of tunnels and checks are counted in currantlever_replica_connects too.

--- a/src/exchange/path_metrics.rs
+++ b/src/exchange/path_metrics.rs
@@ -1,9 +1,37 @@
 //! Prometheus metrics of the network path to the replicas.
 
+use std::io;
+
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
+use strum::Display;
+use tokio::net::TcpStream;
+
 use super::metrics::register;
 
+/// Result of opening a connection, as counted by the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum ConnectResult {
+    Connected,
+    Refused,
+    TimedOut,
+    Failed,
+}
+
+impl ConnectResult {
+    fn of(result: &io::Result<TcpStream>) -> Self {
+        match result {
+            Ok(_) => Self::Connected,
+            Err(error) => match error.kind() {
+                io::ErrorKind::ConnectionRefused => Self::Refused,
+                io::ErrorKind::TimedOut => Self::TimedOut,
+                _ => Self::Failed,
+            },
+        }
+    }
+}
+
 /// Metrics of this router's path to the replicas, and of connections through other routers.
 #[derive(Debug)]
 pub(crate) struct PathMetrics {
@@ -53,8 +81,9 @@
     }
 
     /// Counts a direct connection to a replica by its result.
-    pub(super) fn count_connect(&self, result: &str) {
-        self.connects.with_label_values(&[result]).inc();
+    pub(super) fn count_connect(&self, result: &io::Result<TcpStream>) {
+        let result = ConnectResult::of(result).to_string();
+        self.connects.with_label_values(&[result.as_str()]).inc();
     }
 
     /// Counts a connection to a replica requested from another router, by that router's answer.
--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
-use strum::Display;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -85,29 +84,6 @@
     NoRouter,
 }
 
-/// Result of opening a connection, as counted by the metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[strum(serialize_all = "snake_case")]
-enum ConnectResult {
-    Connected,
-    Refused,
-    TimedOut,
-    Failed,
-}
-
-impl ConnectResult {
-    fn of(result: &io::Result<TcpStream>) -> Self {
-        match result {
-            Ok(_) => Self::Connected,
-            Err(error) => match error.kind() {
-                io::ErrorKind::ConnectionRefused => Self::Refused,
-                io::ErrorKind::TimedOut => Self::TimedOut,
-                _ => Self::Failed,
-            },
-        }
-    }
-}
-
 /// A connection to a replica.
 #[derive(Debug)]
 pub(crate) struct Dialed {
@@ -274,8 +250,7 @@
 
     async fn dial_directly(&self, replica: &ReplicaAddress) -> io::Result<Dialed> {
         let result = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
-        let counted = ConnectResult::of(&result);
-        self.metrics.paths().count_connect(&counted.to_string());
+        self.metrics.paths().count_connect(&result);
         let stream = result?;
         if self.paths.record_direct(&replica.id) {
             self.pools.end_ejections();
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -27,7 +27,7 @@
 use super::request::ReplicaAddress;
 use crate::core::ids::ReplicaId;
 use crate::tcp::{connect, reset_on_close, set_keepalive};
-use crate::util::millis;
+use crate::util::{lock, millis};
 
 /// Timeout for connecting to a replica; shorter than that of the router that waits for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -42,6 +42,8 @@
 /// Most other replicas that are connected to, to tell a replica that refuses from a path that is cut.
 /// Several replicas may be down at once.
 const WITNESS_REPLICAS: usize = 8;
+/// Time for which it is remembered that none of them accepted a connection.
+const UNREACHED_RETENTION: Duration = Duration::from_millis(250);
 /// Bytes forwarded at once in one direction.
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Time in which the other router must close its connection after the replica closed its own.
@@ -86,6 +88,8 @@
     paths: Arc<PathMonitor>,
     own_state: RouterStateSource,
     open_count: Arc<AtomicUsize>,
+    /// When no replica was found that accepts connections.
+    unreached_at: Mutex<Option<Instant>>,
     metrics: Arc<ExchangeMetrics>,
     log: Logger,
 }
@@ -105,6 +109,7 @@
             paths,
             own_state,
             open_count,
+            unreached_at: Mutex::default(),
             metrics,
             log,
         }
@@ -164,11 +169,8 @@
     }
 
     async fn connect(&self, replica: &ReplicaAddress) -> Result<TcpStream, TunnelAnswer> {
-        match connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await {
-            Ok(stream) => {
-                self.paths.record_direct(&replica.id);
-                Ok(stream)
-            }
+        match self.connect_directly(replica).await {
+            Ok(stream) => Ok(stream),
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 if self.reaches_other_replica(&replica.id).await {
                     Err(TunnelAnswer::Refused)
@@ -180,18 +182,31 @@
         }
     }
 
+    async fn connect_directly(&self, replica: &ReplicaAddress) -> io::Result<TcpStream> {
+        let result = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
+        self.metrics.paths().count_connect(&result);
+        if result.is_ok() {
+            self.paths.record_direct(&replica.id);
+        }
+        result
+    }
+
     /// Returns true if a replica other than this one accepts a connection now. Connections are also
     /// refused where this router's own path is cut, which would confirm a wrong conclusion.
     async fn reaches_other_replica(&self, refusing: &ReplicaId) -> bool {
+        let is_known_to_fail =
+            lock(&self.unreached_at).is_some_and(|at: Instant| at.elapsed() < UNREACHED_RETENTION);
+        if is_known_to_fail {
+            return false;
+        }
         let mut others = self.pools.sample_replicas(WITNESS_REPLICAS + 1);
         others.retain(|replica| replica.id != *refusing);
         for replica in others.iter().take(WITNESS_REPLICAS) {
-            let connected = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
-            if connected.is_ok() {
-                self.paths.record_direct(&replica.id);
+            if self.connect_directly(replica).await.is_ok() {
                 return true;
             }
         }
+        *lock(&self.unreached_at) = Some(Instant::now());
         false
     }
 }
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -5,7 +5,7 @@
 
 use super::gate::{Cut, Gate};
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{wait_ready, wait_until, Call, Router, Site};
+use super::site::{get, wait_ready, wait_until, Call, Router, Site};
 use super::{events, site_with};
 
 /// Time after the start of a cut from which on callers must be served.
@@ -358,3 +358,43 @@
         assert_eq!(lost, Vec::<serde_json::Value>::new());
     }
 }
+
+/// Returns the sum of a metric's counters at a router.
+async fn metric_sum(router: &Router, name: &str) -> f64 {
+    let answer = get(router.metrics_address, "/metrics").await.unwrap();
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with(&format!("{name}{{")));
+    lines
+        .map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap())
+        .sum()
+}
+
+/// Guards against routers that multiply the connections of others while no server accepts any.
+#[tokio::test(flavor = "multi_thread")]
+async fn while_all_servers_are_down_routers_connect_about_once_for_each_request_of_others() {
+    let fleet = Fleet::start(3, &[work(), work(), work(), work(), work(), work()]).await;
+    for router in 0..3 {
+        fleet.cut(router, Cut::Reset);
+    }
+    let started = Instant::now();
+    for number in 0..40 {
+        let call = Call::new("look", &format!("down-{number}"));
+        let answer = call.send(fleet.address(0)).await.unwrap();
+        assert_eq!(answer.status, 503, "{number}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Each router may look for a server that accepts connections four times a second.
+    let checks = started.elapsed().as_secs_f64() * 4.0 + 1.0;
+    for router in &fleet.routers[1..] {
+        let asked = metric_sum(router, "currantlever_tunnels_served").await;
+        let connects = metric_sum(router, "currantlever_replica_connects").await;
+        println!("{asked} asked, {connects} connections");
+        assert!(asked > 0.0);
+        assert!(
+            connects <= asked + checks * 5.0,
+            "{asked} asked, {connects} connections"
+        );
+    }
+}
