Keep the numbers of the messages between routers

The new message PlaceRelease stood before others, whose numbers on the wire changed, so routers of two versions would have taken them for one another's. It is the last one now.

After: the tests of stream_origins pass.

--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -38,8 +38,6 @@
     PermitRequest(PermitRequest),
     /// Reply to a permit request.
     PermitReply(PermitReply),
-    /// Return of a place at a brittle replica.
-    PlaceRelease(PlaceRelease),
     /// Parts of prompts that are suspected of crashing servers.
     Parts(Vec<PartReport>),
     /// Replica and version of the first event of a stream.
@@ -50,6 +48,8 @@
     OriginQuery(OriginQuery),
     /// Reply to such a query.
     OriginReply(OriginReply),
+    /// Return of a place at a brittle replica.
+    PlaceRelease(PlaceRelease),
 }
 
 impl PeerMessage {
