Simplify places and tunnels after reading the change

One TCP user timeout for replicas in place of two constants of the same value; fields in place of six accessors that only places.rs called; a report on places that is either a return or a rejection, in place of an option and a flag; two statements of the same check joined. The connections by which a refusal is told from a cut path are no longer named after witnesses, which are something else in this project.

--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -176,9 +176,7 @@
                     Ok(PeerMessage::PermitReply(reply)) => {
                         context.permits.apply_reply(router, &reply);
                     }
-                    Ok(PeerMessage::PlaceRelease(release)) => {
-                        context.permits.apply_release(&release);
-                    }
+                    Ok(PeerMessage::Place(report)) => context.permits.apply_place_report(report),
                     Ok(PeerMessage::StreamOrigin(report)) => {
                         context.origins.handle_report(router, &report);
                     }
--- a/src/exchange/permits.rs
+++ b/src/exchange/permits.rs
@@ -138,14 +138,14 @@
 /// Requests and issues permits.
 #[derive(Debug)]
 pub(crate) struct Permits {
-    members: Arc<Members>,
-    pools: Arc<Pools>,
-    socket: Arc<UdpSocket>,
-    metrics: Arc<ExchangeMetrics>,
+    pub(super) members: Arc<Members>,
+    pub(super) pools: Arc<Pools>,
+    pub(super) socket: Arc<UdpSocket>,
+    pub(super) metrics: Arc<ExchangeMetrics>,
     log: Logger,
     started: Instant,
     buckets: Mutex<HashMap<ReplicaKey, UsedBucket>>,
-    place_tables: Mutex<HashMap<ReplicaKey, PlaceTable>>,
+    pub(super) place_tables: Mutex<HashMap<ReplicaKey, PlaceTable>>,
     pending: Mutex<HashMap<u64, Pending>>,
     timeouts: Mutex<HashMap<SocketAddr, Timeouts>>,
 }
@@ -351,41 +351,6 @@
         issuers.find(|issuer| self.is_usable(issuer))
     }
 
-    /// Returns the issuers of a replica's permits, the first one first.
-    pub(super) fn issuers(&self, key: ReplicaKey) -> Vec<PermitIssuer> {
-        self.members.permit_issuers(key)
-    }
-
-    /// Returns the places that this router has issued.
-    pub(super) const fn place_tables(&self) -> &Mutex<HashMap<ReplicaKey, PlaceTable>> {
-        &self.place_tables
-    }
-
-    /// Returns the number of requests that a replica runs at once, if it is known.
-    pub(super) fn slots_of(&self, key: ReplicaKey) -> Option<u32> {
-        self.pools.slots_of(key)
-    }
-
-    /// Returns true for this router's own hello address.
-    pub(super) fn is_own(&self, router: SocketAddr) -> bool {
-        self.members.own().peer_address == router
-    }
-
-    /// Returns the socket for datagrams to other routers.
-    pub(super) const fn socket(&self) -> &Arc<UdpSocket> {
-        &self.socket
-    }
-
-    /// Counts a request for a place.
-    pub(super) fn count_place(&self, is_granted: bool) {
-        let result = if is_granted {
-            "place_granted"
-        } else {
-            "place_denied"
-        };
-        self.metrics.count_permit(result);
-    }
-
     /// Returns the time on this process's clock, in milliseconds.
     pub(super) fn now_ms(&self) -> u64 {
         millis(self.started.elapsed())
--- a/src/exchange/places.rs
+++ b/src/exchange/places.rs
@@ -9,20 +9,27 @@
 use super::limits::ReplicaKey;
 use super::permits::Permits;
 use super::transfers::PeerMessage;
-use crate::core::places::{issuer_places, PlaceTable};
+use crate::core::places::issuer_places;
 use crate::util::{lock, millis};
 
 /// Time beyond a request's deadline after which a place that was not returned is free again.
 const LIFETIME_MARGIN: Duration = Duration::from_millis(500);
 
-/// Return of a place to its issuer.
+/// What a router reports to the issuers of a brittle replica's places.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct PlaceRelease {
-    key: ReplicaKey,
-    /// The place; `None` if the request was sent without one.
-    id: Option<u64>,
-    /// True if the replica rejected the request for want of room.
-    is_rejected: bool,
+pub(crate) enum PlaceReport {
+    /// A place is no longer in use.
+    Returned {
+        /// The replica.
+        key: ReplicaKey,
+        /// The place.
+        id: u64,
+    },
+    /// The replica rejected a request for want of room.
+    Rejected {
+        /// The replica.
+        key: ReplicaKey,
+    },
 }
 
 /// A place at a brittle replica. Dropping it returns the place.
@@ -36,12 +43,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let release = PlaceRelease {
+        let report = PlaceReport::Returned {
             key: self.key,
-            id: Some(self.id),
-            is_rejected: false,
+            id: self.id,
         };
-        self.permits.send_release(self.issuer, release);
+        self.permits.send_place_report(self.issuer, report);
     }
 }
 
@@ -60,7 +66,12 @@
         } else {
             self.request_place(issuer.address, key, id, lifetime).await
         };
-        self.count_place(is_granted);
+        let result = if is_granted {
+            "place_granted"
+        } else {
+            "place_denied"
+        };
+        self.metrics.count_permit(result);
         is_granted.then(|| Place {
             permits: Arc::clone(self),
             key,
@@ -71,50 +82,48 @@
 
     /// Reports to the issuers of a brittle replica that it rejected a request for want of room.
     pub(crate) fn report_rejection(&self, key: ReplicaKey) {
-        let release = PlaceRelease {
-            key,
-            id: None,
-            is_rejected: true,
-        };
-        for issuer in self.issuers(key) {
-            self.send_release(issuer.address, release);
+        for issuer in self.members.permit_issuers(key) {
+            self.send_place_report(issuer.address, PlaceReport::Rejected { key });
         }
     }
 
     /// Takes a place from this router's table.
     pub(super) fn issue_place(&self, key: ReplicaKey, id: u64, lifetime: Duration) -> bool {
-        let issuers = self.issuers(key);
+        let issuers = self.members.permit_issuers(key);
         let Some(position) = issuers.iter().position(|issuer| issuer.is_own) else {
             return false;
         };
-        let Some(slots) = self.slots_of(key) else {
+        let Some(slots) = self.pools.slots_of(key) else {
             return false;
         };
         let now_ms = self.now_ms();
-        let mut tables = lock(self.place_tables());
+        let mut tables = lock(&self.place_tables);
         tables.retain(|other, table| *other == key || !table.is_unused(now_ms));
         let table = tables.entry(key).or_default();
         table.try_take(id, now_ms, millis(lifetime), issuer_places(slots, position))
     }
 
-    /// Applies the return of a place that this router issued.
-    pub(crate) fn apply_release(&self, release: &PlaceRelease) {
+    /// Applies a report on places that this router issues.
+    pub(crate) fn apply_place_report(&self, report: PlaceReport) {
         let now_ms = self.now_ms();
-        let mut tables = lock(self.place_tables());
-        if release.is_rejected {
-            let table: &mut PlaceTable = tables.entry(release.key).or_default();
-            table.record_rejection(now_ms);
-        }
-        if let (Some(id), Some(table)) = (release.id, tables.get_mut(&release.key)) {
-            table.release(id);
+        let mut tables = lock(&self.place_tables);
+        match report {
+            PlaceReport::Returned { key, id } => {
+                if let Some(table) = tables.get_mut(&key) {
+                    table.release(id);
+                }
+            }
+            PlaceReport::Rejected { key } => {
+                tables.entry(key).or_default().record_rejection(now_ms);
+            }
         }
     }
 
-    fn send_release(&self, issuer: SocketAddr, release: PlaceRelease) {
-        if self.is_own(issuer) {
-            self.apply_release(&release);
+    fn send_place_report(&self, issuer: SocketAddr, report: PlaceReport) {
+        if self.members.own().peer_address == issuer {
+            self.apply_place_report(report);
         } else {
-            PeerMessage::PlaceRelease(release).send(self.socket(), issuer);
+            PeerMessage::Place(report).send(&self.socket, issuer);
         }
     }
 }
--- a/src/exchange/replica_choice.rs
+++ b/src/exchange/replica_choice.rs
@@ -1,4 +1,5 @@
-//! Chooses the replica for the next try of a run, with a permit if the replica has a rate limit.
+//! Chooses the replica for the next try of a run, with a permit if the replica has a rate limit, and
+//! a place if it is brittle.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 }
 
 impl Run {
-    /// Chooses a replica, with a permit if it has a rate limit.
+    /// Chooses a replica, with a permit if it has a rate limit, and a place if it is brittle.
     pub(super) async fn choose_replica(
         &mut self,
         resume: Option<&ResumePoint>,
@@ -87,21 +88,18 @@
         }
     }
 
-    /// Requests a permit for a rate-limited replica. Returns false if it was denied.
+    /// Requests a permit for a replica if it has a rate limit. Returns false if it was denied.
     async fn request_permit(&mut self, id: &ReplicaId, key: ReplicaKey) -> bool {
         let rank = self.permit_rank();
         let limits = Arc::clone(self.exchange.pools.limits());
-        let note = limits.note(key);
-        if note.is_none() {
+        let Some(note) = limits.note(key) else {
             return true;
-        }
+        };
         let answer = self.exchange.permits.acquire(key, rank).await;
         if let Err(denial) = answer.decision {
             limits.record_denial(key, rank, denial);
         }
-        if let Some(note) = note {
-            self.record.add_limit(id.as_str(), &note, &answer);
-        }
+        self.record.add_limit(id.as_str(), &note, &answer);
         answer.decision.is_ok()
     }
 
--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -25,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
 /// as lost. Longer than the silence of a sound replica and the next TCP retransmission after it.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
+pub(super) const REPLICA_TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time without an answer to a direct connection attempt after which other routers are asked as well.
 const TUNNEL_DELAY: Duration = Duration::from_millis(100);
 /// Timeout for one router to open a tunnel.
@@ -177,8 +177,7 @@
         match via {
             None => self.paths.may_reuse(&replica.id, idle_since),
             Some(router) => {
-                self.paths.choose(&replica.id) != PathChoice::Direct
-                    && self.members.opens_tunnels(router)
+                self.paths.choose(&replica.id) != PathChoice::Direct && self.may_use_router(router)
             }
         }
     }
@@ -249,7 +248,7 @@
     }
 
     async fn dial_directly(&self, replica: &ReplicaAddress) -> io::Result<Dialed> {
-        let result = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
+        let result = connect(replica.address, CONNECT_TIMEOUT, REPLICA_TCP_USER_TIMEOUT).await;
         self.metrics.paths().count_connect(&result);
         let stream = result?;
         if self.paths.record_direct(&replica.id) {
@@ -336,7 +335,7 @@
         return Ok((answer, None));
     }
     let stream = link.into_inner();
-    // A tunnel is as patient as a direct connection.
-    set_keepalive(&stream, TCP_USER_TIMEOUT)?;
+    // From here on it stands for a direct connection to the replica.
+    set_keepalive(&stream, REPLICA_TCP_USER_TIMEOUT)?;
     Ok((answer, Some(stream)))
 }
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -36,7 +36,7 @@
     Found(Box<ChosenReplica>),
     /// All replicas are full.
     Full,
-    /// The best replica has a rate limit, so the request needs a permit first.
+    /// The best replica has a rate limit or is brittle, so the request needs a permit or a place first.
     NeedsPermit {
         /// Id of the replica.
         id: ReplicaId,
--- a/src/exchange/transfers.rs
+++ b/src/exchange/transfers.rs
@@ -13,7 +13,7 @@
 use super::members::Hello;
 use super::origin_messages::{OriginAck, OriginQuery, OriginReply, OriginReport};
 use super::permits::{PermitReply, PermitRequest};
-use super::places::PlaceRelease;
+use super::places::PlaceReport;
 use super::pooling::{TransferReply, TransferRequest};
 use super::suspect_parts::PartReport;
 use super::suspects::SuspicionReport;
@@ -48,8 +48,8 @@
     OriginQuery(OriginQuery),
     /// Reply to such a query.
     OriginReply(OriginReply),
-    /// Return of a place at a brittle replica.
-    PlaceRelease(PlaceRelease),
+    /// Report on the places at a brittle replica.
+    Place(PlaceReport),
 }
 
 impl PeerMessage {
@@ -101,7 +101,7 @@
         | PeerMessage::Limit(_)
         | PeerMessage::PermitRequest(_)
         | PeerMessage::PermitReply(_)
-        | PeerMessage::PlaceRelease(_)
+        | PeerMessage::Place(_)
         | PeerMessage::StreamOrigin(_)
         | PeerMessage::OriginAck(_)
         | PeerMessage::OriginQuery(_)
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -24,6 +24,7 @@
 use super::path_monitor::PathMonitor;
 use super::peer_link::{send, Link};
 use super::pools::Pools;
+use super::replica_dialer::REPLICA_TCP_USER_TIMEOUT;
 use super::request::ReplicaAddress;
 use crate::core::ids::ReplicaId;
 use crate::tcp::{connect, reset_on_close, set_keepalive};
@@ -31,9 +32,6 @@
 
 /// Timeout for connecting to a replica; shorter than that of the router that waits for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time in which a replica acknowledges nothing or takes no bytes, after which its connection counts
-/// as lost; the same as for the router's own connections.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time in which the other router takes no bytes of an answer, after which its connection counts as
 /// lost. Longer than that of callers, for which it may have to wait.
 const ROUTER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -41,7 +39,7 @@
 const MIN_HEADROOM_PERCENT: u8 = 20;
 /// Most other replicas that are connected to, to tell a replica that refuses from a path that is cut.
 /// Several replicas may be down at once.
-const WITNESS_REPLICAS: usize = 8;
+const MAX_CHECKED_REPLICAS: usize = 8;
 /// Time for which it is remembered that none of them accepted a connection.
 const UNREACHED_RETENTION: Duration = Duration::from_millis(250);
 /// Bytes forwarded at once in one direction.
@@ -183,7 +181,7 @@
     }
 
     async fn connect_directly(&self, replica: &ReplicaAddress) -> io::Result<TcpStream> {
-        let result = connect(replica.address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT).await;
+        let result = connect(replica.address, CONNECT_TIMEOUT, REPLICA_TCP_USER_TIMEOUT).await;
         self.metrics.paths().count_connect(&result);
         if result.is_ok() {
             self.paths.record_direct(&replica.id);
@@ -199,9 +197,9 @@
         if is_known_to_fail {
             return false;
         }
-        let mut others = self.pools.sample_replicas(WITNESS_REPLICAS + 1);
+        let mut others = self.pools.sample_replicas(MAX_CHECKED_REPLICAS + 1);
         others.retain(|replica| replica.id != *refusing);
-        for replica in others.iter().take(WITNESS_REPLICAS) {
+        for replica in others.iter().take(MAX_CHECKED_REPLICAS) {
             if self.connect_directly(replica).await.is_ok() {
                 return true;
             }
