--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -5,7 +5,7 @@
 
 use super::gate::{Cut, Gate};
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{get, wait_ready, wait_until, Call, Router, Site};
+use super::site::{wait_ready, wait_until, Call, Router, Site};
 use super::{events, site_with};
 
 /// Time after the start of a cut from which on callers must be served.
@@ -361,8 +361,7 @@
 
 /// Returns the sum of a metric's counters at a router.
 async fn metric_sum(router: &Router, name: &str) -> f64 {
-    let answer = get(router.metrics_address, "/metrics").await.unwrap();
-    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    let text = router.metrics().await;
     let lines = text
         .lines()
         .filter(|line| line.starts_with(&format!("{name}{{")));
--- a/tests/entry/rate_limits.rs
+++ b/tests/entry/rate_limits.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{get, wait_until, Call, ReceivedAnswer, Router, Site};
+use super::site::{wait_until, Call, ReceivedAnswer, Router, Site};
 use super::site_with;
 
 /// Length of the span in which arrivals are counted.
@@ -254,8 +254,7 @@
     };
     assert!(refused.clone().count() > 0);
     assert!(refused.filter(denied).count() > 0, "{lines:?}");
-    let metrics = get(routers[0].metrics_address, "/metrics").await.unwrap();
-    let text = String::from_utf8(metrics.body.to_vec()).unwrap();
+    let text = routers[0].metrics().await;
     let gauge = "currantlever_replica_rate_limit{replica=\"i-0\"} 0.5";
     assert!(text.contains(gauge), "{text}");
 }
--- a/tests/entry/request_ends.rs
+++ b/tests/entry/request_ends.rs
@@ -6,15 +6,14 @@
 use tokio::net::TcpStream;
 
 use super::replica::Behaviour;
-use super::site::{get, wait_until, Call, Router, HOST, KEY};
+use super::site::{wait_until, Call, Router, HOST, KEY};
 use super::site_with;
 
 /// Time between two events, longer than the test takes.
 const LONG_PAUSE: Duration = Duration::from_secs(30);
 
 async fn has_metric(router: &Router, line: &str) -> bool {
-    let got = get(router.metrics_address, "/metrics").await.unwrap();
-    let text = String::from_utf8(got.body.to_vec()).unwrap();
+    let text = router.metrics().await;
     text.lines().any(|other| other == line)
 }
 
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -201,6 +201,12 @@
         self.log.lock().unwrap().clone()
     }
 
+    /// Returns the text of the metrics endpoint.
+    pub async fn metrics(&self) -> String {
+        let answer = get(self.metrics_address, "/metrics").await.unwrap();
+        String::from_utf8(answer.body.to_vec()).unwrap()
+    }
+
     /// Returns the log lines with this message.
     pub fn log_lines(&self, message: &str) -> Vec<Value> {
         let log = self.log();
--- a/tests/entry/stream_origins.rs
+++ b/tests/entry/stream_origins.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use super::replica::{Behaviour, FakeReplica};
-use super::site::{get, wait_until, Call, Router, Site};
+use super::site::{wait_until, Call, Router, Site};
 use super::site_with;
 
 /// Positions of the messages among those between routers.
@@ -84,11 +84,6 @@
     }
 }
 
-async fn metrics(router: &Router) -> String {
-    let answer = get(router.metrics_address, "/metrics").await.unwrap();
-    String::from_utf8(answer.body.to_vec()).unwrap()
-}
-
 /// Guards against a stream whose version is lost with the router that began it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_keeps_what_another_one_reports_and_tells_a_third() {
@@ -114,7 +109,7 @@
     let unknown = StreamId::new("blue", "a-1");
     let reply: (u8, u64, u8, Option<String>) = third.query(43, unknown).await;
     assert_eq!((reply.0, reply.1, reply.2), (REPLY, 43, UNKNOWN));
-    let text = metrics(&router).await;
+    let text = router.metrics().await;
     assert!(
         text.contains("currantlever_stream_origins{event=\"kept\"} 2"),
         "{text}"
@@ -273,7 +268,7 @@
     let is_answered = |line: &Value| line["asked"] == 2 && line["answered"] == 1;
     take_up_until(&routers[1], "a-unknown", message, is_answered).await;
     assert!(routers[1].log_lines("origin of a stream found").is_empty());
-    let text = metrics(&routers[1]).await;
+    let text = routers[1].metrics().await;
     let counted = "currantlever_origin_searches{result=\"unknown\"}";
     assert!(text.contains(counted), "{text}");
 }
@@ -309,7 +304,7 @@
         lines.iter().any(|line| line["stream"] == *stream)
     })
     .await;
-    let text = metrics(&routers[0]).await;
+    let text = routers[0].metrics().await;
     for event in ["recorded", "acknowledged", "repeated", "unacknowledged"] {
         let line = format!("currantlever_stream_origins{{event=\"{event}\"}}");
         assert!(text.contains(&line), "{text}");
