--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,6 +14,7 @@
 mod case_forgotten_crashes;
 mod case_last_tenant;
 mod case_plain_generation;
+mod case_restored_ledger;
 
 use std::fs::File;
 use std::io::Write;
@@ -82,6 +83,7 @@
         "forgotten-crashes" => case_forgotten_crashes::run(&record),
         "last-tenant" => case_last_tenant::run(&record),
         "plain-generation" => case_plain_generation::run(&record),
+        "restored-ledger" => case_restored_ledger::run(&record),
         _ => Verdict::NotRun(format!("no case {case}")),
     }));
     let verdict = verdict.unwrap_or_else(|_| Verdict::NotRun("the script failed".into()));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -10,6 +10,7 @@
 use crate::http::{read_request, Message};
 use crate::json::{member, string};
 
+#[derive(Clone)]
 struct Object {
     revision: u64,
     created: u64,
@@ -28,10 +29,21 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     events: Vec<Event>,
+    /// Rises each time that the store comes back from a copy.
+    era: u64,
+    /// True while the store answers 503.
+    is_away: bool,
+}
+
+/// A copy of the store.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
 }
 
 pub struct Store {
     pub address: SocketAddr,
+    has_eras: bool,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -165,9 +177,19 @@
 
 impl Store {
     pub fn start() -> Arc<Self> {
+        Self::start_with(false)
+    }
+
+    /// Starts a store that may come back from a copy; its answers state its era.
+    pub fn start_with_eras() -> Arc<Self> {
+        Self::start_with(true)
+    }
+
+    fn start_with(has_eras: bool) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = Arc::new(Self {
             address: listener.local_addr().expect("an address"),
+            has_eras,
             state: Mutex::default(),
             changed: Condvar::new(),
         });
@@ -187,23 +209,61 @@
         self.changed.notify_all();
     }
 
+    /// Makes a copy.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().unwrap();
+        Copy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// While true, each call is answered 503.
+    pub fn set_away(&self, is_away: bool) {
+        self.state.lock().unwrap().is_away = is_away;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock().unwrap();
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.events.clear();
+        state.era += 1;
+        state.is_away = false;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(request) = read_request(&mut reader)? {
             std::thread::sleep(Duration::from_millis(4));
-            let (status, body) = match watch_parameters(request.target()) {
-                Some((kind, after, wait)) => (200, self.watch(&kind, after, wait)),
+            let (status, body, era) = match watch_parameters(request.target()) {
+                Some((kind, after, wait)) => self.watch(&kind, after, wait),
                 None => {
-                    let answer = self.state.lock().unwrap().answer(&request);
+                    let mut state = self.state.lock().unwrap();
+                    let (status, body) = if state.is_away {
+                        (503, "{}".to_owned())
+                    } else {
+                        state.answer(&request)
+                    };
                     if request.method() != "GET" {
                         self.changed.notify_all();
                     }
-                    answer
+                    (status, body, state.era)
                 }
             };
+            let era = if self.has_eras {
+                format!("Store-Era: {era}\r\n")
+            } else {
+                String::new()
+            };
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             stream.write_all(head.as_bytes())?;
@@ -212,20 +272,25 @@
         Ok(())
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration) -> String {
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String, u64) {
         let end = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
+        let era = state.era;
         loop {
+            if state.is_away {
+                return (503, "{}".to_owned(), state.era);
+            }
+            if state.era != era || after > state.revision {
+                return (410, "{}".to_owned(), state.era);
+            }
             let events = state.events.iter();
             let events = events.filter(|event| event.kind == kind && event.revision > after);
             let events: Vec<&str> = events.map(|event| event.text.as_str()).collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let events = events.join(",");
-                return format!(
-                    "{{\"events\":[{events}],\"current_rev\":{}}}",
-                    state.revision
-                );
+                let (events, revision) = (events.join(","), state.revision);
+                let body = format!("{{\"events\":[{events}],\"current_rev\":{revision}}}");
+                return (200, body, state.era);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
