--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -57,3 +57,4 @@
 pub(crate) mod suspects;
 pub(crate) mod transfers;
 pub(crate) mod tunnel;
+mod tunnel_stream;
--- a/src/exchange/peer_link.rs
+++ b/src/exchange/peer_link.rs
@@ -14,6 +14,7 @@
 
 use super::feed_link::{answer_poll, FeedContext, FeedPoll};
 use super::tunnel::{TunnelRequest, TunnelServer};
+use super::tunnel_stream::TunnelFormat;
 use crate::tcp::{connect, set_keepalive};
 
 /// Largest message, which holds all objects of all kinds.
@@ -30,8 +31,11 @@
 pub(super) enum PeerRequest {
     /// News of the followed kinds.
     Poll(FeedPoll),
-    /// A connection to a replica.
+    /// A connection to a replica, whose bytes are sent as they are.
     Tunnel(TunnelRequest),
+    /// The same, with the end of the replica's connection stated. Routers that do not know this kind
+    /// close the connection.
+    StatedTunnel(TunnelRequest),
 }
 
 /// A connection to another router.
@@ -104,7 +108,12 @@
                 let answer = answer_poll(&poll, feed).await;
                 send(&mut link, &answer).await?;
             }
-            PeerRequest::Tunnel(request) => return tunnels.serve(link, request).await,
+            PeerRequest::Tunnel(request) => {
+                return tunnels.serve(link, request, TunnelFormat::Plain).await;
+            }
+            PeerRequest::StatedTunnel(request) => {
+                return tunnels.serve(link, request, TunnelFormat::Stated).await;
+            }
         }
     }
 }
--- a/src/exchange/replica_dialer.rs
+++ b/src/exchange/replica_dialer.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_util::either::Either;
 
 use super::members::Members;
 use super::metrics::ExchangeMetrics;
@@ -17,6 +18,7 @@
 use super::pools::Pools;
 use super::request::{ProbeResult, ReplicaAddress};
 use super::tunnel::{TunnelAnswer, TunnelRequest};
+use super::tunnel_stream::{TunnelFormat, TunnelStream};
 use crate::core::replica_path::PathChoice;
 use crate::tcp::{connect, set_keepalive};
 use crate::util::lock;
@@ -87,8 +89,8 @@
 /// A connection to a replica.
 #[derive(Debug)]
 pub(crate) struct Dialed {
-    /// The connection.
-    pub stream: TcpStream,
+    /// The connection, directly or through another router.
+    pub stream: Either<TcpStream, TunnelStream>,
     /// Router through which it leads, by its hello address; `None` if it is direct.
     pub via: Option<SocketAddr>,
 }
@@ -254,7 +256,10 @@
         if self.paths.record_direct(&replica.id) {
             self.pools.end_ejections();
         }
-        Ok(Dialed { stream, via: None })
+        Ok(Dialed {
+            stream: Either::Left(stream),
+            via: None,
+        })
     }
 
     fn record_tunnel(&self, replica: &ReplicaAddress, router: SocketAddr) {
@@ -278,7 +283,7 @@
             request: request.into(),
         };
         for router in &routers {
-            let answer = open_tunnel(*router, tunnel_request.clone());
+            let answer = open_tunnel(*router, &tunnel_request);
             let (result, stream) = match tokio::time::timeout(TUNNEL_TIMEOUT, answer).await {
                 Ok(Ok((answer, stream))) => (answer.to_string(), stream.ok_or(answer)),
                 Ok(Err(_)) => ("failed".to_owned(), Err(TunnelAnswer::Unreachable)),
@@ -288,7 +293,7 @@
             match stream {
                 Ok(stream) => {
                     return Ok(Dialed {
-                        stream,
+                        stream: Either::Right(stream),
                         via: Some(*router),
                     })
                 }
@@ -323,13 +328,39 @@
     }
 }
 
-/// Asks a router to open a tunnel, and returns its answer and the connection if it did.
+/// Asks a router to open a tunnel, and returns its answer and the connection if it did. A router
+/// that knows no stated ends is asked for a plain tunnel.
 async fn open_tunnel(
     router: SocketAddr,
-    request: TunnelRequest,
-) -> io::Result<(TunnelAnswer, Option<TcpStream>)> {
+    request: &TunnelRequest,
+) -> io::Result<(TunnelAnswer, Option<TunnelStream>)> {
+    match request_tunnel(router, request, TunnelFormat::Stated).await {
+        Err(error) if is_closed(&error) => {
+            request_tunnel(router, request, TunnelFormat::Plain).await
+        }
+        result => result,
+    }
+}
+
+/// Returns true if the other end closed the connection.
+fn is_closed(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset
+    )
+}
+
+async fn request_tunnel(
+    router: SocketAddr,
+    request: &TunnelRequest,
+    format: TunnelFormat,
+) -> io::Result<(TunnelAnswer, Option<TunnelStream>)> {
     let mut link = open_link(router).await?;
-    send(&mut link, &PeerRequest::Tunnel(request)).await?;
+    let message = match format {
+        TunnelFormat::Plain => PeerRequest::Tunnel(request.clone()),
+        TunnelFormat::Stated => PeerRequest::StatedTunnel(request.clone()),
+    };
+    send(&mut link, &message).await?;
     let answer: TunnelAnswer = receive(&mut link).await?;
     if answer != TunnelAnswer::Opened {
         return Ok((answer, None));
@@ -337,5 +368,5 @@
     let stream = link.into_inner();
     // From here on it stands for a direct connection to the replica.
     set_keepalive(&stream, REPLICA_TCP_USER_TIMEOUT)?;
-    Ok((answer, Some(stream)))
+    Ok((answer, Some(TunnelStream::new(stream, format))))
 }
--- a/src/exchange/tunnel.rs
+++ b/src/exchange/tunnel.rs
@@ -3,7 +3,7 @@
 //! A tunnel forwards bytes between another router and a replica and knows nothing of the requests
 //! in them: which request runs where, and what it costs, is decided by the router that received it.
 //! A tunnel leads to a replica that this router knows by its id, never to any other address, and
-//! through one router only. It ends as the replica's connection does, by a close or a reset.
+//! through one router only. A close of the replica's connection is stated to the other router.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,7 +15,8 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, Logger};
 use strum::Display;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -26,8 +27,9 @@
 use super::pools::Pools;
 use super::replica_dialer::REPLICA_TCP_USER_TIMEOUT;
 use super::request::ReplicaAddress;
+use super::tunnel_stream::{AnswerWriter, TunnelFormat, MAX_MESSAGE_BYTES};
 use crate::core::ids::ReplicaId;
-use crate::tcp::{connect, reset_on_close, set_keepalive};
+use crate::tcp::{close_regularly, connect, reset_on_close, set_keepalive};
 use crate::util::{lock, millis};
 
 /// Timeout for connecting to a replica; shorter than that of the router that waits for it.
@@ -43,7 +45,7 @@
 /// Time for which it is remembered that none of them accepted a connection.
 const UNREACHED_RETENTION: Duration = Duration::from_millis(250);
 /// Bytes forwarded at once in one direction.
-const BUFFER_BYTES: usize = 8 * 1024;
+const BUFFER_BYTES: usize = MAX_MESSAGE_BYTES;
 /// Time in which the other router must close its connection after the replica closed its own.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -118,7 +120,12 @@
     /// # Errors
     ///
     /// Fails if the connection to the other router breaks before the answer was sent.
-    pub(super) async fn serve(&self, mut link: Link, request: TunnelRequest) -> io::Result<()> {
+    pub(super) async fn serve(
+        &self,
+        mut link: Link,
+        request: TunnelRequest,
+        format: TunnelFormat,
+    ) -> io::Result<()> {
         let opened = self.open(&request).await;
         let answer = match &opened {
             Ok(_) => TunnelAnswer::Opened,
@@ -138,7 +145,7 @@
         let bytes = Forwarded::default();
         let router = link.into_inner();
         set_keepalive(&router, ROUTER_TCP_USER_TIMEOUT)?;
-        let end = forward(router, replica, &bytes).await;
+        let end = forward(router, replica, format, &bytes).await;
         info!(self.log, "tunnel closed"; "router" => request.router.to_string(),
             "replica" => request.replica.as_str(), "request" => request.request.as_str(),
             "open_ms" => millis(opened_at.elapsed()),
@@ -244,56 +251,70 @@
     ReplicaLost,
 }
 
-/// Forwards bytes in both directions until one of the two connections ends, and ends the other one
-/// in the same way.
-async fn forward(mut router: TcpStream, mut replica: TcpStream, bytes: &Forwarded) -> TunnelEnd {
+/// Forwards bytes in both directions until one of the two connections ends, and then ends the other
+/// one.
+async fn forward(
+    mut router: TcpStream,
+    mut replica: TcpStream,
+    format: TunnelFormat,
+    bytes: &Forwarded,
+) -> TunnelEnd {
+    if format == TunnelFormat::Plain {
+        // Also if this process is killed, when a close would stand for that of the replica.
+        reset_on_close(&router);
+    }
     // Owned halves would send the end of a whole answer before a reset.
-    let (mut from_router, mut to_router) = router.split();
+    let (mut from_router, to_router) = router.split();
     let (mut from_replica, mut to_replica) = replica.split();
+    let mut answer = AnswerWriter::new(to_router, format);
     let end = tokio::select! {
-        _ = copy(&mut from_router, &mut to_replica, &bytes.to_replica) => TunnelEnd::RouterLeft,
-        side = copy(&mut from_replica, &mut to_router, &bytes.to_router) => match side {
-            CopyEnd::Closed => TunnelEnd::ReplicaClosed,
-            CopyEnd::ReadFailed => TunnelEnd::ReplicaLost,
-            CopyEnd::WriteFailed => TunnelEnd::RouterLeft,
-        },
-    };
-    match end {
-        TunnelEnd::RouterLeft => {}
-        TunnelEnd::ReplicaLost => reset_on_close(to_router.as_ref()),
-        TunnelEnd::ReplicaClosed => {
-            // Closing at once would discard bytes that the router has not read yet.
-            let _ = to_router.shutdown().await;
-            let mut sink = tokio::io::sink();
-            let rest = tokio::io::copy(&mut from_router, &mut sink);
-            let _ = tokio::time::timeout(CLOSE_TIMEOUT, rest).await;
+        () = copy_requests(&mut from_router, &mut to_replica, &bytes.to_replica) => {
+            TunnelEnd::RouterLeft
         }
+        end = copy_answers(&mut from_replica, &mut answer, &bytes.to_router) => end,
+    };
+    if end == TunnelEnd::ReplicaClosed && answer.finish().await.is_ok() {
+        // Closing at once would discard bytes that the router has not read yet.
+        let mut sink = tokio::io::sink();
+        let rest = tokio::io::copy(&mut from_router, &mut sink);
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, rest).await;
+        drop(answer);
+        close_regularly(&router);
     }
     end
 }
 
-/// Why one direction of a tunnel ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CopyEnd {
-    Closed,
-    ReadFailed,
-    WriteFailed,
+/// Forwards requests until the router leaves.
+async fn copy_requests(
+    from_router: &mut ReadHalf<'_>,
+    to_replica: &mut WriteHalf<'_>,
+    count: &AtomicU64,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok(length @ 1..) = from_router.read(&mut buffer).await {
+        if to_replica.write_all(&buffer[..length]).await.is_err() {
+            // The replica may have answered before; its answers show how its connection ended.
+            std::future::pending::<()>().await;
+        }
+        count.fetch_add(length as u64, Ordering::Relaxed);
+    }
 }
 
-async fn copy<R, W>(reader: &mut R, writer: &mut W, count: &AtomicU64) -> CopyEnd
-where
-    R: AsyncRead + Unpin,
-    W: AsyncWrite + Unpin,
-{
+/// Forwards answers until the replica's connection ends or the router takes no more.
+async fn copy_answers(
+    from_replica: &mut ReadHalf<'_>,
+    answer: &mut AnswerWriter<'_>,
+    count: &AtomicU64,
+) -> TunnelEnd {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let length = match reader.read(&mut buffer).await {
-            Ok(0) => return CopyEnd::Closed,
+        let length = match from_replica.read(&mut buffer).await {
+            Ok(0) => return TunnelEnd::ReplicaClosed,
             Ok(length) => length,
-            Err(_) => return CopyEnd::ReadFailed,
+            Err(_) => return TunnelEnd::ReplicaLost,
         };
-        if writer.write_all(&buffer[..length]).await.is_err() {
-            return CopyEnd::WriteFailed;
+        if answer.send(&buffer[..length]).await.is_err() {
+            return TunnelEnd::RouterLeft;
         }
         count.fetch_add(length as u64, Ordering::Relaxed);
     }
--- a/src/tcp.rs
+++ b/src/tcp.rs
@@ -30,8 +30,14 @@
     socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
-/// Makes a connection end with a reset instead of a close when it is dropped.
+/// Makes a connection end with a reset instead of a close when it is dropped or the process ends.
 pub(crate) fn reset_on_close(stream: &TcpStream) {
     // If this fails, the other end sees a close.
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
+
+/// Makes a connection end with a close again, after [`reset_on_close`].
+pub(crate) fn close_regularly(stream: &TcpStream) {
+    // If this fails, the other end sees a reset.
+    let _ = SockRef::from(stream).set_linger(None);
+}
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -289,6 +289,90 @@
     assert_eq!(fleet.doubled_attempts(), Vec::<String>::new());
 }
 
+/// A stream that ends with its connection, long enough for a router to be stopped meanwhile.
+const fn long_unframed_stream() -> Behaviour {
+    Behaviour::UnframedStream {
+        events: 40,
+        pause: Duration::from_millis(100),
+    }
+}
+
+/// Starts a stream without a length at router 0 while it reaches the replicas only through router 1,
+/// and returns the call once the stream has begun. Router 0 then reaches the replicas itself again,
+/// so it finds that the replica is still there when the stream ends.
+async fn start_unframed_stream(
+    fleet: &Fleet,
+    route: &'static str,
+) -> tokio::task::JoinHandle<Result<super::site::ReceivedAnswer, String>> {
+    cut_and_wait(fleet, 0, Cut::Hang).await;
+    for replica in &fleet.replicas {
+        replica.set_behaviour(long_unframed_stream());
+    }
+    let address = fleet.address(0);
+    let call = tokio::spawn(async move { Call::new(route, "long").send(address).await });
+    wait_until("the stream has begun", || async {
+        fleet.has_received("long")
+    })
+    .await;
+    fleet.cut(0, Cut::None);
+    // Lets some events pass.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    call
+}
+
+/// Guards against an answer that looks whole because the operating system closed the connections of
+/// a killed router, through which the answer came, as the replica would have closed it at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_cut_when_the_other_router_is_killed() {
+    for route in ["draft", "book"] {
+        let mut fleet = Fleet::start(2, &[work(), work()]).await;
+        let call = start_unframed_stream(&fleet, route).await;
+        fleet.routers[1].kill();
+        let answer = call.await.unwrap();
+        let looks_whole = answer
+            .as_ref()
+            .is_ok_and(|answer| answer.status == 200 && answer.is_whole);
+        assert!(!looks_whole, "{route}: {answer:?}");
+    }
+}
+
+/// Guards against the same when the other router exits at the end of its grace period.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_cut_when_the_other_router_exits() {
+    let mut fleet = Fleet::start(2, &[work(), work()]).await;
+    fleet.routers[1].change_setting("grace_s", &serde_json::json!(1.0));
+    fleet.routers[1].kill();
+    fleet.routers[1].restart();
+    wait_ready(&fleet.routers[1]).await;
+    let call = start_unframed_stream(&fleet, "draft").await;
+    fleet.routers[1].terminate();
+    let answer = call.await.unwrap().unwrap();
+    assert!(!answer.is_whole, "{answer:?}");
+    assert!(answer.body.len() < events(1..=40).len());
+}
+
+/// Guards against whole answers that are cut, as their end is not known behind another router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_without_a_length_is_delivered_through_another_router() {
+    let fleet = Fleet::start(2, &[work(), work()]).await;
+    let call = start_unframed_stream(&fleet, "draft").await;
+    let answer = call.await.unwrap().unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, events(1..=40));
+    let text = "the whole text";
+    for replica in &fleet.replicas {
+        replica.set_behaviour(Behaviour::Unframed {
+            content_type: "text/plain",
+            body: text.to_owned(),
+            crashes: false,
+        });
+    }
+    let answer = Call::new("book", "text").send(fleet.address(0)).await;
+    let answer = answer.unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, text);
+}
+
 /// Guards against a run that goes on at a replica behind another router after its caller has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_its_run_behind_another_router() {
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -82,6 +82,8 @@
         body: String,
         crashes: bool,
     },
+    /// Streams events with neither a length nor chunks, and closes the connection after the last.
+    UnframedStream { events: u64, pause: Duration },
     /// Answers after the head of the request, then reads the body.
     AnswerBeforeBody,
     /// Sends a head with a line that never ends.
@@ -453,6 +455,7 @@
             return false;
         }
         Behaviour::Stream { .. }
+        | Behaviour::UnframedStream { .. }
         | Behaviour::BreakNewStream { .. }
         | Behaviour::SilentStream { .. }
         | Behaviour::StreamAfter { .. } => {
@@ -572,15 +575,39 @@
     false
 }
 
+/// Returns the head of an answer without a length.
+fn unframed_head(id: &str, content_type: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
+         Currantlever-Replica-Signature: sig\r\nContent-Type: {content_type}\r\n\r\n"
+    )
+}
+
 /// Sends an answer without a length, which ends when the connection closes.
 async fn send_unframed(stream: &mut TcpStream, id: &str, content_type: &str, body: &str) {
-    let text = format!(
-        "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
-         Currantlever-Replica-Signature: sig\r\nContent-Type: {content_type}\r\n\r\n{body}"
-    );
+    let text = unframed_head(id, content_type) + body;
     send_raw(stream, &text).await;
 }
 
+/// Streams events without a length. Returns false if the connection was lost before the last one.
+async fn send_unframed_stream(
+    stream: &mut TcpStream,
+    id: &str,
+    events: u64,
+    pause: Duration,
+) -> bool {
+    let mut text = unframed_head(id, "text/event-stream");
+    for event in 1..=events {
+        text.push_str(&event_text(event));
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return false;
+        }
+        text.clear();
+        tokio::time::sleep(pause).await;
+    }
+    true
+}
+
 /// Sends some whole events and a part of the next one. Returns false, as its connection cannot be
 /// used afterwards.
 async fn send_broken_stream(
@@ -665,11 +692,18 @@
     disconnects: &Mutex<Vec<Instant>>,
 ) -> bool {
     let is_new = request.header("last-event-id").is_none();
+    let id = request
+        .header("currantlever-attempt-id")
+        .unwrap_or_default();
     match behaviour {
+        Behaviour::UnframedStream { events, pause } => {
+            let is_sent = send_unframed_stream(stream, id, *events, *pause).await;
+            if !is_sent {
+                disconnects.lock().unwrap().push(Instant::now());
+            }
+            false
+        }
         Behaviour::BreakNewStream { after, .. } if is_new => {
-            let id = request
-                .header("currantlever-attempt-id")
-                .unwrap_or_default();
             let head = stream_head(id, additions.leaving_line);
             send_broken_stream(stream, &head, *after, additions).await
         }
