--- a/src/exchange/broken_answers.rs
+++ b/src/exchange/broken_answers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::chosen_replica::ChosenReplica;
 use super::pools::Incarnation;
@@ -14,8 +15,8 @@
 /// Timeout for finding out whether a replica crashed, before the request is retried elsewhere.
 const INVESTIGATION_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time for which a server may accept no connection after an answer without a stated end, before
-/// that answer counts as broken off. Shorter than the restart of a server that crashed, which would
-/// accept connections again.
+/// that answer counts as broken off, whatever the probe under way finds later. Shorter than the
+/// restart of a server that crashed, which would accept connections again.
 const END_CHECK_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Delay of a retry after a server crashed, so that other routers' reports of servers that crashed
 /// while running the same request arrive first.
@@ -49,8 +50,9 @@
         if end == BodyEnd::Stated {
             return Ok(());
         }
+        let latest = self.deadline.min(Instant::now() + END_CHECK_PATIENCE);
         let investigation = self.start_investigation(chosen, END_CHECK_PATIENCE);
-        let state = match tokio::time::timeout_at(self.deadline, investigation).await {
+        let state = match tokio::time::timeout_at(latest, investigation).await {
             Ok(Ok(state)) => state,
             Ok(Err(_)) | Err(_) => ServerState::Unknown,
         };
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::gate::{Cut, Gate};
-use super::replica::{Behaviour, FakeReplica};
+use super::replica::{Behaviour, FakeReplica, RESTART_DELAY};
 use super::site::{wait_ready, wait_until, Call, Router, Site};
 use super::{events, site_with};
 
@@ -351,6 +351,33 @@
     assert!(answer.body.len() < events(1..=40).len());
 }
 
+/// Guards against a replica that crashed, and is back before the probes of it end, that is taken for
+/// one that closed its connection at the end of its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_cut_when_its_replica_is_back_before_the_probes_end() {
+    let fleet = Fleet::start(5, &[long_unframed_stream()]).await;
+    let address = fleet.address(0);
+    let call = tokio::spawn(async move { Call::new("draft", "long").send(address).await });
+    wait_until("the stream has begun", || async {
+        fleet.has_received("long")
+    })
+    .await;
+    // Each probe is refused here and takes long at each of the other routers.
+    fleet.cut(0, Cut::RefuseNew);
+    for router in 1..5 {
+        fleet.cut(router, Cut::Hang);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.replicas[0].crash();
+    tokio::time::sleep(RESTART_DELAY + Duration::from_millis(100)).await;
+    for router in 0..5 {
+        fleet.cut(router, Cut::None);
+    }
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_whole, "{answer:?}");
+}
+
 /// Guards against whole answers that are cut, as their end is not known behind another router.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_whole_answer_without_a_length_is_delivered_through_another_router() {
