--- a/src/platform/activity.rs
+++ b/src/platform/activity.rs
@@ -80,13 +80,13 @@
         self.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Records that the connection must be reset, since its regular end would state the end of an
-    /// answer that broke off.
-    pub(super) fn require_reset(&self) {
-        self.must_reset.store(true, Ordering::Relaxed);
+    /// Sets whether the connection must end with a reset, since its regular end would state the end
+    /// of an answer that is not whole.
+    pub(super) fn set_must_reset(&self, must_reset: bool) {
+        self.must_reset.store(must_reset, Ordering::Relaxed);
     }
 
-    /// Returns true if the connection must be reset.
+    /// Returns true if the connection must end with a reset.
     pub(super) fn must_reset(&self) -> bool {
         self.must_reset.load(Ordering::Relaxed)
     }
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -80,20 +80,23 @@
         self.stage = Stage::Serving;
     }
 
+    /// Records that the end of the answer will be that of the connection, which must not look
+    /// regular before.
+    pub(super) fn record_unstated_end(&self) {
+        self.activity.set_must_reset(true);
+    }
+
     /// Records that the whole answer was handed to the connection.
     pub(super) fn record_answer(&mut self) {
         if self.stage != Stage::AnswerCut {
             self.stage = Stage::Answered;
+            self.activity.set_must_reset(false);
         }
     }
 
-    /// Records that the answer was cut. With `is_reset` the connection is reset, since its regular
-    /// end would state the end of the answer.
-    pub(super) fn record_cut(&mut self, is_reset: bool) {
+    /// Records that the answer was cut.
+    pub(super) fn record_cut(&mut self) {
         self.stage = Stage::AnswerCut;
-        if is_reset {
-            self.activity.require_reset();
-        }
     }
 
     fn end(&self) -> RequestEnd {
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -463,10 +463,13 @@
     mut request: CallerRequest,
     version: Version,
 ) -> ResponseBody {
+    if version < Version::HTTP_11 {
+        request.record_unstated_end();
+    }
     let frames = stream! {
         while let Some(piece) = pieces.next().await {
             if piece.is_err() {
-                request.record_cut(version < Version::HTTP_11);
+                request.record_cut();
             }
             yield piece.map(Frame::data);
         }
--- a/tests/entry/unstated_end.rs
+++ b/tests/entry/unstated_end.rs
@@ -220,14 +220,38 @@
     ] {
         let (site, _replicas) = site_with(&[unframed_stream(&body, false)]).await;
         let router = site.ready_router("r-1").await;
-        let mut caller = TcpStream::connect(router.callers_address).await.unwrap();
-        let request = format!(
-            "POST /draft/x HTTP/1.0\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
-             Currantlever-Attempt-Id: a-1\r\nContent-Length: 0\r\n\r\n"
-        );
-        caller.write_all(request.as_bytes()).await.unwrap();
+        let mut caller = call_http_1_0(&router).await;
         let mut received = Vec::new();
         let end = caller.read_to_end(&mut received).await;
         assert_eq!(end.is_ok(), is_whole, "{end:?}");
     }
 }
+
+/// Sends a request for a stream as a caller of HTTP/1.0.
+async fn call_http_1_0(router: &Router) -> TcpStream {
+    let mut caller = TcpStream::connect(router.callers_address).await.unwrap();
+    let request = format!(
+        "POST /draft/x HTTP/1.0\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
+         Currantlever-Attempt-Id: a-1\r\nContent-Length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).await.unwrap();
+    caller
+}
+
+/// Guards against a stream that looks whole to a caller of HTTP/1.0 because the operating system
+/// closed the connections of a killed router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_to_a_caller_of_http_1_0_ends_with_a_reset_when_the_router_is_killed() {
+    let stream = Behaviour::Stream {
+        events: 1_000,
+        pause: Duration::from_millis(20),
+    };
+    let (site, _replicas) = site_with(&[stream]).await;
+    let mut router = site.ready_router("r-1").await;
+    let mut caller = call_http_1_0(&router).await;
+    let mut received = vec![0; events(1..=1).len()];
+    caller.read_exact(&mut received).await.unwrap();
+    router.kill();
+    let end = caller.read_to_end(&mut received).await;
+    assert!(end.is_err(), "{end:?}");
+}
