Bound the memory of all answers together (report of bytes without end)

Callers would see: requests on a VM end with its process, which ran out of memory, while a faulty replica sends heads or bodies without end.

Cause: each answer was bounded (a head by the HTTP library at about 400 KB, a held body at 1 MB), all together were not.

Heads are held to 16 KB, bodies share 16 MiB beyond their first 16 KB, which small answers always have.

--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 use tokio::time::Instant;
 
+use super::answer_buffer::AnswerMemory;
 use super::catalog::{Catalog, Route, Team};
 use super::dispatch_progress::DispatchProgress;
 use super::grants::{Grants, Reservation};
@@ -53,6 +54,7 @@
     pub(super) server_crashes: Arc<ServerCrashes>,
     pub(super) suspects: Arc<Suspects>,
     pub(super) permits: Arc<Permits>,
+    pub(super) answer_memory: AnswerMemory,
     pub(super) metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
@@ -95,6 +97,7 @@
             suspects: Arc::clone(parts.server_crashes.suspects()),
             server_crashes: parts.server_crashes,
             permits: parts.permits,
+            answer_memory: AnswerMemory::new(),
             metrics: parts.metrics,
             log,
         }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 //! relays the answer and settles the reservation. It is independent of HTTP headers and of the
 //! store's formats, which are behind the traits `ReplicaTransport` and `KindStore`.
 
+mod answer_buffer;
 pub(crate) mod brittleness;
 pub(crate) mod broken_answers;
 pub(crate) mod caller_addresses;
--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -10,13 +10,14 @@
 use slog::info;
 use tokio::time::Instant;
 
+use super::answer_buffer::discard_body;
 use super::catalog::RouteKind;
 use super::chosen_replica::ChosenReplica;
 use super::event_ids::EventIds;
 use super::events::{EventBatch, EventSplitter, StreamQuota, StreamTooLong};
 use super::request::{AnswerBody, BodyEnd, BodyPart, BodyStream, BrokenBody, ReplicaAnswer};
 use super::retries::NotResumed;
-use super::run::{discard_body, AnsweredTry, Run};
+use super::run::{AnsweredTry, Run};
 use super::silence::{hand_over, Handover, Silence};
 
 /// Content type of a stream of events.
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use rand::RngExt;
 use slog::info;
 use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
+use super::answer_buffer::discard_body;
 use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
 use super::dispatch_progress::DispatchProgress;
@@ -18,8 +19,8 @@
 use super::grants::Reservation;
 use super::record::RequestRecord;
 use super::request::{
-    AnswerBody, BodyEnd, BodyPart, BrokenBody, Dispatch, DispatchError, ExchangeRequest,
-    RejectKind, Rejection, ReplicaAnswer, Reply, ReplyBody, ResumePoint, StatedLimit, UnsentCause,
+    AnswerBody, BodyEnd, BrokenBody, Dispatch, DispatchError, ExchangeRequest, RejectKind,
+    Rejection, ReplicaAnswer, Reply, ReplyBody, ResumePoint, StatedLimit, UnsentCause,
 };
 use crate::core::ids::{PoolId, ReplicaId};
 use crate::core::part_quarantine::PartId;
@@ -35,10 +36,6 @@
 /// Connections that may be refused before a request is rejected. That takes milliseconds, and
 /// servers that have just ended are not known to be down yet.
 const MAX_REFUSED_TRIES: u32 = 16;
-/// Largest body that is buffered, in bytes; a longer one fails the try.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
-/// Timeout for reading the rest of an answer that is not forwarded.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Smallest `Retry-After` when all replicas are full.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Jitter added to `OVERLOAD_RETRY_AFTER`, in milliseconds, so that callers do not retry at the
@@ -374,13 +371,13 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body breaks off or is too long.
+    /// Fails when the body breaks off, is too long, or there is no memory left for it.
     async fn read_body(
         &self,
         body: &mut AnswerBody,
         chosen: &ChosenReplica,
     ) -> Result<Bytes, BrokenBody> {
-        let (bytes, end) = read_until_end(body).await?;
+        let (bytes, end) = self.exchange.answer_memory.read_body(body).await?;
         self.check_end(end, chosen).await?;
         Ok(bytes)
     }
@@ -471,26 +468,3 @@
         Ok(Err(DispatchError::Unknown { .. })) | Err(_) => false,
     }
 }
-
-/// Reads a body into memory until its end.
-async fn read_until_end(body: &mut AnswerBody) -> Result<(Bytes, BodyEnd), BrokenBody> {
-    let mut buffer = BytesMut::new();
-    loop {
-        match body.next().await? {
-            BodyPart::Data(chunk) => buffer.extend_from_slice(&chunk),
-            BodyPart::End(end) => return Ok((buffer.freeze(), end)),
-        }
-        if buffer.len() > MAX_BUFFERED_BYTES {
-            return Err(BrokenBody {
-                reason: "longer than what is held".into(),
-                is_connection_lost: false,
-            });
-        }
-    }
-}
-
-/// Reads and drops the rest of a body, so that its connection can be reused.
-pub(super) async fn discard_body(mut body: AnswerBody) {
-    // After a timeout only the connection is lost.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_until_end(&mut body)).await;
-}
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -35,6 +35,8 @@
 const RUN_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(100);
 /// Margin before the keep-alive timeout that a replica sends.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Largest head of an answer, and most bytes that are read from a connection at once.
+const MAX_HEAD_BYTES: usize = 16 * 1_024;
 /// Characters of an unusable header value that are logged.
 const MAX_LOGGED_CHARS: usize = 40;
 
@@ -91,7 +93,9 @@
             };
             not_sent(cause, error)
         })?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(UnsentCause::Unreachable, error))?;
         // Errors of the connection are returned by the request on it.
--- a/tests/entry/endless.rs
+++ b/tests/entry/endless.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::replica::Behaviour;
-use super::site::{wait_until, Call};
+use super::site::{wait_until, Call, Router};
 use super::site_with;
 
 /// Timeout of the routes.
@@ -90,3 +90,52 @@
         .await;
     }
 }
+
+/// Memory of the smallest VM of a deployment, in MB.
+const SMALLEST_VM_MB: u64 = 88;
+/// Replicas, of eight slots each, and requests that are in progress at the same time.
+const FAULTY_REPLICAS: usize = 30;
+const CONCURRENT_REQUESTS: usize = 240;
+
+/// Guards against a VM that runs out of memory, and with it the requests of all its callers, since
+/// it holds what faulty servers send to many requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_endless_answers_at_once_do_not_use_up_the_memory_of_a_vm() {
+    let slowly = |behaviour| Behaviour::Slowly(Box::new(behaviour));
+    let cases = [
+        (slowly(Behaviour::EndlessLine), "book"),
+        (slowly(Behaviour::EndlessHead), "look"),
+        (slowly(Behaviour::EndlessBody(200)), "book"),
+        (slowly(Behaviour::EndlessBody(503)), "draft"),
+        (Behaviour::EndlessEvent, "draft"),
+        (Behaviour::EndlessEvents, "draft"),
+    ];
+    for (behaviour, route) in cases {
+        let (site, _replicas) = site_with(&vec![behaviour.clone(); FAULTY_REPLICAS]).await;
+        let router = site.ready_router("r-1").await;
+        wait_until("all replicas are known", || async {
+            router.log_lines("replica added or updated").len() >= FAULTY_REPLICAS
+        })
+        .await;
+        send_concurrently(&router, route).await;
+        let peak_mb = router.peak_memory_kb() / 1_024;
+        println!("{behaviour:?}, {route}: {peak_mb} MB");
+        assert!(peak_mb < SMALLEST_VM_MB, "{behaviour:?}: {peak_mb} MB");
+    }
+}
+
+/// Sends requests at the same moment and waits for the end of all of them.
+async fn send_concurrently(router: &Router, route: &'static str) {
+    let address = router.callers_address;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..CONCURRENT_REQUESTS {
+        calls.spawn(async move {
+            let call = Call::new(route, &format!("a-{number}"));
+            let answer = call.send(address).await;
+            answer.is_ok_and(|answer| answer.status == 200 && answer.is_whole)
+        });
+    }
+    while let Some(looks_whole) = calls.join_next().await {
+        assert!(!looks_whole.unwrap());
+    }
+}
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -27,6 +27,9 @@
 /// Time from a crash to the restart of the server.
 pub const RESTART_DELAY: Duration = Duration::from_secs(2);
 
+/// Pause of a server that sends an endless answer slowly.
+const SLOW_PAUSE: Duration = Duration::from_millis(20);
+
 /// How a fake replica answers a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -92,6 +95,8 @@
     EndlessHead,
     /// Sends an answer of this status without a length and with a body that never ends.
     EndlessBody(u16),
+    /// Sends like the inner behaviour, which never ends, with pauses.
+    Slowly(Box<Behaviour>),
     /// Streams a first event that never ends.
     EndlessEvent,
     /// Streams complete events without end.
@@ -461,16 +466,14 @@
         | Behaviour::StreamAfter { .. } => {
             return stream_or_break(stream, request, behaviour, additions, disconnects).await;
         }
-        Behaviour::EndlessLine | Behaviour::EndlessHead | Behaviour::EndlessBody(_) => {
-            send_endless_answer(stream, id, behaviour).await;
-            disconnects.lock().unwrap().push(Instant::now());
-            return false;
-        }
-        Behaviour::EndlessEvent | Behaviour::EndlessEvents | Behaviour::Trickle(_) => {
-            let head = stream_head(id, leaving_line);
-            if stream.write_all(head.as_bytes()).await.is_ok() {
-                send_endlessly(stream, behaviour).await;
-            }
+        Behaviour::EndlessLine
+        | Behaviour::EndlessHead
+        | Behaviour::EndlessBody(_)
+        | Behaviour::Slowly(_)
+        | Behaviour::EndlessEvent
+        | Behaviour::EndlessEvents
+        | Behaviour::Trickle(_) => {
+            send_without_end(stream, id, leaving_line, behaviour).await;
             disconnects.lock().unwrap().push(Instant::now());
             return false;
         }
@@ -547,8 +550,30 @@
     with_line(lines, &format!("Server-Limit: {limit}"))
 }
 
+/// Sends an answer or a stream that never ends, until the router closes the connection.
+async fn send_without_end(
+    stream: &mut TcpStream,
+    id: &str,
+    leaving_line: &str,
+    behaviour: &Behaviour,
+) {
+    match behaviour {
+        Behaviour::EndlessEvent | Behaviour::EndlessEvents | Behaviour::Trickle(_) => {
+            let head = stream_head(id, leaving_line);
+            if stream.write_all(head.as_bytes()).await.is_ok() {
+                send_endlessly(stream, behaviour).await;
+            }
+        }
+        _ => send_endless_answer(stream, id, behaviour).await,
+    }
+}
+
 /// Sends an answer that never ends, until the router closes the connection.
 async fn send_endless_answer(stream: &mut TcpStream, id: &str, behaviour: &Behaviour) {
+    let (behaviour, pause) = match behaviour {
+        Behaviour::Slowly(inner) => (inner.as_ref(), SLOW_PAUSE),
+        _ => (behaviour, Duration::ZERO),
+    };
     let mut text = match behaviour {
         Behaviour::EndlessLine => "HTTP/1.1 200 OK\r\nX-Long: ".to_owned(),
         Behaviour::EndlessBody(status) => format!(
@@ -563,6 +588,9 @@
     };
     while stream.write_all(text.as_bytes()).await.is_ok() {
         text.clone_from(&filler);
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
     }
 }
 
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -196,6 +196,15 @@
         panic!("timed out waiting until the router exits");
     }
 
+    /// Returns the largest resident size of the process so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let number = line.unwrap().split_whitespace().nth(1);
+        number.unwrap().parse().unwrap()
+    }
+
     /// Returns all log lines of the process so far, those before a restart included.
     pub fn log(&self) -> Vec<Value> {
         self.log.lock().unwrap().clone()
