--- a/tests/entry/gate.rs
+++ b/tests/entry/gate.rs
@@ -29,6 +29,7 @@
 }
 
 /// The path from one router to one replica.
+#[derive(Clone)]
 pub struct Gate {
     pub address: SocketAddr,
     cut: watch::Sender<Cut>,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -27,6 +27,7 @@
 mod site;
 mod store;
 mod stream_origins;
+mod stutter;
 mod unstated_end;
 mod versions;
 
--- a/tests/entry/partition.rs
+++ b/tests/entry/partition.rs
@@ -1,6 +1,8 @@
 //! Routers without a path to the replicas, which clients, the store and other routers still reach.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::gate::{Cut, Gate};
@@ -16,22 +18,25 @@
 const ROUTES: [&str; 4] = ["look", "book", "chat", "draft"];
 
 /// Routers that reach the replicas through gates of their own.
-struct Fleet {
+pub struct Fleet {
     site: Site,
-    replicas: Vec<FakeReplica>,
-    routers: Vec<Router>,
+    pub replicas: Vec<FakeReplica>,
+    pub routers: Vec<Router>,
     gates: Vec<Vec<Gate>>,
+    /// True for replicas that have crashed and are not back yet.
+    is_down: Vec<Arc<AtomicBool>>,
 }
 
 impl Fleet {
     /// Starts routers in two failure domains by turns, all of which reach all replicas.
-    async fn start(routers: usize, behaviours: &[Behaviour]) -> Self {
+    pub async fn start(routers: usize, behaviours: &[Behaviour]) -> Self {
         let (site, replicas) = site_with(behaviours).await;
         let mut fleet = Self {
             site,
             replicas,
             routers: Vec::new(),
             gates: Vec::new(),
+            is_down: behaviours.iter().map(|_| Arc::default()).collect(),
         };
         for number in 0..routers {
             let mut gates = Vec::new();
@@ -59,13 +64,38 @@
     }
 
     /// Cuts the paths of a router to all replicas, or restores them.
-    fn cut(&self, router: usize, cut: Cut) {
-        for gate in &self.gates[router] {
-            gate.cut(cut);
+    pub fn cut(&self, router: usize, cut: Cut) {
+        for (gate, is_down) in self.gates[router].iter().zip(&self.is_down) {
+            if !is_down.load(Ordering::Relaxed) {
+                gate.cut(cut);
+            }
+        }
+    }
+
+    /// Crashes a replica. Its gates accept connections on its behalf, so they refuse them meanwhile.
+    pub async fn crash(&self, replica: usize) {
+        let is_down = Arc::clone(&self.is_down[replica]);
+        is_down.store(true, Ordering::Relaxed);
+        let gates: Vec<Gate> = self
+            .gates
+            .iter()
+            .map(|gates| gates[replica].clone())
+            .collect();
+        for gate in &gates {
+            gate.cut(Cut::RefuseNew);
         }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        self.replicas[replica].crash();
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_DELAY + Duration::from_millis(100)).await;
+            is_down.store(false, Ordering::Relaxed);
+            for gate in &gates {
+                gate.cut(Cut::None);
+            }
+        });
     }
 
-    fn address(&self, router: usize) -> SocketAddr {
+    pub fn address(&self, router: usize) -> SocketAddr {
         self.routers[router].callers_address
     }
 
--- a/tests/entry/replica.rs
+++ b/tests/entry/replica.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 
 use super::site::free_port;
+use super::stutter::answer_faultily;
 
 /// Body of a poison request: a server that starts to run such a request crashes.
 pub const POISON_BODY: &str = "ends servers";
@@ -115,6 +116,8 @@
     /// Streams some events and closes the connection, unless the request resumes a stream; then it
     /// streams the rest.
     BreakNewStream { after: u64, events: u64 },
+    /// Answers twice, breaks off or states no end, at random.
+    Faulty,
     /// Streams like the inner behaviour; the events state this version of the software.
     OfVersion(&'static str, Box<Behaviour>),
 }
@@ -369,7 +372,12 @@
         if let Behaviour::OfVersion(version, inner) = behaviour {
             (behaviour, additions.version) = (*inner, Some(version));
         }
-        if !answer(&mut stream, &request, &behaviour, additions, disconnects).await {
+        let is_usable = if behaviour == Behaviour::Faulty {
+            answer_faultily(&mut stream, &request).await
+        } else {
+            answer(&mut stream, &request, &behaviour, additions, disconnects).await
+        };
+        if !is_usable {
             if matches!(behaviour, Behaviour::Unframed { crashes: true, .. }) {
                 crash.notify_one();
                 std::future::pending::<()>().await;
@@ -423,7 +431,9 @@
             ),
         ),
         Behaviour::Limit(limit) => full_answer("200 OK", id, &limit_lines(signature, limit)),
-        Behaviour::Leaving(_) | Behaviour::OfVersion(..) => panic!("nested in the wrong order"),
+        Behaviour::Leaving(_) | Behaviour::OfVersion(..) | Behaviour::Faulty => {
+            panic!("nested in the wrong order")
+        }
         Behaviour::Misdirected => full_answer("421 Misdirected Request", id, ""),
         Behaviour::WrongId => full_answer("200 OK", "another", signature),
         Behaviour::Unsigned => full_answer("200 OK", id, ""),
@@ -604,7 +614,7 @@
 }
 
 /// Returns the head of an answer without a length.
-fn unframed_head(id: &str, content_type: &str) -> String {
+pub fn unframed_head(id: &str, content_type: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
          Currantlever-Replica-Signature: sig\r\nContent-Type: {content_type}\r\n\r\n"
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -24,6 +24,9 @@
 /// Time after which a wait for an expected state fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Names another build of the program to test, for comparisons by hand.
+const PROGRAM_VARIABLE: &str = "CURRANTLEVER_PROGRAM";
+
 /// Limit of file descriptors in the routers' settings.
 pub const MAX_DESCRIPTORS: usize = 600;
 
@@ -76,7 +79,9 @@
 
 fn spawn(settings: &PathBuf, log: &Arc<Mutex<Vec<Value>>>) -> Child {
     let lock = START_LOCK.lock().unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_currantlever"))
+    let program = std::env::var_os(PROGRAM_VARIABLE);
+    let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_currantlever").into());
+    let mut child = Command::new(program)
         .arg("entry")
         .arg("--settings")
         .arg(settings)
