--- a/src/exchange/relay.rs
+++ b/src/exchange/relay.rs
@@ -215,6 +215,9 @@
 pub(super) fn relay_stream(mut run: Run, open_stream: OpenStream) -> BodyStream {
     let chunks = stream! {
         let mut open_stream = open_stream;
+        if !is_event_stream(&open_stream.headers) {
+            run.spend_whole_output();
+        }
         loop {
             let first_bytes = std::mem::take(&mut open_stream.first_bytes);
             run.spend_events(open_stream.first_events);
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -147,6 +147,9 @@
                         self.record
                             .add_try(chosen.replica.id.as_str(), answer.status);
                     }
+                    if (200..300).contains(&answer.status) {
+                        self.spend_whole_output();
+                    }
                     return Ok(ServedAnswer::Buffered {
                         status: answer.status,
                         headers: answer.headers,
@@ -442,6 +445,16 @@
         self.set_spent(bound.prompt_tokens + self.output_tokens);
     }
 
+    /// Counts all output that the request may have as spent. An answer that is no stream of events
+    /// does not tell how much it holds.
+    pub(super) fn spend_whole_output(&mut self) {
+        let Some(bound) = self.request.tokens else {
+            return;
+        };
+        self.output_tokens = bound.max_output_tokens;
+        self.set_spent(bound.total_tokens());
+    }
+
     fn set_spent(&mut self, tokens: Tokens) {
         if let Some(reservation) = &mut self.reservation {
             reservation.set_spent(tokens);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod lost;
 mod odd_entries;
 mod partition;
+mod plain_output;
 mod plain_tunnels;
 mod prompt_parts;
 mod rate_limits;
