--- a/src/exchange/catalog.rs
+++ b/src/exchange/catalog.rs
@@ -124,6 +124,7 @@
 pub(crate) struct Catalog {
     version: u64,
     routes: HashMap<CompactString, HashMap<CompactString, Arc<Route>>>,
+    requires_keys: bool,
     teams: Vec<Arc<Team>>,
     teams_by_key: HashMap<CompactString, Arc<Team>>,
     pools: HashMap<PoolId, PoolRules>,
@@ -136,6 +137,7 @@
         Self {
             version,
             routes: HashMap::new(),
+            requires_keys: false,
             teams: Vec::new(),
             teams_by_key: HashMap::new(),
             pools: HashMap::new(),
@@ -149,6 +151,12 @@
         routes.insert(route.path_prefix.clone(), Arc::new(route));
     }
 
+    /// Makes routes that are not public refuse requests without the key of a team, also while there
+    /// is no team.
+    pub(crate) fn require_keys(&mut self) {
+        self.requires_keys = true;
+    }
+
     /// Adds a team with its API keys.
     pub(crate) fn add_team(&mut self, team: Team, keys: Vec<CompactString>) {
         let team = Arc::new(team);
@@ -187,9 +195,9 @@
         self.teams_by_key.get(key)
     }
 
-    /// Returns true if any team exists; callers then need API keys.
-    pub(crate) fn has_teams(&self) -> bool {
-        !self.teams.is_empty()
+    /// Returns true if callers of routes that are not public need API keys.
+    pub(crate) const fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// Returns all teams.
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -178,7 +178,7 @@
         record.route.clone_from(&route.name);
         let key = request.key.as_deref();
         let team = key.and_then(|key| catalog.find_team(key)).cloned();
-        if team.is_none() && catalog.has_teams() && !route.is_public {
+        if team.is_none() && catalog.requires_keys() && !route.is_public {
             return Err(self.not_found_rejection(RejectKind::UnknownKey));
         }
         if let Some(team) = &team {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 
 use crate::core::ids::{BudgetId, PoolId};
@@ -32,8 +32,9 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: WireLimits,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
+    /// Keys are needed as soon as there is a list, even an empty one.
+    #[serde(default, deserialize_with = "deserialize_present")]
+    tenants: Option<Vec<WireTenant>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -104,6 +105,15 @@
     prepaid: Option<u64>,
 }
 
+/// Decodes a field that may be missing, but not null.
+fn deserialize_present<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    T::deserialize(deserializer).map(Some)
+}
+
 /// Decodes the operator's configuration from JSON.
 pub(crate) fn decode_catalog(json: &str) -> Result<Catalog, ConfigError> {
     let wire: WireConfig = serde_json::from_str(json).map_err(config_error)?;
@@ -132,7 +142,10 @@
     for route in wire.routes {
         catalog.add_route(decode_route(route)?);
     }
-    for tenant in wire.tenants {
+    if wire.tenants.is_some() {
+        catalog.require_keys();
+    }
+    for tenant in wire.tenants.unwrap_or_default() {
         let team = Team {
             budget: BudgetId::new(tenant.name).map_err(config_error)?,
             priority: tenant.priority,
--- a/tests/entry/config_changes.rs
+++ b/tests/entry/config_changes.rs
@@ -342,3 +342,50 @@
     }
     assert!(replicas[0].received().is_empty());
 }
+
+/// Guards against routes that are open to all callers once the last team was taken out.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_any_team_left_requests_are_refused_and_reach_no_server() {
+    let (site, replicas) = site_with(&[Behaviour::Answer]).await;
+    let router = site.ready_router("r-1").await;
+    let mut config = lists(2, AMPLE_PAID_TOKENS);
+    config["tenants"] = json!([]);
+    site.store.put("config", "main", &config);
+    wait_in_force(&router, 2).await;
+    for key in [KEY, "of nobody", ""] {
+        for route in ["look", "book", "chat", "draft"] {
+            let authorization = format!("Token {key}");
+            let call = Call::new(route, &format!("a-{route}-{key}"));
+            let call = call.with("authorization", &authorization);
+            wait_until("the lists are known to be current", || async {
+                let got = call.send(router.callers_address).await.unwrap();
+                assert!([401, 503].contains(&got.status), "{route}: {}", got.status);
+                got.status == 401
+            })
+            .await;
+        }
+    }
+    assert_eq!(replicas[0].received().len(), 0);
+}
+
+/// Guards against refusing all callers of a site that has never had a list of teams.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_list_of_teams_no_key_is_needed() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    let router = site.ready_router("r-1").await;
+    let mut config = lists(2, AMPLE_PAID_TOKENS);
+    config.as_object_mut().unwrap().remove("tenants");
+    site.store.put("config", "main", &config);
+    wait_in_force(&router, 2).await;
+    let call = Call::new("look", "a-1").with("authorization", "Token of nobody");
+    let got = call.send(router.callers_address).await.unwrap();
+    assert_eq!(got.status, 200);
+}
+
+async fn wait_in_force(router: &Router, version: u64) {
+    wait_until("the version is in force", || async {
+        let lines = router.log_lines("configuration in force");
+        lines.iter().any(|line| line["config_version"] == version)
+    })
+    .await;
+}
