--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -10,7 +10,9 @@
 
 use super::grants::Grants;
 use super::headroom::Headroom;
-use super::members::{entry_name, Hello, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS};
+use super::members::{
+    entry_name, Hello, HelloSender, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS,
+};
 use super::path_monitor::PathMonitor;
 use super::permits::Permits;
 use super::pools::Pools;
@@ -26,6 +28,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 /// Maximum number of hellos sent in one round.
 const HELLOS_PER_ROUND: usize = 12;
+/// Routers that tell a router which has started of the crashes that it does not know.
+const CRASH_REPORTERS: usize = 8;
 /// Minimum interval between messages with reports on suspect requests.
 const REPORT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the entries are checked.
@@ -161,7 +165,7 @@
             Ok((length_bytes, router)) => {
                 match postcard::from_bytes(&buffer[..length_bytes]) {
                     Ok(PeerMessage::Hello(hello)) => {
-                        apply_hello(router, hello, &context);
+                        apply_hello(&socket, router, hello, &context);
                     }
                     Ok(PeerMessage::Suspicions(reports)) => context.suspects.apply_reports(reports),
                     Ok(PeerMessage::Parts(reports)) => {
@@ -201,7 +205,7 @@
     }
 }
 
-fn apply_hello(router: SocketAddr, mut hello: Hello, context: &HelloContext) {
+fn apply_hello(socket: &UdpSocket, router: SocketAddr, mut hello: Hello, context: &HelloContext) {
     let interval = Duration::from_millis(u64::from(hello.interval_ms));
     context
         .grants
@@ -217,10 +221,31 @@
     context
         .suspects
         .apply_reports(std::mem::take(&mut hello.suspicions));
-    if context.members.apply_hello(hello) {
+    let sender = context.members.apply_hello(hello);
+    if sender == HelloSender::Discovered {
         info!(context.log, "router discovered"; "router" => router.to_string(),
             "known" => context.members.known_count());
     }
+    if sender != HelloSender::Known {
+        send_known_crashes(socket, router, context);
+    }
+}
+
+/// Tells a router that may have started just now of the crashes that it does not know. In a large
+/// fleet only some do so.
+fn send_known_crashes(socket: &UdpSocket, router: SocketAddr, context: &HelloContext) {
+    let known_count = context.members.known_count().max(1);
+    if rand::random_range(0..known_count) >= CRASH_REPORTERS {
+        return;
+    }
+    let batches = context.suspects.known_crashes();
+    if !batches.is_empty() {
+        info!(context.log, "known crashes of servers reported to a router";
+            "router" => router.to_string(), "messages" => batches.len());
+    }
+    for reports in batches {
+        PeerMessage::Suspicions(reports).send_all(socket, &[router]);
+    }
 }
 
 /// Logs unusable entries of routers. The others are polled instead.
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -219,6 +219,17 @@
     }
 }
 
+/// What was known of the router that sent a hello.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HelloSender {
+    /// Its process was known, or the hello is an old one.
+    Known,
+    /// Another process of its VM was known.
+    Restarted,
+    /// It was unknown or timed out.
+    Discovered,
+}
+
 /// Routers of the fleet that this one knows.
 #[derive(Debug)]
 pub(crate) struct Members {
@@ -263,10 +274,10 @@
         }
     }
 
-    /// Applies a hello. Returns true if its router was timed out or unknown before.
-    pub(crate) fn apply_hello(&self, hello: Hello) -> bool {
+    /// Applies a hello, and returns whether its router was known before.
+    pub(crate) fn apply_hello(&self, hello: Hello) -> HelloSender {
         if hello.entry.peer_address == self.own.peer_address {
-            return false;
+            return HelloSender::Known;
         }
         let mut others = lock(&self.others);
         let others = &mut *others;
@@ -278,9 +289,17 @@
             .last_hello
             .as_ref()
             .is_none_or(|last_hello| last_hello.is_timed_out);
+        let mut sender = if was_timed_out {
+            HelloSender::Discovered
+        } else {
+            HelloSender::Known
+        };
         if let Some(last_hello) = &member.last_hello {
             if last_hello.process == hello.process && last_hello.sequence >= hello.sequence {
-                return false;
+                return HelloSender::Known;
+            }
+            if last_hello.process != hello.process && !was_timed_out {
+                sender = HelloSender::Restarted;
             }
             subtract(&mut others.loads, &last_hello.loads);
         }
@@ -302,7 +321,7 @@
             loads: hello.loads,
             is_timed_out: false,
         });
-        was_timed_out
+        sender
     }
 
     /// Discards the load of timed out routers. Returns those that timed out since the last call.
--- a/src/exchange/suspects.rs
+++ b/src/exchange/suspects.rs
@@ -5,7 +5,7 @@
 //! forward it (epidemic broadcast). Reports of crashed servers and of completed requests may arrive
 //! in any order and more than once.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
 const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of reports in one message.
 const MAX_REPORTS_PER_MESSAGE: usize = 8;
+/// Maximum number of crashes that a router which has started is told of.
+const MAX_KNOWN_CRASHES: usize = 64;
 /// Maximum number of reports kept for hellos; the oldest are dropped first.
 const MAX_RECENT_REPORTS: usize = 512;
 
@@ -298,6 +300,29 @@
         reports
     }
 
+    /// Returns reports of the crashes known, in messages for a router that knows none of them. Those
+    /// of requests with the most crashes come first, and are all that are sent of many.
+    pub(crate) fn known_crashes(&self) -> Vec<Vec<SuspicionReport>> {
+        let now_ms = self.now_ms();
+        let state = lock(&self.state);
+        let mut by_request: BTreeMap<Fingerprint, Vec<&ServerCrash>> = BTreeMap::new();
+        for (fingerprint, crash) in state.quarantine.all_crashes(now_ms) {
+            by_request.entry(fingerprint).or_default().push(crash);
+        }
+        let mut requests: Vec<_> = by_request.into_iter().collect();
+        requests.sort_by_key(|(_, crashes)| std::cmp::Reverse(crashes.len()));
+        let reports = requests.into_iter().flat_map(|(fingerprint, crashes)| {
+            let crashes = crashes.into_iter().cloned();
+            crashes.map(move |crash| PendingReport::ServerEnded(fingerprint, crash))
+        });
+        let reports: Vec<SuspicionReport> = reports
+            .take(MAX_KNOWN_CRASHES)
+            .map(|report| report_message(&report, now_ms))
+            .collect();
+        let batches = reports.chunks(MAX_REPORTS_PER_MESSAGE);
+        batches.map(<[SuspicionReport]>::to_vec).collect()
+    }
+
     /// Waits for reports that have to be sent immediately and returns them.
     pub(crate) async fn next_reports(&self) -> Vec<SuspicionReport> {
         loop {
--- a/tests/entry/ending.rs
+++ b/tests/entry/ending.rs
@@ -347,3 +347,67 @@
         tokio::time::sleep(RESTART_DELAY + Duration::from_millis(200)).await;
     }
 }
+
+/// Guards against a fleet that forgets crashes as its routers are stopped and started in turn, so
+/// that a request crashes two servers after each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_are_counted_on_while_all_routers_are_restarted_in_turn() {
+    let (_site, replicas, mut routers) = fleet(3).await;
+    let mut sent = 0;
+    while crash_count(&replicas) < ALLOWED_CRASHES {
+        let call = poison("book", &format!("a-{sent}"));
+        let got = call.send(routers[0].callers_address).await.unwrap();
+        assert!([502, 503].contains(&got.status), "{}", got.status);
+        sent += 1;
+        assert!(sent <= ALLOWED_CRASHES, "refused before three crashes");
+        wait_until("all routers know of the crash", || async {
+            let known = |router: &Router| router.log_lines(SERVER_CRASHED).len();
+            routers.iter().map(known).sum::<usize>() >= sent as usize
+        })
+        .await;
+        tokio::time::sleep(REPORTED_TIME).await;
+        restart_in_turn(&mut routers).await;
+    }
+    wait_until("all routers refuse the request", || async {
+        let is_quarantined = |router: &Router| !router.log_lines("request quarantined").is_empty();
+        routers.iter().all(is_quarantined)
+    })
+    .await;
+    for (number, router) in routers.iter().enumerate() {
+        assert_refused(router, &format!("again-{number}"), &replicas).await;
+    }
+}
+
+/// Time after which a router's reports are repeated no more.
+const REPORTED_TIME: Duration = Duration::from_millis(1_200);
+
+/// Returns how often routers told others of the crashes that they know.
+fn report_count(routers: &[Router]) -> usize {
+    let reports = routers.iter().map(|router| {
+        router
+            .log_lines("known crashes of servers reported to a router")
+            .len()
+    });
+    reports.sum()
+}
+
+/// Stops and starts one router after the other, each once the one before was told of the crashes.
+async fn restart_in_turn(routers: &mut [Router]) {
+    for index in 0..routers.len() {
+        let reported_before = report_count(routers);
+        let router = &mut routers[index];
+        router.terminate();
+        assert_eq!(router.exit_code().await, Some(0));
+        let starts_before = router.log_lines("started").len();
+        router.restart();
+        wait_until("the router has started again", || async {
+            router.log_lines("started").len() > starts_before
+        })
+        .await;
+        wait_ready(router).await;
+        wait_until("the others have reported the crashes", || async {
+            report_count(routers) >= reported_before + 2
+        })
+        .await;
+    }
+}
