--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,8 +15,8 @@
 use crate::core::policy::PolicyName;
 use crate::core::presence::RouterState;
 use crate::entry_parts::{
-    count_connections, new_directory, new_origins, new_permits, new_pools, new_server_crashes,
-    new_transport, own_entry,
+    count_connections, new_directory, new_headroom, new_ingress, new_origins, new_permits,
+    new_pools, new_server_crashes, new_transport, own_entry,
 };
 use crate::entry_settings::EntrySettings;
 use crate::exchange::directory::Directory;
@@ -149,10 +149,9 @@
         };
         let exchange = Arc::new(Exchange::new(parts, log.clone()));
         let directory = new_directory(&pools, &server_crashes, &store_health, &log);
-        let ingress = Arc::new(Ingress::new(Arc::clone(&exchange), log.clone()));
+        let ingress = new_ingress(&settings, &exchange, &log);
         let connections = count_connections(&ingress, &transport, &tunnel_count);
-        let headroom = Headroom::new(settings.max_descriptors, connections, Arc::clone(&paths));
-        let headroom = Arc::new(headroom);
+        let headroom = new_headroom(&settings, connections, &paths);
         let router_endpoints = Arc::new(RouterEndpoints::new(
             Arc::clone(&members),
             Arc::clone(&exchange),
--- a/src/entry_parts.rs
+++ b/src/entry_parts.rs
@@ -10,7 +10,8 @@
 use crate::entry_settings::EntrySettings;
 use crate::exchange::brittleness::Brittleness;
 use crate::exchange::directory::Directory;
-use crate::exchange::headroom::OpenConnections;
+use crate::exchange::engine::Exchange;
+use crate::exchange::headroom::{Headroom, OpenConnections};
 use crate::exchange::limits::ReplicaLimits;
 use crate::exchange::members::{Members, RouterEntry};
 use crate::exchange::metrics::ExchangeMetrics;
@@ -151,3 +152,24 @@
         log.clone(),
     ))
 }
+
+/// Creates the callers' side of an exchange.
+pub(crate) fn new_ingress(
+    settings: &EntrySettings,
+    exchange: &Arc<Exchange>,
+    log: &Logger,
+) -> Arc<Ingress> {
+    let max_connections = settings.max_connections();
+    let ingress = Ingress::new(Arc::clone(exchange), max_connections, log.clone());
+    Arc::new(ingress)
+}
+
+/// Creates the spare capacity of a router, by its open connections.
+pub(crate) fn new_headroom(
+    settings: &EntrySettings,
+    connections: OpenConnections,
+    paths: &Arc<PathMonitor>,
+) -> Arc<Headroom> {
+    let headroom = Headroom::new(settings.max_connections(), connections, Arc::clone(paths));
+    Arc::new(headroom)
+}
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -34,6 +34,9 @@
     pub cpu_cores: f64,
     /// Largest number of open file descriptors of the process.
     pub max_descriptors: u32,
+    /// Memory that the process may use, in megabytes, if it is limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Time from SIGTERM until the process is killed, in seconds.
     pub grace_s: f64,
     /// The fleet's retry budget.
@@ -69,7 +72,28 @@
     }
 }
 
+/// Descriptors not available for connections: files, listeners, the store and other routers.
+const RESERVED_DESCRIPTORS: u32 = 300;
+/// Connections of callers that a megabyte of the process's memory allows for. Each holds up to 31 KB
+/// after a request with a body, and a part of the memory is needed for all else.
+const CONNECTIONS_PER_MB: f64 = 18.0;
+
 impl EntrySettings {
+    /// Returns the number of connections that descriptors and memory allow for.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked ranges"
+    )]
+    pub fn max_connections(&self) -> usize {
+        let by_descriptors = self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let by_memory = self
+            .memory_mb
+            .map_or(f64::MAX, |mb| mb * CONNECTIONS_PER_MB);
+        (by_memory as usize).min(by_descriptors as usize).max(1)
+    }
+
     /// Returns the CPU capacity of the VM, in thousandths of a core.
     #[must_use]
     #[allow(
@@ -105,6 +129,9 @@
             512.0,
             1e9,
         )?;
+        if let Some(memory_mb) = self.memory_mb {
+            check_range("memory_mb", memory_mb, 1.0, 1e9)?;
+        }
         check_range("grace_s", self.grace_s, 0.5, 3_600.0)?;
         check_range("retries.ratio", self.retries.ratio, 0.0, 10.0)?;
         check_range("retries.slack", self.retries.slack, 0.0, 1_000_000.0)?;
--- a/src/exchange/headroom.rs
+++ b/src/exchange/headroom.rs
@@ -8,8 +8,6 @@
 use super::path_monitor::PathMonitor;
 use crate::util::millis;
 
-/// Descriptors not available for connections: files, listeners, the store and other routers.
-const RESERVED_DESCRIPTORS: u64 = 300;
 /// Timer lag of the process at which its spare capacity is zero, in milliseconds.
 const MAX_LAG_MS: u64 = 500;
 /// Weight of a new sample in the moving average of the lag, in hundredths.
@@ -24,7 +22,7 @@
 
 /// Spare capacity of one router.
 pub(crate) struct Headroom {
-    descriptors: u64,
+    max_connections: u64,
     open_connections: OpenConnections,
     paths: Arc<PathMonitor>,
     lag_ms: AtomicU64,
@@ -37,16 +35,14 @@
 }
 
 impl Headroom {
-    /// Creates the capacity for a limit of descriptors.
+    /// Creates the capacity for a number of connections, which is not zero.
     pub(crate) fn new(
-        max_descriptors: u32,
+        max_connections: usize,
         open_connections: OpenConnections,
         paths: Arc<PathMonitor>,
     ) -> Self {
         Self {
-            descriptors: u64::from(max_descriptors)
-                .saturating_sub(RESERVED_DESCRIPTORS)
-                .max(1),
+            max_connections: max_connections as u64,
             open_connections,
             paths,
             lag_ms: AtomicU64::new(0),
@@ -61,11 +57,11 @@
         self.lag_ms.store(average, Ordering::Relaxed);
     }
 
-    /// Returns the free share of descriptors or of timer lag, whichever is less, in hundredths; a
+    /// Returns the free share of connections or of timer lag, whichever is less, in hundredths; a
     /// small share while this router has no path to the replicas.
     pub(crate) fn percent(&self) -> u8 {
         let open = (self.open_connections)() as u64;
-        let free = self.descriptors.saturating_sub(open) * 100 / self.descriptors;
+        let free = self.max_connections.saturating_sub(open) * 100 / self.max_connections;
         let lag_ms = self.lag_ms.load(Ordering::Relaxed).min(MAX_LAG_MS);
         let time = (MAX_LAG_MS - lag_ms) * 100 / MAX_LAG_MS;
         let percent = u8::try_from(free.min(time)).unwrap_or(100);
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -45,6 +45,10 @@
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for receiving a body if the request has no deadline header.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Idle timeout while there are more connections than memory or descriptors allow for.
+const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Share of these connections, in percent, at which the usual idle timeout applies again.
+const UNCROWDED_PERCENT: usize = 80;
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
@@ -58,14 +62,17 @@
     exchange: Arc<Exchange>,
     log: Logger,
     is_leaving: AtomicBool,
+    max_connections: usize,
     open_connections: AtomicUsize,
+    /// True while idle connections are closed sooner.
+    is_crowded: watch::Sender<bool>,
     counts: RequestCounts,
     closing: watch::Sender<Closing>,
 }
 
 impl Ingress {
-    /// Creates the callers' side of an exchange.
-    pub(crate) fn new(exchange: Arc<Exchange>, log: Logger) -> Self {
+    /// Creates the callers' side of an exchange, for a number of connections.
+    pub(crate) fn new(exchange: Arc<Exchange>, max_connections: usize, log: Logger) -> Self {
         let counts = RequestCounts {
             in_progress: Arc::default(),
             metrics: Arc::clone(exchange.metrics()),
@@ -75,7 +82,9 @@
             exchange,
             log,
             is_leaving: AtomicBool::new(false),
+            max_connections,
             open_connections: AtomicUsize::new(0),
+            is_crowded: watch::Sender::new(false),
             counts,
             closing: watch::Sender::new(Closing::No),
         }
@@ -129,6 +138,7 @@
                 "peer" => peer.to_string(), "reason" => error.to_string());
         }
         self.open_connections.fetch_add(1, Ordering::Relaxed);
+        self.update_crowded();
         let activity = Arc::new(Activity::new());
         let service = {
             let (ingress, activity) = (Arc::clone(&self), Arc::clone(&activity));
@@ -149,12 +159,16 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut closing = self.closing.subscribe();
+        let mut is_crowded = self.is_crowded.subscribe();
         let mut is_closing = *closing.borrow() != Closing::No;
         if is_closing {
             connection.as_mut().graceful_shutdown();
         }
         loop {
-            let (idle_timeout, head_timeout) = self.caller_timeouts();
+            let (mut idle_timeout, head_timeout) = self.caller_timeouts();
+            if *is_crowded.borrow_and_update() {
+                idle_timeout = idle_timeout.min(CROWDED_IDLE_TIMEOUT);
+            }
             let head_deadline = activity.head_since().map(|since| since + head_timeout);
             let next_idle_check = if activity.is_busy() {
                 Instant::now() + idle_timeout
@@ -192,6 +206,7 @@
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                Ok(()) = is_crowded.changed() => {}
                 () = tokio::time::sleep_until(next_idle_check), if !is_closing => {
                     let is_idle = activity.idle_since() + idle_timeout <= Instant::now();
                     if is_idle && !activity.is_busy() {
@@ -202,6 +217,26 @@
             }
         }
         self.open_connections.fetch_sub(1, Ordering::Relaxed);
+        self.update_crowded();
+    }
+
+    /// Closes idle connections sooner while there are too many.
+    fn update_crowded(&self) {
+        let open = self.connection_count();
+        let is_changed = self.is_crowded.send_if_modified(|is_crowded| {
+            let limit = if *is_crowded {
+                self.max_connections * UNCROWDED_PERCENT / 100
+            } else {
+                self.max_connections
+            };
+            let was_crowded = std::mem::replace(is_crowded, open > limit);
+            *is_crowded != was_crowded
+        });
+        if is_changed {
+            info!(self.log, "idle timeout of callers changed"; "connections" => open,
+                "max_connections" => self.max_connections,
+                "is_crowded" => *self.is_crowded.borrow());
+        }
     }
 
     /// Returns the idle timeout and the timeout for receiving a head.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod broken_head;
 mod broken_resume;
 mod config_changes;
+mod crowded;
 mod earlier_refusal;
 mod ending;
 mod endless;
