--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -10,9 +10,8 @@
 
 use super::grants::Grants;
 use super::headroom::Headroom;
-use super::members::{
-    entry_name, Hello, HelloSender, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS,
-};
+use super::hello_sender::HelloSender;
+use super::members::{entry_name, Hello, Members, RouterEntry, RouterStateSource, TIMEOUT_HELLOS};
 use super::path_monitor::PathMonitor;
 use super::permits::Permits;
 use super::pools::Pools;
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::brittleness::BrittleReport;
+use super::hello_sender::HelloSender;
 use super::limits::LimitReport;
 use super::pooling::GrantReport;
 use super::replica_reports::ReplicaStatusReport;
@@ -219,17 +220,6 @@
     }
 }
 
-/// What was known of the router that sent a hello.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum HelloSender {
-    /// Its process was known, or the hello is an old one.
-    Known,
-    /// Another process of its VM was known.
-    Restarted,
-    /// It was unknown or timed out.
-    Discovered,
-}
-
 /// Routers of the fleet that this one knows.
 #[derive(Debug)]
 pub(crate) struct Members {
@@ -285,22 +275,16 @@
             .members
             .entry(hello.entry.peer_address)
             .or_insert_with(|| Member::new(hello.entry.clone()));
-        let was_timed_out = member
-            .last_hello
-            .as_ref()
-            .is_none_or(|last_hello| last_hello.is_timed_out);
-        let mut sender = if was_timed_out {
-            HelloSender::Discovered
-        } else {
-            HelloSender::Known
+        let sender = match &member.last_hello {
+            Some(last_hello) if last_hello.is_timed_out => HelloSender::Discovered,
+            Some(last_hello) if last_hello.process != hello.process => HelloSender::Restarted,
+            Some(_) => HelloSender::Known,
+            None => HelloSender::Discovered,
         };
         if let Some(last_hello) = &member.last_hello {
             if last_hello.process == hello.process && last_hello.sequence >= hello.sequence {
                 return HelloSender::Known;
             }
-            if last_hello.process != hello.process && !was_timed_out {
-                sender = HelloSender::Restarted;
-            }
             subtract(&mut others.loads, &last_hello.loads);
         }
         for reported in &hello.loads {
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod grant_updates;
 pub(crate) mod grants;
 pub(crate) mod headroom;
+mod hello_sender;
 pub(crate) mod hellos;
 pub(crate) mod ledger_sync;
 pub(crate) mod limits;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,5 +14,6 @@
 pub(crate) mod objects;
 pub(crate) mod registry;
 pub(crate) mod replica_entry;
+mod request_headers;
 pub(crate) mod sinks;
 pub(crate) mod transport;
