--- a/review/standins-2/ledger.rs
+++ b/review/standins-2/ledger.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Customers with a prepaid budget; ten of them send requests.
-const TENANTS: usize = 130;
+const TENANTS: usize = 160;
 const ACTIVE_TENANTS: usize = 10;
 const PREPAID_TOKENS: u64 = 6_000_000;
 /// Tokens of one request: a season catalogue digest.
