Measure the bytes that the change feed holds

Nothing on the metrics address told versions kept by the feed from those kept by requests, or from fragmentation. No behaviour changes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -330,7 +330,10 @@
             self.log.clone(),
         ));
         let changed = watch::Sender::default();
-        let new_kind = |kind, sink| Arc::new(KindFeed::new(kind, sink, changed.clone()));
+        let new_kind = |kind, sink| {
+            let value_bytes = self.metrics.feed_bytes(kind);
+            Arc::new(KindFeed::new(kind, sink, value_bytes, changed.clone()))
+        };
         let routers = new_kind(ROUTER_KIND, Arc::new(RouterSink::new(self.log.clone())));
         let sink = QuarantineSink::new(Arc::clone(self.suspects), self.log.clone());
         let quarantined = new_kind(QUARANTINE_KIND, Arc::new(sink));
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -39,6 +39,7 @@
     stream_origins: IntCounterVec,
     origin_searches: IntCounterVec,
     store_era: IntGauge,
+    feed_bytes: IntGaugeVec,
 }
 
 impl ExchangeMetrics {
@@ -138,6 +139,7 @@
             replicas: register(&registry, replicas)?,
             rate_limits: register(&registry, rate_limits)?,
             store_era: register(&registry, store_era)?,
+            feed_bytes: register(&registry, feed_gauge()?)?,
             paths: PathMetrics::new(&registry)?,
             registry,
         })
@@ -215,6 +217,11 @@
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Returns the gauge of the length of all values of a kind that the change feed holds.
+    pub(crate) fn feed_bytes(&self, kind: &str) -> IntGauge {
+        self.feed_bytes.with_label_values(&[kind])
+    }
+
     /// Counts a requested permit by its result.
     pub(crate) fn count_permit(&self, result: &str) {
         self.permits.with_label_values(&[result]).inc();
@@ -251,6 +258,14 @@
     }
 }
 
+fn feed_gauge() -> Result<IntGaugeVec, prometheus::Error> {
+    let options = Opts::new(
+        "currantlever_feed_value_bytes",
+        "Length of all values that the change feed holds, by kind",
+    );
+    IntGaugeVec::new(options, &["kind"])
+}
+
 /// Registers a metric and returns it.
 pub(super) fn register<M>(registry: &Registry, metric: M) -> Result<M, prometheus::Error>
 where
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
+use prometheus::IntGauge;
 use tokio::sync::watch;
 
 use super::feed_log::{FeedDelta, FeedLog};
@@ -27,14 +28,18 @@
     log: Mutex<FeedLog>,
     /// True while this router's own watch is up to date with the store.
     is_current: AtomicBool,
+    /// Length of all values held, in bytes.
+    value_bytes: IntGauge,
     changed: watch::Sender<()>,
 }
 
 impl KindFeed {
-    /// Creates an empty feed. `changed` is notified after every change.
+    /// Creates an empty feed. `value_bytes` is set to the length of all values held, and `changed`
+    /// notified, after every change.
     pub(crate) fn new(
         kind: &'static str,
         sink: Arc<dyn KindSink>,
+        value_bytes: IntGauge,
         changed: watch::Sender<()>,
     ) -> Self {
         Self {
@@ -42,6 +47,7 @@
             sink,
             log: Mutex::default(),
             is_current: AtomicBool::new(false),
+            value_bytes,
             changed,
         }
     }
@@ -102,6 +108,8 @@
         let mut log = lock(&self.log);
         let changes = action(&mut log);
         let has_changes = !changes.is_empty();
+        let value_bytes = i64::try_from(log.value_bytes());
+        self.value_bytes.set(value_bytes.unwrap_or(i64::MAX));
         let era = log.revision().map_or(0, Revision::era);
         for change in changes {
             if change.is_removed && change.object.revision.era() < era {
--- a/src/store/feed_log.rs
+++ b/src/store/feed_log.rs
@@ -48,6 +48,8 @@
     /// created and removed within one.
     gaps: Vec<Gap>,
     revision: Option<Revision>,
+    /// Total length of the values in `objects` and `changes`.
+    value_bytes: usize,
 }
 
 /// A range of revisions whose changes were not received one by one.
@@ -76,6 +78,12 @@
         self.revision
     }
 
+    /// Returns the total length of all values that the log holds, in bytes.
+    #[must_use]
+    pub const fn value_bytes(&self) -> usize {
+        self.value_bytes
+    }
+
     /// Returns the objects, ordered by name.
     pub fn objects(&self) -> impl Iterator<Item = &KindObject> {
         self.objects.values()
@@ -201,11 +209,13 @@
                 && self.apply_change(&logged.change)
             {
                 applied.push(logged.change.clone());
+                self.value_bytes += value_length(&logged.change.object);
                 self.changes.push_back(logged);
             }
         }
         while self.changes.len() > MAX_CHANGES {
             if let Some(oldest) = self.changes.pop_front() {
+                self.value_bytes -= value_length(&oldest.change.object);
                 self.complete_after = self.complete_after.max(oldest.effective_revision);
             }
         }
@@ -226,14 +236,21 @@
         if change.is_removed {
             let is_newer = known.is_some_and(|known| known <= change.object.revision);
             if is_newer {
-                self.objects.remove(name);
+                let removed = self.objects.remove(name);
+                self.value_bytes -= removed.as_ref().map_or(0, value_length);
             }
             return is_newer;
         }
         let is_newer = known.is_none_or(|known| known < change.object.revision);
         if is_newer {
-            self.objects.insert(name.clone(), change.object.clone());
+            self.value_bytes += value_length(&change.object);
+            let replaced = self.objects.insert(name.clone(), change.object.clone());
+            self.value_bytes -= replaced.as_ref().map_or(0, value_length);
         }
         is_newer
     }
 }
+
+fn value_length(object: &KindObject) -> usize {
+    object.value.get().len()
+}
