Keep only the newest version of an object in the change feed

Cause: FeedLog kept its newest 1,024 changes whole, so up to 1,024 versions of the configuration. A follower that was behind got all of them in one message.

Change: a new version replaces the one before it in the log; the last version before a removal and the removal stay, so followers still see that a replica said it leaves. Messages keep their form and meaning.

--- a/src/store/feed_log.rs
+++ b/src/store/feed_log.rs
@@ -4,8 +4,11 @@
 //! kind from another router instead of the store. It knows all changes up to its revision. Logs
 //! that were filled by different watches can be merged: a change that is already known, or older
 //! than the known state of its object, has no effect.
+//!
+//! Of each object the log keeps the newest version, and the last one before each removal. Followers
+//! do not need those in between, and all versions of a large object would exceed the memory of a VM.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use compact_str::CompactString;
 
@@ -14,6 +17,9 @@
 /// Most changes kept for followers. A follower that is further behind gets a snapshot.
 const MAX_CHANGES: usize = 1_024;
 
+/// Most bytes of values in these changes: two values of the largest size.
+const MAX_CHANGE_BYTES: usize = 2 << 20;
+
 /// Most gaps kept. A follower whose revision lies before the end of a dropped gap gets a snapshot.
 const MAX_GAPS: usize = 64;
 
@@ -41,15 +47,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct FeedLog {
     objects: BTreeMap<CompactString, KindObject>,
-    changes: VecDeque<LoggedChange>,
-    /// All changes after this revision are in `changes`, but for those lost in `gaps`.
+    changes: ChangeLog,
+    /// All changes after this revision are in `changes`, but for versions that were replaced and
+    /// those lost in `gaps`.
     complete_after: Revision,
     /// Revision ranges of which only the net effect is known: `changes` lacks objects that were
     /// created and removed within one.
     gaps: Vec<Gap>,
     revision: Option<Revision>,
-    /// Total length of the values in `objects` and `changes`.
-    value_bytes: usize,
+    /// Total length of the values in `objects`.
+    object_bytes: usize,
 }
 
 /// A range of revisions whose changes were not received one by one.
@@ -81,7 +88,7 @@
     /// Returns the total length of all values that the log holds, in bytes.
     #[must_use]
     pub const fn value_bytes(&self) -> usize {
-        self.value_bytes
+        self.object_bytes + self.changes.value_bytes
     }
 
     /// Returns the objects, ordered by name.
@@ -179,12 +186,10 @@
                 revision,
             });
         };
-        // All changes from the first missing one on, so that their order is kept.
-        let mut changes = self.changes.iter();
-        let start = changes.position(|logged| logged.effective_revision > known)?;
-        Some(FeedDelta {
+        let missing = self.changes.after(known);
+        (!missing.is_empty()).then_some(FeedDelta {
             is_snapshot: false,
-            changes: self.changes.iter().skip(start).cloned().collect(),
+            changes: missing,
             revision,
         })
     }
@@ -209,15 +214,11 @@
                 && self.apply_change(&logged.change)
             {
                 applied.push(logged.change.clone());
-                self.value_bytes += value_length(&logged.change.object);
-                self.changes.push_back(logged);
+                self.changes.push(logged);
             }
         }
-        while self.changes.len() > MAX_CHANGES {
-            if let Some(oldest) = self.changes.pop_front() {
-                self.value_bytes -= value_length(&oldest.change.object);
-                self.complete_after = self.complete_after.max(oldest.effective_revision);
-            }
+        while let Some(oldest) = self.changes.pop_excess() {
+            self.complete_after = self.complete_after.max(oldest.effective_revision);
         }
         let excess = self.gaps.len().saturating_sub(MAX_GAPS);
         for gap in self.gaps.drain(..excess) {
@@ -237,20 +238,76 @@
             let is_newer = known.is_some_and(|known| known <= change.object.revision);
             if is_newer {
                 let removed = self.objects.remove(name);
-                self.value_bytes -= removed.as_ref().map_or(0, value_length);
+                self.object_bytes -= removed.as_ref().map_or(0, value_length);
             }
             return is_newer;
         }
         let is_newer = known.is_none_or(|known| known < change.object.revision);
         if is_newer {
-            self.value_bytes += value_length(&change.object);
+            self.object_bytes += value_length(&change.object);
             let replaced = self.objects.insert(name.clone(), change.object.clone());
-            self.value_bytes -= replaced.as_ref().map_or(0, value_length);
+            self.object_bytes -= replaced.as_ref().map_or(0, value_length);
         }
         is_newer
     }
 }
 
+/// The newest changes in the order in which they became known, without replaced versions.
+#[derive(Clone, Debug, Default)]
+struct ChangeLog {
+    /// By the number in their order.
+    changes: BTreeMap<u64, LoggedChange>,
+    /// For each object that is not removed, the number of its newest version.
+    versions: HashMap<CompactString, u64>,
+    next_number: u64,
+    value_bytes: usize,
+}
+
+impl ChangeLog {
+    /// Appends a change. A new version replaces the one before it.
+    fn push(&mut self, logged: LoggedChange) {
+        let object = &logged.change.object;
+        if logged.change.is_removed {
+            self.versions.remove(&object.name);
+        } else {
+            let replaced = self.versions.insert(object.name.clone(), self.next_number);
+            if let Some(replaced) = replaced {
+                self.remove(replaced);
+            }
+        }
+        self.value_bytes += value_length(&logged.change.object);
+        self.changes.insert(self.next_number, logged);
+        self.next_number += 1;
+    }
+
+    fn remove(&mut self, number: u64) {
+        if let Some(logged) = self.changes.remove(&number) {
+            self.value_bytes -= value_length(&logged.change.object);
+        }
+    }
+
+    /// Removes and returns the oldest change if there are too many or their values are too long.
+    fn pop_excess(&mut self) -> Option<LoggedChange> {
+        if self.changes.len() <= MAX_CHANGES && self.value_bytes <= MAX_CHANGE_BYTES {
+            return None;
+        }
+        let (number, oldest) = self.changes.pop_first()?;
+        self.value_bytes -= value_length(&oldest.change.object);
+        let name = &oldest.change.object.name;
+        if self.versions.get(name) == Some(&number) {
+            self.versions.remove(name);
+        }
+        Some(oldest)
+    }
+
+    /// Returns the changes after a revision.
+    fn after(&self, known: Revision) -> Vec<LoggedChange> {
+        let changes = self.changes.values();
+        let missing = changes.filter(|logged| logged.effective_revision > known);
+        missing.cloned().collect()
+    }
+}
+
 fn value_length(object: &KindObject) -> usize {
     object.value.get().len()
 }
--- a/tests/entry/config_changes.rs
+++ b/tests/entry/config_changes.rs
@@ -389,3 +389,52 @@
     })
     .await;
 }
+
+/// Routes by which the configuration grows, and versions of it.
+const ADDED_ROUTES: usize = 400;
+const VERSIONS: u64 = 30;
+
+/// Returns the value of a metric.
+fn metric(text: &str, name: &str) -> usize {
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    line.unwrap().trim().parse().unwrap()
+}
+
+/// Guards against routers that keep each version of the configuration, and exceed their memory limit
+/// all at once when a long one changes often.
+#[tokio::test(flavor = "multi_thread")]
+async fn routers_keep_only_the_newest_version_of_a_long_configuration() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    let fleet = [
+        site.ready_router("r-1").await,
+        site.ready_router("r-2").await,
+    ];
+    let mut length = 0;
+    for version in 2..=VERSIONS {
+        let mut config = lists(version, AMPLE_PAID_TOKENS);
+        let routes = config["routes"].as_array_mut().unwrap();
+        for number in 0..ADDED_ROUTES {
+            let mut added = routes[0].clone();
+            added["name"] = format!("added-{number}").into();
+            added["path_prefix"] = format!("/added-{number}/").into();
+            routes.push(added);
+        }
+        routes[0]["timeout_ms"] = (5_000 - version).into();
+        length = config.to_string().len();
+        site.store.put("config", "main", &config);
+        wait_until("the version is in force", || async {
+            fleet.iter().all(|router| {
+                let lines = router.log_lines("configuration in force");
+                lines
+                    .last()
+                    .is_some_and(|line| line["config_version"] == version)
+            })
+        })
+        .await;
+    }
+    for router in &fleet {
+        let name = "currantlever_feed_value_bytes{kind=\"config\"}";
+        let held = metric(&router.metrics().await, name);
+        assert!(held <= 2 * length, "{held} bytes of {length} each");
+    }
+}
