--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -181,6 +181,8 @@
         if team.is_none() && catalog.requires_keys() && !route.is_public {
             return Err(self.not_found_rejection(RejectKind::UnknownKey));
         }
+        // The request may wait from here on, and a version that it held would stay in memory.
+        drop(catalog);
         if let Some(team) = &team {
             record.team = team.budget.as_str().into();
         }
