Answer 502 where a replica's status is none of a final answer

Codes that it does not parse (000, 099, 20, 2000, -20) ended the try already.

Change: a code outside 200 to 599 ends the try as an answer that is lost (RFC 9110, 15). Interim codes but 101 never get here, and no request asks for another protocol. A request that must run once is not sent again.

--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -257,6 +257,9 @@
     response: &Response<Incoming>,
     is_first: bool,
 ) -> Result<(), &'static str> {
+    if !is_final_status(response.status()) {
+        return Err("status is none of a final answer");
+    }
     let headers = response.headers();
     let echoed = headers.get(names::ATTEMPT_ID).map(HeaderValue::as_bytes);
     match echoed {
@@ -276,6 +279,12 @@
     Ok(())
 }
 
+/// Returns true for a status of a final answer. Codes above are invalid; an interim one with which
+/// an answer ends is 101, and no request asks for another protocol.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns true for a status by which callers are promised that the request was not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -17,6 +17,7 @@
 mod load;
 mod lost;
 mod odd_entries;
+mod odd_status;
 mod partition;
 mod plain_output;
 mod plain_tunnels;
