Fail a call of a plain service whose answer has an invalid status

Such a call ends as broken, so one that is not idempotent is not run again and its caller learns that the outcome is unknown.

Test a_call_answered_with_an_invalid_status_fails_and_runs_once: before, the service's body came back under status 600 (no refusal); after, refused, run once.

--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the backend servers.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -24,6 +25,8 @@
 pub const RESUME_HEADER: &str = "X-Resume-After-Chunks";
 /// Statuses of a backend server that state that the request was not run.
 const NOT_RUN_STATUSES: [u16; 2] = [429, 503];
+/// Statuses of a final answer.
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Timeout of load reports, orders and reachability checks.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -60,6 +63,10 @@
         if NOT_RUN_STATUSES.contains(&status) {
             return Err(BackendError::Refused { status });
         }
+        if !FINAL_STATUSES.contains(&status) {
+            let reason = format!("status {status} is none of a final answer");
+            return Err(BackendError::Broken { reason });
+        }
         check_request_id(&response, context)?;
         Ok(response)
     }
--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -24,6 +24,8 @@
     pub refuse: bool,
     /// Answers with another request's id.
     pub wrong_id: bool,
+    /// Answers with this status instead of 200.
+    pub status: Option<u16>,
 }
 
 #[derive(Debug, Default)]
@@ -119,6 +121,7 @@
         };
         let body = format!("{{\"request\":\"{id}\",\"run\":{run_count}}}\n");
         let answer = Answer {
+            status: Status::new(faults.status.unwrap_or(Status::Ok.code)),
             request_id: answer_id,
             body,
         };
@@ -127,6 +130,7 @@
 }
 
 struct Answer {
+    status: Status,
     request_id: String,
     body: String,
 }
@@ -135,6 +139,7 @@
     fn respond_to(self, _: &'r Request<'_>) -> rocket::response::Result<'static> {
         let length_bytes = self.body.len();
         Response::build()
+            .status(self.status)
             .header(Header::new(REQUEST_ID_HEADER, self.request_id))
             .header(rocket::http::ContentType::JSON)
             .sized_body(length_bytes, std::io::Cursor::new(self.body))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -300,3 +300,31 @@
     }
     assert_eq!(site.services[0].runs()["lease"], 1);
 }
+
+/// Guards against passing on an answer whose status no final answer can have.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_answered_with_an_invalid_status_fails_and_runs_once() {
+    let options = SiteOptions {
+        services: 1,
+        ..SiteOptions::small(26)
+    };
+    let plans = plans_list(&TEAMS).unwrap();
+    let site = Site::start(options, plans, usage_list().unwrap(), &discard_logger())
+        .await
+        .unwrap();
+    let routers = router_addresses(&site);
+    wait_ready(&routers).await;
+    for status in [600, 999] {
+        site.services[0].set_faults(ServiceFaults {
+            status: Some(status),
+            ..ServiceFaults::default()
+        });
+        let id = format!("odd-{status}");
+        let outcome = send_call(routers[0], "rich", "POST", &id).await;
+        let Outcome::Refused { run, .. } = outcome else {
+            panic!("{status}: {outcome:?}")
+        };
+        assert_eq!(run, RunState::OutcomeUnknown, "{status}");
+        assert_eq!(site.services[0].runs()[&id], 1, "{status}");
+    }
+}
