--- a/tests/entry/early_answer.rs
+++ b/tests/entry/early_answer.rs
@@ -10,8 +10,9 @@
 use tokio::task::JoinSet;
 
 use super::plain_tunnels::open_tunnel;
-use super::site::{free_port, lists, wait_ready, wait_until, Call, Router, Site};
-use super::{events, AMPLE_PAID_TOKENS};
+use super::replica::Behaviour;
+use super::site::{free_port, lists, wait_ready, wait_until, Call, Router, Site, HOST, KEY};
+use super::{events, site_with, AMPLE_PAID_TOKENS};
 
 const BODY_BYTES: usize = 3_500_000;
 const MAX_BODY_BYTES: usize = 4_194_304;
@@ -397,3 +398,45 @@
     }
     assert_eq!(regular, 0, "of 16 tunnels end regularly");
 }
+
+/// Guards against a refusal that its caller cannot read because the connection was reset while it
+/// still sent the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_still_sends_its_body_receives_the_refusal() {
+    let (site, _replicas) = site_with(&[Behaviour::Answer]).await;
+    let router = site.ready_router("r-1").await;
+    let body = vec![b'x'; BODY_BYTES];
+    let mut unread = Vec::new();
+    for number in 0..16 {
+        let mut caller = TcpStream::connect(router.callers_address).await.unwrap();
+        let head = format!(
+            "POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n\
+             Currantlever-Attempt-Id: large-{number}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        // Reads only after it has sent all, or can send no more.
+        let sent = caller.write_all(&body).await;
+        let mut start = [0; 12];
+        let read = caller.read_exact(&mut start).await;
+        if read.is_err() || start != *b"HTTP/1.1 413" {
+            unread.push(format!("{number}: {sent:?}, {read:?}"));
+        }
+    }
+    assert_eq!(unread, Vec::<String>::new());
+}
+
+/// Guards against taking an interim answer for the final one, or the expectation of a caller for one
+/// that nobody answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_expects_100_continue_receives_the_whole_answer() {
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nCurrantlever-Attempt-Id: {id}\r\n\
+                Currantlever-Replica-Signature: sig\r\nContent-Length: 5\r\n\r\nwhole";
+    let (site, replicas) = site_with(&[Behaviour::Raw(text.to_owned())]).await;
+    let router = site.ready_router("r-1").await;
+    let call = Call::new("book", "a-1").with("expect", "100-continue");
+    let got = call.send(router.callers_address).await.unwrap();
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body, "whole");
+    assert_eq!(replicas[0].received().len(), 1);
+    assert_eq!(replicas[0].received()[0].body, call.body.as_bytes());
+}
