Conclude the probe of a replica however its request ends

A probe that ended at its caller's deadline, with a refusal, or with its caller kept the replica out of service. Ruled out: the ejection (8 s at most), load (other outcome).

Change: the choice hands out the probe's id; ChosenReplica concludes it on drop, as 'not known' unless something was recorded before. Besides, another probe may be sent after 4 s: under a third of the longest deadline, and three of them within the 12 s of recover_s. Ejection moves to core/ejection.rs.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod cover;
 pub mod duty;
+pub mod ejection;
 pub mod fair_queue;
 pub mod holder;
 pub mod holdings;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, RngExt};
 use twox_hash::XxHash64;
 
+use super::ejection::{Ejection, ProbeId};
 use super::ids::{FailureDomain, ReplicaId};
 
 /// Charge, in prefill tokens, for each request in generation at a replica.
@@ -19,20 +20,14 @@
 const WAITING_COST_TOKENS: u64 = 20_000;
 /// Charge, in prefill tokens, for a replica in another failure domain.
 const REMOTE_DOMAIN_COST_TOKENS: u64 = 200;
-/// Charge for each request in progress at a replica of a plain service.
+/// Charge for each request at a replica of a plain service.
 const PLAIN_REQUEST_COST: u64 = 1_000;
 /// Requests of the highest priority that may queue at a replica, in percent of its slots.
 const MAX_QUEUE_PERCENT: u64 = 50;
-/// Consecutive failures after which a replica is ejected for a time.
-const FAILURES_TO_EJECT: u32 = 3;
-/// Duration of the first ejection; doubles with each further failure.
-const BASE_EJECTION_MS: u64 = 500;
-/// Longest duration of an ejection.
-const MAX_EJECTION_MS: u64 = 8_000;
 /// Rendezvous hash key by which all routers dedicate the same replicas to long prompts.
 const LONG_PROMPT_REPLICAS_KEY: u64 = 0x7265_6164_6572_7300;
-/// Charge for prefilling a shared prefix that another replica has cached, in percent of its
-/// tokens, in addition to the prefill itself: the copy also evicts other prefixes from the cache.
+/// Charge for prefilling a shared prefix that another replica has cached, in percent of its tokens,
+/// in addition to the prefill itself: the copy also evicts other prefixes.
 const DUPLICATE_PREFIX_PERCENT: u64 = 100;
 /// Replicas assumed to cache a shared prefix, the highest rendezvous hashes first.
 const PREFIX_REPLICAS: usize = 2;
@@ -53,8 +48,7 @@
 const PLAIN_BACKOFF_HINT_COST: u64 = 50 * PLAIN_REQUEST_COST;
 /// Upper bound on a requested back-off; longer ones are capped to it.
 const MAX_BACKOFF_MS: u64 = 60_000;
-/// Charge, in prefill tokens, for a long prompt at a replica not dedicated to long prompts, for
-/// each stream that it would stall there.
+/// Charge, in prefill tokens, for each stream that a long prompt stalls at another replica.
 const STALLED_STREAM_COST_TOKENS: u64 = 2_000;
 /// Factor by which the moving averages of prefill tokens decay with each prompt.
 const PROMPT_MIX_DECAY: f64 = 0.99;
@@ -138,9 +132,7 @@
     pub admission: Admission,
     backoff_until_ms: u64,
     backoff_hint_until_ms: u64,
-    failures: u32,
-    ejected_until_ms: u64,
-    has_probe: bool,
+    ejection: Ejection,
 }
 
 impl ReplicaCandidate {
@@ -157,9 +149,7 @@
             admission: Admission::Open,
             backoff_until_ms: 0,
             backoff_hint_until_ms: 0,
-            failures: 0,
-            ejected_until_ms: 0,
-            has_probe: false,
+            ejection: Ejection::default(),
         }
     }
 
@@ -177,25 +167,17 @@
 
     /// Records a success and ends an ejection.
     pub fn record_success(&mut self) {
-        self.failures = 0;
-        self.ejected_until_ms = 0;
-        self.has_probe = false;
+        self.ejection.record_success();
     }
 
     /// Records a failure; several consecutive ones eject the replica for a time.
     pub fn record_failure(&mut self, now_ms: u64) {
-        self.failures = self.failures.saturating_add(1);
-        self.has_probe = false;
-        if self.failures >= FAILURES_TO_EJECT {
-            self.eject(now_ms);
-        }
+        self.ejection.record_failure(now_ms);
     }
 
     /// Records that the replica accepts no connections, and ejects it at once.
     pub fn record_unreachable(&mut self, now_ms: u64) {
-        self.failures = self.failures.saturating_add(1).max(FAILURES_TO_EJECT);
-        self.has_probe = false;
-        self.eject(now_ms);
+        self.ejection.record_unreachable(now_ms);
     }
 
     /// Records a back-off requested from this router: it sends no requests there for `backoff_ms`,
@@ -217,9 +199,9 @@
         self.backoff_until_ms.saturating_sub(now_ms)
     }
 
-    /// Records that the replica was chosen, but gets no request, and so no probe either.
-    pub fn cancel_probe(&mut self) {
-        self.has_probe = false;
+    /// Records that a probe ended, whatever it showed, after which another one may be sent.
+    pub fn conclude_probe(&mut self, id: ProbeId) {
+        self.ejection.conclude_probe(id);
     }
 
     /// Returns the replica as it is without an ejection.
@@ -236,21 +218,15 @@
             .max(self.admission.denied_left_ms())
     }
 
-    fn eject(&mut self, now_ms: u64) {
-        let doublings = (self.failures - FAILURES_TO_EJECT).min(5);
-        self.ejected_until_ms = now_ms + (BASE_EJECTION_MS << doublings).min(MAX_EJECTION_MS);
-    }
-
-    /// Returns true if the replica was ejected, so that it first gets a single probe request.
+    /// Returns true if the replica was ejected and first gets a single probe request.
     #[must_use]
     pub const fn needs_probe(&self) -> bool {
-        self.failures >= FAILURES_TO_EJECT
+        self.ejection.needs_probe()
     }
 
     fn is_eligible(&self, request: &PlacementRequest<'_>) -> bool {
-        let awaits_probe = self.needs_probe() && self.has_probe;
-        let is_usable = !self.is_leaving && self.ejected_until_ms <= request.now_ms;
-        is_usable && !awaits_probe && !request.excluded.contains(&self.id)
+        let is_usable = !self.is_leaving && self.ejection.allows_request(request.now_ms);
+        is_usable && !request.excluded.contains(&self.id)
     }
 
     fn has_spare_capacity(&self, request: &PlacementRequest<'_>) -> bool {
@@ -295,6 +271,9 @@
         index: usize,
         /// Estimated prefill tokens of the request there.
         prefill_tokens: u64,
+        /// The probe that the request is, to be concluded when it ends in any way; none if the
+        /// replica was not ejected.
+        probe: Option<ProbeId>,
     },
     /// Replicas are in service, but none has spare capacity.
     Full,
@@ -429,10 +408,10 @@
         return PlacementOutcome::Full;
     };
     let candidate = &mut candidates[index];
-    candidate.has_probe = candidate.needs_probe();
     PlacementOutcome::Replica {
         index,
         prefill_tokens,
+        probe: candidate.ejection.record_request(request.now_ms, rng),
     }
 }
 
--- a/src/exchange/chosen_replica.rs
+++ b/src/exchange/chosen_replica.rs
@@ -8,11 +8,13 @@
 use super::places::Place;
 use super::pools::Pools;
 use super::request::{ConnectionShare, ReplicaAddress, ReplicaStatus};
+use crate::core::ejection::ProbeId;
 use crate::core::ids::{PoolId, ReplicaVersion};
 use crate::core::placement::ReplicaCandidate;
 use crate::util::millis;
 
-/// A replica chosen for one try. Dropping it removes the request from the replica's load.
+/// A replica chosen for one try. Dropping it removes the request from the replica's load, and
+/// concludes the probe that the try is.
 #[derive(Debug)]
 pub(crate) struct ChosenReplica {
     pub(super) pools: Arc<Pools>,
@@ -31,6 +33,8 @@
     pub chosen_at: Instant,
     pub(super) prefill_tokens: u64,
     pub(super) is_suspect: bool,
+    /// The probe that this try is, if the replica was ejected.
+    pub(super) probe: Option<ProbeId>,
     /// Place there, if the replica is brittle.
     pub(super) place: Option<Place>,
 }
@@ -104,6 +108,9 @@
             .with_candidate(&self.pool, &self.replica.id, |candidate, _| {
                 candidate.own_load.finish_prefill(prefill_tokens);
                 candidate.own_load.remove();
+                if let Some(probe) = self.probe {
+                    candidate.conclude_probe(probe);
+                }
             });
         if self.is_suspect {
             self.pools
--- a/src/exchange/replica_search.rs
+++ b/src/exchange/replica_search.rs
@@ -125,10 +125,13 @@
             PlacementOutcome::Replica {
                 index,
                 prefill_tokens,
+                probe,
             } => {
                 let candidate = &mut pool.candidates[index];
                 if candidate.admission != Admission::Open {
-                    candidate.cancel_probe();
+                    if let Some(probe) = probe {
+                        candidate.conclude_probe(probe);
+                    }
                     return SearchResult::NeedsPermit {
                         id: candidate.id.clone(),
                         key: pool.replicas[index].key(),
@@ -162,6 +165,7 @@
                     chosen_at: Instant::now(),
                     prefill_tokens,
                     is_suspect: query.is_suspect,
+                    probe,
                     place: None,
                 }))
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub use crate::core::duty::{
     distributor_count, ledger_order, stand_in_interval_ms, store_watchers, DutyCandidate,
 };
+pub use crate::core::ejection::ProbeId;
 pub use crate::core::holder::{Holder, ReserveError, UpdateParams};
 pub use crate::core::holdings::{FleetHoldings, RouterHoldings};
 pub use crate::core::ids::{
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod partition;
 mod plain_output;
 mod plain_tunnels;
+mod probes;
 mod prompt_parts;
 mod rate_limits;
 mod removals;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,10 +1,11 @@
 //! Tests the choice of a replica by load, prompt prefix, ejection and back-off.
 
 use currantlever::{
-    choose_replica, FailureDomain, PlacementOutcome, PlacementRequest, PromptInfo, PromptMix,
-    ReplicaCandidate,
+    choose_replica, FailureDomain, PlacementOutcome, PlacementRequest, ProbeId, PromptInfo,
+    PromptMix, ReplicaCandidate, ReplicaLoad,
 };
-use rand::rngs::StdRng;
+use quickcheck::{quickcheck, Arbitrary, Gen};
+use rand::rngs::{SmallRng, StdRng};
 use rand::SeedableRng;
 
 const SLOTS: u32 = 48;
@@ -81,6 +82,7 @@
         let PlacementOutcome::Replica {
             index,
             prefill_tokens,
+            ..
         } = choose_replica(&mut candidates, &hot, &mix, &mut StdRng::seed_from_u64(7))
         else {
             panic!("no replica with spare capacity");
@@ -273,3 +275,118 @@
     candidates[1].is_leaving = true;
     assert_eq!(choose(&mut candidates, &now, &mix), Some(0));
 }
+
+/// Guards against a replica that waits for ever for a probe that nobody concludes.
+#[test]
+fn another_probe_is_sent_a_time_after_one_that_is_not_concluded() {
+    let mix = PromptMix::default();
+    let a = domain("a");
+    let mut candidates = candidates(1);
+    for _ in 0..3 {
+        candidates[0].record_failure(0);
+    }
+    let times_ms: Vec<u64> = (1_000..21_000)
+        .step_by(100)
+        .filter(|now_ms| choose(&mut candidates, &request(&a, *now_ms, None), &mix).is_some())
+        .collect();
+    assert!(times_ms.len() > 1, "{times_ms:?}");
+    for pair in times_ms.windows(2) {
+        assert!(
+            (1_000..=5_000).contains(&(pair[1] - pair[0])),
+            "{times_ms:?}"
+        );
+    }
+}
+
+/// What a request applies to its replica when it ends.
+type Finding = fn(&mut ReplicaCandidate, u64);
+
+/// How a request at a replica goes on.
+#[derive(Clone, Copy, Debug)]
+enum RequestStep {
+    Choose,
+    Succeed(u8),
+    Fail(u8),
+    Refuse(u8),
+    /// Ends without showing whether the replica works.
+    End(u8),
+    Wait(u8),
+}
+
+impl Arbitrary for RequestStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = u8::arbitrary(g);
+        match u8::arbitrary(g) % 8 {
+            0..=2 => Self::Choose,
+            3 => Self::Succeed(number),
+            4 => Self::Fail(number),
+            5 => Self::Refuse(number),
+            6 => Self::End(number),
+            _ => Self::Wait(number),
+        }
+    }
+}
+
+quickcheck! {
+    /// Guards against any order of ends after which a replica gets no request or keeps a load.
+    fn every_replica_can_be_chosen_again_once_all_requests_have_ended(
+        steps: Vec<RequestStep>
+    ) -> bool {
+        const LONGEST_EJECTION_MS: u64 = 8_000;
+        let mix = PromptMix::default();
+        let a = domain("a");
+        let mut candidates = candidates(3);
+        let mut running: Vec<(usize, Option<ProbeId>)> = Vec::new();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut now_ms = 0;
+        for step in steps {
+            let count = running.len();
+            let pick = |number: u8| (count > 0).then(|| usize::from(number) % count);
+            let (ended, finding): (_, Option<Finding>) = match step {
+                RequestStep::Choose => {
+                    let request = request(&a, now_ms, None);
+                    let choice = choose_replica(&mut candidates, &request, &mix, &mut rng);
+                    if let PlacementOutcome::Replica { index, probe, .. } = choice {
+                        candidates[index].own_load.add(0);
+                        running.push((index, probe));
+                    }
+                    (None, None)
+                }
+                RequestStep::Wait(number) => {
+                    now_ms += 20 * u64::from(number);
+                    (None, None)
+                }
+                RequestStep::Succeed(at) => (pick(at), Some(|candidate, _| candidate.record_success())),
+                RequestStep::Fail(at) => (pick(at), Some(ReplicaCandidate::record_failure)),
+                RequestStep::Refuse(at) => (pick(at), Some(ReplicaCandidate::record_unreachable)),
+                RequestStep::End(at) => (pick(at), None),
+            };
+            if let Some(at) = ended {
+                let (index, probe) = running.swap_remove(at);
+                if let Some(finding) = finding {
+                    finding(&mut candidates[index], now_ms);
+                }
+                end_request(&mut candidates[index], probe);
+            }
+        }
+        for (index, probe) in running {
+            end_request(&mut candidates[index], probe);
+        }
+        now_ms += LONGEST_EJECTION_MS;
+        let chosen = (0..candidates.len()).filter(|_| {
+            choose(&mut candidates, &request(&a, now_ms, None), &mix).is_some_and(|index| {
+                let is_idle = candidates[index].own_load == ReplicaLoad::default();
+                candidates[index].is_leaving = true;
+                is_idle
+            })
+        });
+        chosen.count() == 3
+    }
+}
+
+fn end_request(candidate: &mut ReplicaCandidate, probe: Option<ProbeId>) {
+    candidate.own_load.remove();
+    if let Some(probe) = probe {
+        candidate.conclude_probe(probe);
+    }
+}
