--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -271,8 +271,8 @@
         index: usize,
         /// Estimated prefill tokens of the request there.
         prefill_tokens: u64,
-        /// The probe that the request is, to be concluded when it ends in any way; none if the
-        /// replica was not ejected.
+        /// Id of the probe if the request is one, as the replica was ejected. To be concluded however
+        /// the request ends.
         probe: Option<ProbeId>,
     },
     /// Replicas are in service, but none has spare capacity.
--- a/src/exchange/chosen_replica.rs
+++ b/src/exchange/chosen_replica.rs
@@ -14,7 +14,7 @@
 use crate::util::millis;
 
 /// A replica chosen for one try. Dropping it removes the request from the replica's load, and
-/// concludes the probe that the try is.
+/// concludes the probe if the try was one.
 #[derive(Debug)]
 pub(crate) struct ChosenReplica {
     pub(super) pools: Arc<Pools>,
@@ -33,7 +33,7 @@
     pub chosen_at: Instant,
     pub(super) prefill_tokens: u64,
     pub(super) is_suspect: bool,
-    /// The probe that this try is, if the replica was ejected.
+    /// Id of the probe if the try is one, as the replica was ejected.
     pub(super) probe: Option<ProbeId>,
     /// Place there, if the replica is brittle.
     pub(super) place: Option<Place>,
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -279,8 +279,8 @@
     Ok(())
 }
 
-/// Returns true for a status of a final answer. Codes above are invalid; an interim one with which
-/// an answer ends is 101, and no request asks for another protocol.
+/// Returns true for a status of a final answer. Higher codes are invalid. 101 switches protocols,
+/// which no request to a replica asks for.
 fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
