--- a/tests/entry/early_answer.rs
+++ b/tests/entry/early_answer.rs
@@ -18,7 +18,7 @@
 const MAX_BODY_BYTES: usize = 4_194_304;
 /// Receive buffer of the server, so that most of a body stays with its sender.
 const RECEIVE_BUFFER_BYTES: usize = 4_096;
-/// Routes of all kinds, with the answer that the server gives on them.
+/// Routes of all kinds.
 const ROUTES: [&str; 4] = ["look", "book", "chat", "draft"];
 /// Plays in progress at a time.
 const CONCURRENT_PLAYS: usize = 8;
