--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -29,6 +29,7 @@
 mod request_ends;
 mod restarts;
 mod rules;
+#[allow(dead_code, reason = "shared with the tests of hostile clients")]
 mod site;
 mod store;
 mod stream_origins;
--- a/tests/entry/site.rs
+++ b/tests/entry/site.rs
@@ -201,6 +201,14 @@
         panic!("timed out waiting until the router exits");
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Returns the largest resident size of the process so far, in kilobytes.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
