Bound the connections of clients at each listener

Cause: nothing bounds the number of open connections. max_connections only shortened the idle timeout, which does not apply in a head or a body; the endpoints had no timeouts at all, and buffered heads of up to 417 KB. Ruled out: memory per connection alone (900 silent connections took 509 descriptors and 42 MB).

Change: ClientConnections serves all four listeners. A new connection beyond the bound closes the one that has waited for its client the longest (in a head, a body, idle, or with an answer that is not read), first of those on which nothing was answered; connections with a request in progress are never closed for it, and if there are only such ones the new one is closed. Callers get what memory_mb allows for, and the descriptors that replicas and tunnels leave, less a sixteenth. Registry 128, ready and metrics 16 each; heads there 8 KB. A client that reads nothing of an answer is closed after the idle timeout. Receive buffers are 32 KB (endpoints 8 KB), and at most four connections for each megabyte wait to be accepted: both count towards the memory.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -53,6 +53,7 @@
 use crate::store::health::StoreHealth;
 use crate::store::kind_watcher::KindWatcher;
 use crate::store::kinds::{Freshness, KindStore};
+use crate::tcp::{listen_within, ListenBounds};
 use crate::util::stable_hash;
 
 /// Interval of housekeeping.
@@ -71,6 +72,14 @@
 const LEAVING_PERIOD_DIVISOR: u32 = 3;
 /// Margin by which the process ends before the grace period does.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Receive buffer of a caller's connection.
+const CALLER_BUFFER_BYTES: u32 = 32 * 1_024;
+/// The same for the endpoints, which read no bodies.
+const ENDPOINT_BUFFER_BYTES: u32 = 8 * 1_024;
+/// Connections for the questions of callers which addresses to use.
+const MAX_REGISTRY_CONNECTIONS: usize = 128;
+/// Connections for each of readiness checks and metrics.
+const MAX_CHECK_CONNECTIONS: usize = 16;
 /// Poll interval for requests and connections that remain while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -149,17 +158,17 @@
         };
         let exchange = Arc::new(Exchange::new(parts, log.clone()));
         let directory = new_directory(&pools, &server_crashes, &store_health, &log);
-        let ingress = new_ingress(&settings, &exchange, &log);
+        let ingress = new_ingress(&settings, &exchange, &transport, &tunnel_count, &log);
         let connections = count_connections(&ingress, &transport, &tunnel_count);
         let headroom = new_headroom(&settings, connections, &paths);
         let router_endpoints = Arc::new(RouterEndpoints::new(
             Arc::clone(&members),
             Arc::clone(&exchange),
             Arc::clone(&pools),
-            Arc::clone(&metrics),
             Arc::clone(&headroom),
+            log.clone(),
         ));
-        listen_all(&settings, &ingress, &router_endpoints).await?;
+        listen_all(&settings, &ingress, &router_endpoints)?;
         let feed_listener = listen("peer_listen", settings.peer_listen).await?;
         BackgroundTasks {
             store: &store,
@@ -426,21 +435,38 @@
     Ok(Arc::new(socket))
 }
 
-async fn listen_all(
+fn listen_all(
     settings: &EntrySettings,
     ingress: &Arc<Ingress>,
     router_endpoints: &Arc<RouterEndpoints>,
 ) -> Result<(), EntryError> {
-    let callers = listen("callers_listen", settings.callers_listen).await?;
+    let listen = |setting, address, buffer_bytes| {
+        let bounds = ListenBounds {
+            backlog: settings.accept_backlog(),
+            buffer_bytes,
+        };
+        listen_within(address, bounds).map_err(|source| listen_error(setting, address, source))
+    };
+    let callers = settings.callers_listen;
+    let callers = listen("callers_listen", callers, CALLER_BUFFER_BYTES)?;
     tokio::spawn(Arc::clone(ingress).accept(callers));
     let endpoints = [
-        ("ready_listen", settings.ready_listen),
-        ("registry_listen", settings.registry_listen),
-        ("metrics_listen", settings.metrics_listen),
+        ("ready_listen", settings.ready_listen, MAX_CHECK_CONNECTIONS),
+        (
+            "registry_listen",
+            settings.registry_listen,
+            MAX_REGISTRY_CONNECTIONS,
+        ),
+        (
+            "metrics_listen",
+            settings.metrics_listen,
+            MAX_CHECK_CONNECTIONS,
+        ),
     ];
-    for (setting, address) in endpoints {
-        let listener = listen(setting, address).await?;
-        tokio::spawn(Arc::clone(router_endpoints).accept(listener));
+    for (setting, address, max_connections) in endpoints {
+        let listener = listen(setting, address, ENDPOINT_BUFFER_BYTES)?;
+        let endpoints = Arc::clone(router_endpoints);
+        tokio::spawn(endpoints.accept(setting, max_connections, listener));
     }
     Ok(())
 }
--- a/src/entry_parts.rs
+++ b/src/entry_parts.rs
@@ -23,6 +23,7 @@
 use crate::exchange::single_version::SingleVersions;
 use crate::exchange::stream_origins::StreamOrigins;
 use crate::exchange::suspects::Suspects;
+use crate::platform::client_connections::ConnectionBounds;
 use crate::platform::ingress::Ingress;
 use crate::platform::transport::HttpTransport;
 use crate::store::health::StoreHealth;
@@ -106,18 +107,24 @@
     ))
 }
 
-/// Returns a count of this router's connections to callers and replicas. A tunnel has two.
+/// Returns a count of this router's connections to replicas. A tunnel has two.
+fn count_replica_connections(
+    transport: &Arc<HttpTransport>,
+    tunnel_count: &Arc<AtomicUsize>,
+) -> OpenConnections {
+    let (transport, tunnel_count) = (Arc::clone(transport), Arc::clone(tunnel_count));
+    Box::new(move || transport.connection_count() + 2 * tunnel_count.load(Ordering::Relaxed))
+}
+
+/// Returns a count of this router's connections to callers and replicas.
 pub(crate) fn count_connections(
     ingress: &Arc<Ingress>,
     transport: &Arc<HttpTransport>,
     tunnel_count: &Arc<AtomicUsize>,
 ) -> OpenConnections {
-    let (ingress, transport) = (Arc::clone(ingress), Arc::clone(transport));
-    let tunnel_count = Arc::clone(tunnel_count);
-    Box::new(move || {
-        let tunnel_connections = 2 * tunnel_count.load(Ordering::Relaxed);
-        ingress.connection_count() + transport.connection_count() + tunnel_connections
-    })
+    let ingress = Arc::clone(ingress);
+    let replica_connections = count_replica_connections(transport, tunnel_count);
+    Box::new(move || ingress.connection_count() + replica_connections())
 }
 
 /// Creates the client for replicas, and starts to watch the path to them.
@@ -153,15 +160,22 @@
     ))
 }
 
-/// Creates the callers' side of an exchange.
+/// Creates the callers' side of an exchange. Connections to replicas leave fewer for callers.
 pub(crate) fn new_ingress(
     settings: &EntrySettings,
     exchange: &Arc<Exchange>,
+    transport: &Arc<HttpTransport>,
+    tunnel_count: &Arc<AtomicUsize>,
     log: &Logger,
 ) -> Arc<Ingress> {
-    let max_connections = settings.max_connections();
-    let ingress = Ingress::new(Arc::clone(exchange), max_connections, log.clone());
-    Arc::new(ingress)
+    let replica_connections = count_replica_connections(transport, tunnel_count);
+    let crowded_from = settings.crowded_from();
+    let settings = settings.clone();
+    let bounds = ConnectionBounds {
+        max_open: Box::new(move || settings.max_callers(replica_connections())),
+        crowded_from,
+    };
+    Arc::new(Ingress::new(Arc::clone(exchange), bounds, log))
 }
 
 /// Creates the spare capacity of a router, by its open connections.
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -77,21 +77,72 @@
 /// Connections of callers that a megabyte of the process's memory allows for. Each holds up to 31 KB
 /// after a request with a body, and a part of the memory is needed for all else.
 const CONNECTIONS_PER_MB: f64 = 18.0;
+/// Share of the connections that memory allows for, as a divisor, by which the number of callers must
+/// be below it for the usual idle timeout to apply.
+const CROWD_DIVISOR: usize = 8;
+/// Descriptors kept free of callers for new connections to replicas: a share, as a divisor, and at
+/// least this number.
+const REPLICA_RESERVE_DIVISOR: usize = 16;
+const MIN_REPLICA_RESERVE: usize = 16;
+/// Connections that may wait to be accepted, for each megabyte of the process's memory. What they
+/// have sent counts towards it.
+const BACKLOG_PER_MB: f64 = 4.0;
+const MIN_BACKLOG: u32 = 128;
+const MAX_BACKLOG: u32 = 1_024;
 
 impl EntrySettings {
     /// Returns the number of connections that descriptors and memory allow for.
     #[must_use]
+    pub fn max_connections(&self) -> usize {
+        let by_descriptors = self.connections_by_descriptors();
+        let by_memory = self.connections_by_memory();
+        by_memory.map_or(by_descriptors, |number| number.min(by_descriptors))
+    }
+
+    /// Returns the number of connections of callers that may be open beside a number of others.
+    #[must_use]
+    pub fn max_callers(&self, other_connections: usize) -> usize {
+        let all = self.connections_by_descriptors();
+        let reserve = MIN_REPLICA_RESERVE.max(all / REPLICA_RESERVE_DIVISOR);
+        let by_descriptors = all.saturating_sub(other_connections + reserve).max(all / 2);
+        let by_memory = self.connections_by_memory();
+        let number = by_memory.map_or(by_descriptors, |number| number.min(by_descriptors));
+        number.max(1)
+    }
+
+    /// Returns the number of connections of callers from which on idle ones are closed sooner.
+    #[must_use]
+    pub fn crowded_from(&self) -> usize {
+        self.connections_by_memory()
+            .map_or(usize::MAX, |number| number - number / CROWD_DIVISOR)
+    }
+
+    /// Returns the number of connections that may wait to be accepted.
+    #[must_use]
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "checked ranges"
     )]
-    pub fn max_connections(&self) -> usize {
-        let by_descriptors = self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        let by_memory = self
-            .memory_mb
-            .map_or(f64::MAX, |mb| mb * CONNECTIONS_PER_MB);
-        (by_memory as usize).min(by_descriptors as usize).max(1)
+    pub fn accept_backlog(&self) -> u32 {
+        let by_memory = self.memory_mb.map_or(f64::MAX, |mb| mb * BACKLOG_PER_MB);
+        (by_memory as u32).clamp(MIN_BACKLOG, MAX_BACKLOG)
+    }
+
+    fn connections_by_descriptors(&self) -> usize {
+        self.max_descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS)
+            .max(1) as usize
+    }
+
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked ranges"
+    )]
+    fn connections_by_memory(&self) -> Option<usize> {
+        self.memory_mb
+            .map(|mb| ((mb * CONNECTIONS_PER_MB) as usize).max(1))
     }
 
     /// Returns the CPU capacity of the VM, in thousandths of a core.
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -40,6 +40,7 @@
     origin_searches: IntCounterVec,
     store_era: IntGauge,
     feed_bytes: IntGaugeVec,
+    connection_shortages: IntCounterVec,
 }
 
 impl ExchangeMetrics {
@@ -77,6 +78,7 @@
             "Era of the store; rises when it returns from an older copy",
         )?;
         Ok(Self {
+            connection_shortages: register(&registry, shortage_counters()?)?,
             requests: counters("currantlever_exchanges", "Requests by outcome", "outcome")?,
             requests_read: counter(
                 "currantlever_requests_read",
@@ -145,6 +147,13 @@
         })
     }
 
+    /// Counts a client's connection that was closed or refused in favour of others.
+    pub(crate) fn count_connection_shortage(&self, listener: &str, result: &str) {
+        self.connection_shortages
+            .with_label_values(&[listener, result])
+            .inc();
+    }
+
     /// Counts a request that ended, its latency and its retries.
     pub(crate) fn record_request(&self, outcome: &str, elapsed: Duration, tries: u32) {
         self.requests.with_label_values(&[outcome]).inc();
@@ -258,6 +267,14 @@
     }
 }
 
+fn shortage_counters() -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "currantlever_connection_shortages",
+        "Connections of clients closed or refused in favour of others",
+    );
+    IntCounterVec::new(options, &["listener", "result"])
+}
+
 fn feed_gauge() -> Result<IntGaugeVec, prometheus::Error> {
     let options = Opts::new(
         "currantlever_feed_value_bytes",
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -78,6 +78,7 @@
     /// Records that the whole body was read.
     pub(super) fn record_body(&mut self) {
         self.stage = Stage::Serving;
+        self.activity.end_body();
     }
 
     /// Records that the end of the answer will be that of the connection, which must not look
@@ -90,6 +91,8 @@
     pub(super) fn record_answer(&mut self) {
         if self.stage != Stage::AnswerCut {
             self.stage = Stage::Answered;
+            self.activity.end_body();
+            self.activity.record_answer();
             self.activity.set_must_reset(false);
         }
     }
--- a/src/platform/caller_stream.rs
+++ b/src/platform/caller_stream.rs
@@ -74,7 +74,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_end();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -83,7 +85,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_end();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.activity.record_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,8 +1,7 @@
 //! HTTP server for callers: decodes requests for the exchange and encodes its answers.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,26 +12,18 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use slog::{info, warn, Logger};
+use slog::Logger;
 use strum::IntoStaticStr;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use super::activity::Activity;
 use super::caller_request::{CallerRequest, RequestCounts};
-use super::caller_stream::CallerStream;
+use super::client_connections::{ClientConnections, ClientLimits, ConnectionBounds};
 use super::request_headers::{attempt_id, decode_request, decode_time_left};
-use super::transport::describe;
 use crate::exchange::engine::Exchange;
 use crate::exchange::request::{BodyStream, BrokenBody, Rejection, Reply, ReplyBody};
-use crate::tcp::set_keepalive;
 
-/// Time without TCP acknowledgement after which a caller's connection counts as lost.
-const CALLER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Limits until a configuration is in force.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
@@ -40,48 +31,35 @@
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for receiving a body if the request has no deadline header.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Idle timeout while there are more connections than memory or descriptors allow for.
-const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Share of these connections, in percent, at which the usual idle timeout applies again.
-const UNCROWDED_PERCENT: usize = 80;
-/// Smallest buffer that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Delay after a failed accept, which is mostly due to a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 type ResponseBody = UnsyncBoxBody<Bytes, BrokenBody>;
 
-/// State shared by all connections of callers.
+/// The callers' side of an exchange.
 #[derive(Debug)]
 pub(crate) struct Ingress {
     exchange: Arc<Exchange>,
-    log: Logger,
+    connections: Arc<ClientConnections>,
     is_leaving: AtomicBool,
-    max_connections: usize,
-    open_connections: AtomicUsize,
-    /// True while idle connections are closed sooner.
-    is_crowded: watch::Sender<bool>,
     counts: RequestCounts,
-    closing: watch::Sender<Closing>,
 }
 
 impl Ingress {
     /// Creates the callers' side of an exchange, for a number of connections.
-    pub(crate) fn new(exchange: Arc<Exchange>, max_connections: usize, log: Logger) -> Self {
+    pub(crate) fn new(exchange: Arc<Exchange>, bounds: ConnectionBounds, log: &Logger) -> Self {
+        let metrics = exchange.metrics();
         let counts = RequestCounts {
             in_progress: Arc::default(),
-            metrics: Arc::clone(exchange.metrics()),
+            metrics: Arc::clone(metrics),
             log: log.clone(),
         };
+        let limits = caller_limits(&exchange);
+        let connections =
+            ClientConnections::new("callers", bounds, limits, Arc::clone(metrics), log);
         Self {
             exchange,
-            log,
+            connections,
             is_leaving: AtomicBool::new(false),
-            max_connections,
-            open_connections: AtomicUsize::new(0),
-            is_crowded: watch::Sender::new(false),
             counts,
-            closing: watch::Sender::new(Closing::No),
         }
     }
 
@@ -93,17 +71,17 @@
 
     /// Closes idle connections now, and all others as soon as they become idle.
     pub(crate) fn close_idle(&self) {
-        self.closing.send_replace(Closing::WhenIdle);
+        self.connections.close_idle();
     }
 
     /// Closes all connections now, including those with a request in progress.
     pub(crate) fn close_all(&self) {
-        self.closing.send_replace(Closing::Now);
+        self.connections.close_all();
     }
 
     /// Returns the number of open connections.
     pub(crate) fn connection_count(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
+        self.connections.count()
     }
 
     /// Returns the number of requests in progress.
@@ -113,134 +91,12 @@
 
     /// Accepts connections of callers until the task is aborted.
     pub(crate) async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let ingress = Arc::clone(&self);
-                    tokio::spawn(async move { ingress.serve_connection(stream, peer).await });
-                }
-                Err(error) => {
-                    warn!(self.log, "failed to accept connection"; "reason" => error.to_string());
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, peer: SocketAddr) {
-        if let Err(error) = set_keepalive(&stream, CALLER_TCP_USER_TIMEOUT) {
-            warn!(self.log, "failed to set socket options of connection";
-                "peer" => peer.to_string(), "reason" => error.to_string());
-        }
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
-        self.update_crowded();
-        let activity = Arc::new(Activity::new());
-        let service = {
-            let (ingress, activity) = (Arc::clone(&self), Arc::clone(&activity));
-            service_fn(move |request| {
-                let (ingress, activity) = (Arc::clone(&ingress), Arc::clone(&activity));
-                async move { Ok::<_, Infallible>(ingress.respond(request, activity).await) }
-            })
+        let connections = Arc::clone(&self.connections);
+        let service = move |request, activity| {
+            let ingress = Arc::clone(&self);
+            async move { ingress.respond(request, activity).await }
         };
-        let max_head_bytes = self
-            .exchange
-            .catalog()
-            .map_or(DEFAULT_MAX_HEAD_BYTES, |catalog| {
-                catalog.limits().max_head_bytes
-            });
-        let stream = CallerStream::new(stream, Arc::clone(&activity));
-        let connection = http1::Builder::new()
-            .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        let mut closing = self.closing.subscribe();
-        let mut is_crowded = self.is_crowded.subscribe();
-        let mut is_closing = *closing.borrow() != Closing::No;
-        if is_closing {
-            connection.as_mut().graceful_shutdown();
-        }
-        loop {
-            let (mut idle_timeout, head_timeout) = self.caller_timeouts();
-            if *is_crowded.borrow_and_update() {
-                idle_timeout = idle_timeout.min(CROWDED_IDLE_TIMEOUT);
-            }
-            let head_deadline = activity.head_since().map(|since| since + head_timeout);
-            let next_idle_check = if activity.is_busy() {
-                Instant::now() + idle_timeout
-            } else {
-                activity.idle_since() + idle_timeout
-            };
-            tokio::select! {
-                // Received bytes are read before the head can time out.
-                biased;
-                // A caller that has closed its connection needs no answer.
-                result = connection.as_mut() => {
-                    let reason = match result {
-                        Ok(()) => "closed by the caller".into(),
-                        Err(error) => describe(&error),
-                    };
-                    activity.set_end_reason(reason);
-                    break;
-                }
-                () = activity.head_started(), if head_deadline.is_none() => {}
-                () = sleep_until(head_deadline), if head_deadline.is_some() => {
-                    let is_head_late = activity.head_since().is_some_and(|since| {
-                        since + head_timeout <= Instant::now()
-                    });
-                    if is_head_late {
-                        info!(self.log, "connection closed: request head timed out";
-                            "peer" => peer.to_string());
-                        break;
-                    }
-                }
-                Ok(()) = closing.changed() => {
-                    if *closing.borrow_and_update() == Closing::Now {
-                        activity.set_end_reason("the router exits".into());
-                        break;
-                    }
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-                Ok(()) = is_crowded.changed() => {}
-                () = tokio::time::sleep_until(next_idle_check), if !is_closing => {
-                    let is_idle = activity.idle_since() + idle_timeout <= Instant::now();
-                    if is_idle && !activity.is_busy() {
-                        is_closing = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-            }
-        }
-        self.open_connections.fetch_sub(1, Ordering::Relaxed);
-        self.update_crowded();
-    }
-
-    /// Closes idle connections sooner while there are too many.
-    fn update_crowded(&self) {
-        let open = self.connection_count();
-        let is_changed = self.is_crowded.send_if_modified(|is_crowded| {
-            let limit = if *is_crowded {
-                self.max_connections * UNCROWDED_PERCENT / 100
-            } else {
-                self.max_connections
-            };
-            let was_crowded = std::mem::replace(is_crowded, open > limit);
-            *is_crowded != was_crowded
-        });
-        if is_changed {
-            info!(self.log, "idle timeout of callers changed"; "connections" => open,
-                "max_connections" => self.max_connections,
-                "is_crowded" => *self.is_crowded.borrow());
-        }
-    }
-
-    /// Returns the idle timeout and the timeout for receiving a head.
-    fn caller_timeouts(&self) -> (Duration, Duration) {
-        let catalog = self.exchange.catalog();
-        catalog.map_or((DEFAULT_IDLE_TIMEOUT, DEFAULT_HEAD_TIMEOUT), |catalog| {
-            let limits = catalog.limits();
-            (limits.idle_timeout, limits.head_timeout)
-        })
+        connections.accept(listener, service).await;
     }
 
     async fn respond(
@@ -310,18 +166,28 @@
     }
 }
 
-/// Which connections are closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Closing {
-    No,
-    WhenIdle,
-    Now,
-}
-
-async fn sleep_until(end: Option<Instant>) {
-    if let Some(end) = end {
-        tokio::time::sleep_until(end).await;
-    }
+/// Returns the limits for the connections of callers, by the configuration in force.
+pub(super) fn caller_limits(
+    exchange: &Arc<Exchange>,
+) -> Box<dyn Fn() -> ClientLimits + Send + Sync> {
+    let exchange = Arc::clone(exchange);
+    Box::new(move || {
+        exchange.catalog().map_or(
+            ClientLimits {
+                idle_timeout: DEFAULT_IDLE_TIMEOUT,
+                head_timeout: DEFAULT_HEAD_TIMEOUT,
+                max_head_bytes: DEFAULT_MAX_HEAD_BYTES,
+            },
+            |catalog| {
+                let limits = catalog.limits();
+                ClientLimits {
+                    idle_timeout: limits.idle_timeout,
+                    head_timeout: limits.head_timeout,
+                    max_head_bytes: limits.max_head_bytes,
+                }
+            },
+        )
+    })
 }
 
 fn encode_reply(
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod activity;
 mod caller_request;
 mod caller_stream;
+pub(crate) mod client_connections;
 pub(crate) mod config;
 mod connections;
 pub(crate) mod ingress;
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -1,6 +1,5 @@
 //! HTTP endpoints for router addresses, readiness checks and metrics.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -9,12 +8,13 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use slog::Logger;
 use tokio::net::TcpListener;
 
+use super::activity::Activity;
+use super::client_connections::{ClientConnections, ClientLimits, ConnectionBounds};
+use super::ingress::caller_limits;
 use crate::exchange::engine::Exchange;
 use crate::exchange::headroom::Headroom;
 use crate::exchange::members::Members;
@@ -24,6 +24,9 @@
 /// Time for which callers cache the addresses, in seconds; some cache them three times as long.
 const ADDRESS_TTL_S: u32 = 2;
 
+/// Largest head of a request to these endpoints.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
 /// State behind the endpoints for addresses, readiness and metrics.
 #[derive(Debug)]
 pub(crate) struct RouterEndpoints {
@@ -33,6 +36,7 @@
     metrics: Arc<ExchangeMetrics>,
     headroom: Arc<Headroom>,
     is_leaving: AtomicBool,
+    log: Logger,
 }
 
 #[derive(Debug, Serialize)]
@@ -47,16 +51,17 @@
         members: Arc<Members>,
         exchange: Arc<Exchange>,
         pools: Arc<Pools>,
-        metrics: Arc<ExchangeMetrics>,
         headroom: Arc<Headroom>,
+        log: Logger,
     ) -> Self {
         Self {
+            metrics: Arc::clone(exchange.metrics()),
             members,
             exchange,
             pools,
-            metrics,
             headroom,
             is_leaving: AtomicBool::new(false),
+            log,
         }
     }
 
@@ -71,24 +76,31 @@
     }
 
     /// Serves connections of a listener until the task is aborted.
-    pub(crate) async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::task::yield_now().await;
-                continue;
-            };
-            let router_endpoints = Arc::clone(&self);
-            let service = service_fn(move |request| {
-                let router_endpoints = Arc::clone(&router_endpoints);
-                async move { Ok::<_, Infallible>(router_endpoints.respond(&request)) }
-            });
-            tokio::spawn(async move {
-                // The client retries after an error.
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-            });
-        }
+    pub(crate) async fn accept(
+        self: Arc<Self>,
+        listener_name: &'static str,
+        max_connections: usize,
+        listener: TcpListener,
+    ) {
+        let bounds = ConnectionBounds {
+            max_open: Box::new(move || max_connections),
+            crowded_from: usize::MAX,
+        };
+        let limits = caller_limits(&self.exchange);
+        let limits = Box::new(move || ClientLimits {
+            max_head_bytes: MAX_HEAD_BYTES,
+            ..limits()
+        });
+        let metrics = Arc::clone(&self.metrics);
+        let connections = ClientConnections::new(listener_name, bounds, limits, metrics, &self.log);
+        let service = move |request, activity: Arc<Activity>| {
+            activity.begin_request();
+            let response = self.respond(&request);
+            activity.record_answer();
+            activity.end_request();
+            async move { response }
+        };
+        connections.accept(listener, service).await;
     }
 
     fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/src/tcp.rs
+++ b/src/tcp.rs
@@ -8,7 +8,7 @@
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Opens a TCP connection that fails once its peer has sent no acknowledgement for `user_timeout`.
 pub(crate) async fn connect(
@@ -23,6 +23,29 @@
     Ok(stream)
 }
 
+/// Bounds for what is received before it is read, which counts towards the memory of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ListenBounds {
+    /// Connections that may wait to be accepted.
+    pub backlog: u32,
+    /// Receive buffer of a connection, in bytes; the operating system may double it.
+    pub buffer_bytes: u32,
+}
+
+/// Listens for clients, which may send more than is read.
+pub(crate) fn listen_within(address: SocketAddr, bounds: ListenBounds) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Connections inherit the buffer of their listener. It needs to be set before that listens, as
+    // the window that is offered depends on it.
+    socket.set_recv_buffer_size(bounds.buffer_bytes)?;
+    socket.bind(address)?;
+    socket.listen(bounds.backlog)
+}
+
 /// Sets TCP keepalive probes each second and the TCP user timeout, and disables Nagle's algorithm.
 pub(crate) fn set_keepalive(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
