Bound the memory of all bodies, and refuse what does not fit before it is read

Cause: a body was collected whole, with a limit of its own and none for the sum, and each chunk was kept as it had been received, so memory grew with the number of chunks. Bodies were read up to the limit even where they had announced more, for unknown keys too, and for as long as the client's own deadline said. Ruled out: answers (bounded before), connections (a crowd has 80, far below any bound).

Change: BodyMemory holds the bodies of requests and answers, an eighth of memory_mb by default. What a body announces is reserved before it is read, a chunked one grows by doubling in one buffer; what does not fit is 503 body_out_of_memory with Retry-After and Connection: close, 413 if it may never fit. The body that was received for the longest time, over a second, yields (408); for an answer any that is being received yields. A single body is always held, and the first 16 KB of each do not count, so small requests go on. Large bodies are read only for known keys and routes, and no longer than the timeout of the route. Refusals of bodies have a line of their own.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{watch, Mutex};
 use tokio::time::Instant;
 
+use crate::body_memory::BodyMemory;
 use crate::core::policy::PolicyName;
 use crate::core::presence::RouterState;
 use crate::entry_parts::{
@@ -154,6 +155,7 @@
             origins: Arc::clone(&origins),
             single_versions,
             store_health: Arc::clone(&store_health),
+            body_memory: BodyMemory::new(settings.body_memory_bytes()),
             metrics: Arc::clone(&metrics),
         };
         let exchange = Arc::new(Exchange::new(parts, log.clone()));
--- a/src/entry_settings.rs
+++ b/src/entry_settings.rs
@@ -37,6 +37,10 @@
     /// Memory that the process may use, in megabytes, if it is limited.
     #[serde(default)]
     pub memory_mb: Option<f64>,
+    /// Memory for the bodies of requests and answers that are held at the same time, in megabytes; an
+    /// eighth of `memory_mb` by default.
+    #[serde(default)]
+    pub body_memory_mb: Option<f64>,
     /// Time from SIGTERM until the process is killed, in seconds.
     pub grace_s: f64,
     /// The fleet's retry budget.
@@ -89,6 +93,11 @@
 const BACKLOG_PER_MB: f64 = 4.0;
 const MIN_BACKLOG: u32 = 128;
 const MAX_BACKLOG: u32 = 1_024;
+/// Share of the process's memory that bodies may use by default, as a divisor.
+const BODY_MEMORY_DIVISOR: f64 = 8.0;
+/// Memory for bodies if that of the process is not limited, in megabytes.
+const DEFAULT_BODY_MEMORY_MB: f64 = 128.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 
 impl EntrySettings {
     /// Returns the number of connections that descriptors and memory allow for.
@@ -129,6 +138,20 @@
         (by_memory as u32).clamp(MIN_BACKLOG, MAX_BACKLOG)
     }
 
+    /// Returns the memory for bodies, in bytes.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked ranges"
+    )]
+    pub fn body_memory_bytes(&self) -> usize {
+        let default_mb = self
+            .memory_mb
+            .map_or(DEFAULT_BODY_MEMORY_MB, |mb| mb / BODY_MEMORY_DIVISOR);
+        (self.body_memory_mb.unwrap_or(default_mb) * BYTES_PER_MB) as usize
+    }
+
     fn connections_by_descriptors(&self) -> usize {
         self.max_descriptors
             .saturating_sub(RESERVED_DESCRIPTORS)
@@ -183,6 +206,9 @@
         if let Some(memory_mb) = self.memory_mb {
             check_range("memory_mb", memory_mb, 1.0, 1e9)?;
         }
+        if let Some(body_memory_mb) = self.body_memory_mb {
+            check_range("body_memory_mb", body_memory_mb, 0.1, 1e9)?;
+        }
         check_range("grace_s", self.grace_s, 0.5, 3_600.0)?;
         check_range("retries.ratio", self.retries.ratio, 0.0, 10.0)?;
         check_range("retries.slack", self.retries.slack, 0.0, 1_000_000.0)?;
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -9,7 +9,6 @@
 use slog::Logger;
 use tokio::time::Instant;
 
-use super::answer_buffer::AnswerMemory;
 use super::catalog::{Catalog, Route, Team};
 use super::dispatch_progress::DispatchProgress;
 use super::grants::{Grants, Reservation};
@@ -25,6 +24,7 @@
 use super::single_version::SingleVersions;
 use super::stream_origins::StreamOrigins;
 use super::suspects::Suspects;
+use crate::body_memory::BodyMemory;
 use crate::core::ids::PoolId;
 use crate::core::part_quarantine::PartId;
 use crate::core::placement::PromptInfo;
@@ -54,7 +54,7 @@
     pub(super) server_crashes: Arc<ServerCrashes>,
     pub(super) suspects: Arc<Suspects>,
     pub(super) permits: Arc<Permits>,
-    pub(super) answer_memory: AnswerMemory,
+    pub(super) body_memory: Arc<BodyMemory>,
     pub(super) metrics: Arc<ExchangeMetrics>,
     pub(super) log: Logger,
 }
@@ -78,6 +78,8 @@
     pub single_versions: Arc<SingleVersions>,
     /// Whether the store answers.
     pub store_health: Arc<StoreHealth>,
+    /// Memory for bodies.
+    pub body_memory: Arc<BodyMemory>,
     /// Metrics.
     pub metrics: Arc<ExchangeMetrics>,
 }
@@ -97,7 +99,7 @@
             suspects: Arc::clone(parts.server_crashes.suspects()),
             server_crashes: parts.server_crashes,
             permits: parts.permits,
-            answer_memory: AnswerMemory::new(),
+            body_memory: parts.body_memory,
             metrics: parts.metrics,
             log,
         }
@@ -108,6 +110,11 @@
         &self.metrics
     }
 
+    /// Returns the memory for bodies.
+    pub(crate) const fn body_memory(&self) -> &Arc<BodyMemory> {
+        &self.body_memory
+    }
+
     /// Returns the configuration in force, if any.
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.load_full()
@@ -134,14 +141,46 @@
         self.is_closed.store(true, Ordering::Relaxed);
     }
 
-    /// Serves a request. Dropping the future cancels the request at the replica.
-    pub(crate) async fn serve(self: &Arc<Self>, request: ExchangeRequest) -> Reply {
-        let mut record = RequestRecord::new(
+    /// Creates the record of a request whose head was read.
+    pub(crate) fn new_record(&self, request: &ExchangeRequest) -> RequestRecord {
+        RequestRecord::new(
             self.log.clone(),
             Arc::clone(&self.metrics),
             request.attempt.clone(),
             request.arrived,
-        );
+        )
+    }
+
+    /// Checks by its head whether a request can be admitted, before its body takes memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection to send if it cannot.
+    pub(crate) fn check_unread(
+        &self,
+        request: &ExchangeRequest,
+        record: &mut RequestRecord,
+    ) -> Result<(), Rejection> {
+        self.authorize(request, record).map(drop)
+    }
+
+    /// Returns until when the body of a request is waited for. Later it could not be served.
+    pub(crate) fn body_deadline(&self, request: &ExchangeRequest) -> Instant {
+        let catalog = self.catalog();
+        let route = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.find_route(&request.host, request.path()));
+        let timeout = route.map_or(DEFAULT_TIME_LIMIT, |route| route.timeout);
+        let time_limit = request.time_left.unwrap_or(DEFAULT_TIME_LIMIT);
+        request.arrived + time_limit.min(timeout)
+    }
+
+    /// Serves a request. Dropping the future cancels the request at the replica.
+    pub(crate) async fn serve(
+        self: &Arc<Self>,
+        request: ExchangeRequest,
+        mut record: RequestRecord,
+    ) -> Reply {
         match self.admit(request, &mut record).await {
             Ok(admitted) => admitted.into_run(self, record).serve().await,
             Err(rejection) => {
@@ -151,16 +190,12 @@
         }
     }
 
-    /// Authenticates and routes a request and reserves its tokens.
-    ///
-    /// # Errors
-    ///
-    /// Returns the rejection to send if the request is not admitted.
-    async fn admit(
+    /// Authenticates and routes a request by its head.
+    fn authorize(
         &self,
-        request: ExchangeRequest,
+        request: &ExchangeRequest,
         record: &mut RequestRecord,
-    ) -> Result<AdmittedRequest, Rejection> {
+    ) -> Result<(Arc<Route>, Option<Arc<Team>>), Rejection> {
         if self.is_closed.load(Ordering::Relaxed) {
             return Err(Rejection::new(RejectKind::Leaving).with_retry_after(LEAVING_RETRY_AFTER));
         }
@@ -181,11 +216,24 @@
         if team.is_none() && catalog.requires_keys() && !route.is_public {
             return Err(self.not_found_rejection(RejectKind::UnknownKey));
         }
-        // The request may wait from here on, and a version that it held would stay in memory.
-        drop(catalog);
         if let Some(team) = &team {
             record.team = team.budget.as_str().into();
         }
+        Ok((route, team))
+    }
+
+    /// Authenticates and routes a request and reserves its tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection to send if the request is not admitted.
+    async fn admit(
+        &self,
+        request: ExchangeRequest,
+        record: &mut RequestRecord,
+    ) -> Result<AdmittedRequest, Rejection> {
+        // The request may wait from here on, so it keeps no version of the configuration in memory.
+        let (route, team) = self.authorize(&request, record)?;
         let fingerprint = fingerprint_of(&request, team.as_deref());
         record.fingerprint = Some(fingerprint);
         if let Some(remaining) = self.suspects.quarantined_for(fingerprint) {
--- a/src/exchange/metrics.rs
+++ b/src/exchange/metrics.rs
@@ -41,6 +41,7 @@
     store_era: IntGauge,
     feed_bytes: IntGaugeVec,
     connection_shortages: IntCounterVec,
+    body_bytes: IntGauge,
 }
 
 impl ExchangeMetrics {
@@ -79,6 +80,7 @@
         )?;
         Ok(Self {
             connection_shortages: register(&registry, shortage_counters()?)?,
+            body_bytes: register(&registry, body_gauge()?)?,
             requests: counters("currantlever_exchanges", "Requests by outcome", "outcome")?,
             requests_read: counter(
                 "currantlever_requests_read",
@@ -154,6 +156,12 @@
             .inc();
     }
 
+    /// Sets the bytes of bodies that count towards the memory for bodies.
+    pub(crate) fn set_body_bytes(&self, bytes: usize) {
+        self.body_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request that ended, its latency and its retries.
     pub(crate) fn record_request(&self, outcome: &str, elapsed: Duration, tries: u32) {
         self.requests.with_label_values(&[outcome]).inc();
@@ -275,6 +283,13 @@
     IntCounterVec::new(options, &["listener", "result"])
 }
 
+fn body_gauge() -> Result<IntGauge, prometheus::Error> {
+    IntGauge::new(
+        "currantlever_body_bytes",
+        "Bytes of bodies that count towards the memory for bodies",
+    )
+}
+
 fn feed_gauge() -> Result<IntGaugeVec, prometheus::Error> {
     let options = Opts::new(
         "currantlever_feed_value_bytes",
--- a/src/exchange/request.rs
+++ b/src/exchange/request.rs
@@ -324,6 +324,12 @@
     Leaving,
     /// The request is malformed or incomplete.
     BadRequest,
+    /// The body is longer than the configuration allows.
+    BodyTooLarge,
+    /// The body was not received in time.
+    BodyTooSlow,
+    /// There is no memory left for the body.
+    BodyOutOfMemory,
     /// The API key belongs to no team.
     UnknownKey,
     /// No route matches.
@@ -359,16 +365,19 @@
 }
 
 impl RejectKind {
-    /// Returns the HTTP status. 429 and 503 guarantee that the request did not run.
+    /// Returns the HTTP status. 408, 429 and 503 guarantee that the request did not run.
     pub(crate) const fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
             Self::UnknownKey => 401,
             Self::BudgetUsed => 402,
             Self::NoRoute => 404,
+            Self::BodyTooSlow => 408,
+            Self::BodyTooLarge => 413,
             Self::BudgetOutOfReach => 429,
             Self::NotReady
             | Self::Leaving
+            | Self::BodyOutOfMemory
             | Self::NoReplica
             | Self::ReplicasUnreachable
             | Self::Overloaded
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
-use super::answer_buffer::discard_body;
+use super::answer_buffer::{self, discard_body};
 use super::catalog::{Route, RouteKind, Team};
 use super::chosen_replica::ChosenReplica;
 use super::dispatch_progress::DispatchProgress;
@@ -380,7 +380,7 @@
         body: &mut AnswerBody,
         chosen: &ChosenReplica,
     ) -> Result<Bytes, BrokenBody> {
-        let (bytes, end) = self.exchange.answer_memory.read_body(body).await?;
+        let (bytes, end) = answer_buffer::read_body(&self.exchange.body_memory, body).await?;
         self.check_end(end, chosen).await?;
         Ok(bytes)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod accepted;
 mod backend;
 pub mod bench;
+mod body_memory;
 mod catalog;
 pub mod cmd;
 mod core;
@@ -33,6 +34,7 @@
 mod vm_list;
 
 pub use crate::accepted::{accept_edit, AcceptError, AcceptedLists, Edit};
+pub use crate::body_memory::{AnswerBuffer, BodyError, BodyMemory, RequestBuffer};
 pub use crate::core::bill::{Bill, BudgetTotals, RunEnd, RunId, Settlement};
 pub use crate::core::claim::{Claim, ClaimKey, ClaimOutcome, ClaimShard, ClaimState};
 pub use crate::core::cover::{fleet_cover_tokens, CoverPolicy, DemandRate, RankedDemand};
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -7,30 +7,37 @@
 
 use async_stream::stream;
 use bytes::Bytes;
-use futures::StreamExt;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
+use futures::{FutureExt, StreamExt};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
 use slog::Logger;
-use strum::IntoStaticStr;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use super::activity::Activity;
 use super::caller_request::{CallerRequest, RequestCounts};
 use super::client_connections::{ClientConnections, ClientLimits, ConnectionBounds};
-use super::request_headers::{attempt_id, decode_request, decode_time_left};
+use super::request_headers::{attempt_id, decode_request};
+use crate::body_memory::{BodyError, RequestBuffer};
 use crate::exchange::engine::Exchange;
-use crate::exchange::request::{BodyStream, BrokenBody, Rejection, Reply, ReplyBody};
+use crate::exchange::record::RequestRecord;
+use crate::exchange::request::{
+    BodyStream, BrokenBody, ExchangeRequest, RejectKind, Rejection, Reply, ReplyBody,
+};
 
 /// Limits until a configuration is in force.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Timeout for receiving a body if the request has no deadline header.
-const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// `Retry-After` of a request for whose body there is no memory.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Time and bytes for which the rest of a body is read that was refused, so that its sender receives
+/// the refusal instead of a reset.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
 type ResponseBody = UnsyncBoxBody<Bytes, BrokenBody>;
 
@@ -106,64 +113,123 @@
     ) -> Response<ResponseBody> {
         let attempt = attempt_id(request.headers());
         let mut caller_request = CallerRequest::new(self.counts.clone(), activity, attempt);
-        let arrived = Instant::now();
         let version = request.version();
-        let (parts, body) = request.into_parts();
-        let body = match self.read_body(&parts.headers, body).await {
-            Ok(body) => body,
-            Err(error) => {
-                if error != UnreadBody::Broken {
-                    caller_request.record_answer();
+        let (parts, mut body) = request.into_parts();
+        let awaits_continue = parts.headers.contains_key("expect");
+        let mut request = decode_request(parts, Instant::now());
+        let mut record = self.exchange.new_record(&request);
+        match self.read_body(&request, &mut record, &mut body).await {
+            Ok(body) => request.body = body,
+            Err(UnreadBody::Broken) => {
+                record.set_outcome("body_broken");
+                let kind = RejectKind::BadRequest;
+                return error_response(kind, "body_broken", caller_request);
+            }
+            Err(UnreadBody::Rejected(rejection)) => {
+                record.set_rejected(rejection.kind);
+                // A sender that waits for the permission to go on sends nothing.
+                if !awaits_continue {
+                    tokio::spawn(discard_rest(body));
                 }
-                return error_response(error.status(), error.into(), caller_request);
+                let response = encode_rejection(&rejection, caller_request);
+                return with_close(response);
             }
-        };
+        }
         caller_request.record_body();
-        let request = decode_request(parts, body, arrived);
-        let reply = self.exchange.serve(request).await;
-        let mut response = encode_reply(reply, caller_request, version);
+        let reply = self.exchange.serve(request, record).await;
+        let response = encode_reply(reply, caller_request, version);
         if self.is_leaving.load(Ordering::Relaxed) {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert("connection", close);
+            return with_close(response);
         }
         response
     }
 
-    async fn read_body(&self, headers: &HeaderMap, body: Incoming) -> Result<Bytes, UnreadBody> {
+    /// Reads the body of a request into memory, unless the request is to be rejected.
+    async fn read_body(
+        &self,
+        request: &ExchangeRequest,
+        record: &mut RequestRecord,
+        body: &mut Incoming,
+    ) -> Result<Bytes, UnreadBody> {
         let catalog = self.exchange.catalog();
         let max_body_bytes = catalog.map_or(DEFAULT_MAX_BODY_BYTES, |catalog| {
             catalog.limits().max_body_bytes
         });
-        let body = Limited::new(body, max_body_bytes).collect();
-        let body_timeout = decode_time_left(headers).unwrap_or(DEFAULT_BODY_TIMEOUT);
-        match tokio::time::timeout(body_timeout, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(UnreadBody::TooLarge),
-            Ok(Err(_)) => Err(UnreadBody::Broken),
-            Err(_) => Err(UnreadBody::TooSlow),
+        let length = body.size_hint().exact();
+        if length == Some(0) {
+            return Ok(Bytes::new());
+        }
+        if length.is_some_and(|length| length > max_body_bytes as u64) {
+            return Err(BodyError::TooLong.into());
+        }
+        let mut buffer = RequestBuffer::new(self.exchange.body_memory(), max_body_bytes);
+        let mut is_checked = false;
+        if let Some(length) = length.filter(|length| RequestBuffer::is_counted(*length)) {
+            self.exchange.check_unread(request, record)?;
+            is_checked = true;
+            buffer.reserve(length)?;
+        }
+        let receive = async {
+            let mut received: u64 = 0;
+            while let Some(data) = next_data(body, &buffer).await? {
+                received += data.len() as u64;
+                if !is_checked && RequestBuffer::is_counted(received) {
+                    self.exchange.check_unread(request, record)?;
+                    is_checked = true;
+                }
+                buffer.push(&data)?;
+            }
+            Ok(buffer.into_bytes()?)
+        };
+        let mut receive = std::pin::pin!(receive);
+        // Most bodies have arrived with their heads and need no timeout.
+        if let Some(result) = receive.as_mut().now_or_never() {
+            return result;
         }
+        let deadline = self.exchange.body_deadline(request);
+        tokio::time::timeout_at(deadline, receive)
+            .await
+            .unwrap_or(Err(UnreadBody::Rejected(Rejection::new(
+                RejectKind::BodyTooSlow,
+            ))))
     }
 }
 
-/// Why the body of a request was not read whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-enum UnreadBody {
-    #[strum(serialize = "body_too_slow")]
-    TooSlow,
-    #[strum(serialize = "body_too_large")]
-    TooLarge,
-    #[strum(serialize = "body_broken")]
-    Broken,
+/// Waits for the next bytes of a body whose buffer may be given to another one.
+async fn next_data(
+    body: &mut Incoming,
+    buffer: &RequestBuffer,
+) -> Result<Option<Bytes>, UnreadBody> {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = buffer.displaced() => return Err(BodyError::Displaced.into()),
+        };
+        let Some(frame) = frame else {
+            return Ok(None);
+        };
+        let frame = frame.map_err(|_| UnreadBody::Broken)?;
+        // Trailers are not forwarded.
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
 }
 
-impl UnreadBody {
-    const fn status(self) -> StatusCode {
-        match self {
-            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Broken => StatusCode::BAD_REQUEST,
+/// Reads and drops the rest of a body, within limits.
+async fn discard_rest(mut body: Incoming) {
+    let rest = async {
+        let mut length = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > MAX_DISCARDED_BYTES {
+                return;
+            }
         }
-    }
+    };
+    // After a timeout only the connection is lost, which is closed anyway.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
 }
 
 /// Returns the limits for the connections of callers, by the configuration in force.
@@ -190,6 +256,39 @@
     })
 }
 
+/// Why a request is not served, of whose body nothing or only a part was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum UnreadBody {
+    /// The connection broke or the body is malformed.
+    Broken,
+    /// The request is rejected.
+    Rejected(Rejection),
+}
+
+impl From<Rejection> for UnreadBody {
+    fn from(rejection: Rejection) -> Self {
+        Self::Rejected(rejection)
+    }
+}
+
+impl From<BodyError> for UnreadBody {
+    fn from(error: BodyError) -> Self {
+        Self::Rejected(match error {
+            BodyError::TooLong => Rejection::new(RejectKind::BodyTooLarge),
+            BodyError::Displaced => Rejection::new(RejectKind::BodyTooSlow),
+            BodyError::OutOfMemory => {
+                Rejection::new(RejectKind::BodyOutOfMemory).with_retry_after(BODY_RETRY_AFTER)
+            }
+        })
+    }
+}
+
+fn with_close(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert("connection", close);
+    response
+}
+
 fn encode_reply(
     reply: Reply,
     mut request: CallerRequest,
@@ -219,10 +318,9 @@
 }
 
 fn encode_rejection(rejection: &Rejection, mut request: CallerRequest) -> Response<ResponseBody> {
-    let status =
-        StatusCode::from_u16(rejection.kind.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     request.record_answer();
-    let mut response = error_response(status, &rejection.kind.to_string(), request);
+    let reason = rejection.kind.to_string();
+    let mut response = error_response(rejection.kind, &reason, request);
     if let Some(time) = rejection.retry_after {
         let seconds = format!("{:.2}", time.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -233,13 +331,14 @@
 }
 
 fn error_response(
-    status: StatusCode,
+    kind: RejectKind,
     reason: &str,
     request: CallerRequest,
 ) -> Response<ResponseBody> {
     let body = serde_json::json!({ "error": reason }).to_string();
     let mut response = Response::new(full_body(Bytes::from(body), request));
-    *response.status_mut() = status;
+    *response.status_mut() =
+        StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert("content-type", json);
     response
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -112,6 +112,8 @@
                 for (pool, in_service, all) in self.pools.counts() {
                     self.metrics.set_replicas(&pool, in_service, all);
                 }
+                let body_bytes = self.exchange.body_memory().held_bytes();
+                self.metrics.set_body_bytes(body_bytes);
                 answer(
                     StatusCode::OK,
                     "text/plain; version=0.0.4",
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -19,12 +19,8 @@
     text.map(str::trim).unwrap_or_default().into()
 }
 
-/// Decodes a request whose body was read.
-pub(super) fn decode_request(
-    parts: http::request::Parts,
-    body: Bytes,
-    arrived: Instant,
-) -> ExchangeRequest {
+/// Decodes the head of a request. Its body is empty at first.
+pub(super) fn decode_request(parts: http::request::Parts, arrived: Instant) -> ExchangeRequest {
     let mut headers = parts.headers;
     let text = |name: &str| {
         let value = headers.get(name)?;
@@ -60,7 +56,7 @@
         target,
         host,
         headers,
-        body,
+        body: Bytes::new(),
         key,
         arrived,
         time_left,
@@ -71,7 +67,7 @@
 }
 
 /// Returns how long the caller waits, if its request has a deadline header.
-pub(super) fn decode_time_left(headers: &HeaderMap) -> Option<Duration> {
+fn decode_time_left(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(names::DEADLINE_MS)?.to_str().ok()?;
     let time_left_ms: f64 = value.trim().parse().ok()?;
     Duration::try_from_secs_f64(time_left_ms / 1_000.0).ok()
