Bound the memory of all bodies at the product's own interface

Cause: as on the platform's side, each body is collected whole by itself, up to 64 MiB, with no limit for the sum and no time limit.

Refusals body-out-of-memory (503, Retry-After) and body-too-slow (408), both not-run. The reading moves out of web.rs.

--- a/src/fakes/fleet.rs
+++ b/src/fakes/fleet.rs
@@ -277,6 +277,7 @@
             fleet_secret_file: "unused".into(),
             tls: None,
             max_body_bytes: 1 << 20,
+            body_memory_bytes: 32 << 20,
             refill_ms: 100,
             bill_flush_ms: 200,
             address_ttl_ms: self.options.address_ttl_ms,
--- a/src/router/assembly.rs
+++ b/src/router/assembly.rs
@@ -19,6 +19,7 @@
 use super::requests::RequestTable;
 use super::spending::{Spender, SpenderDeps};
 use crate::backend::{ModelEngine, PlainService};
+use crate::body_memory::BodyMemory;
 use crate::catalog::Catalog;
 use crate::core::ids::HolderId;
 use crate::core::policy::PolicyName;
@@ -75,6 +76,7 @@
 pub struct Router {
     pub(crate) settings: Settings,
     pub(crate) external_systems: ExternalSystems,
+    pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) catalog: Arc<ArcSwap<Catalog>>,
     pub(crate) configuration: Configuration,
@@ -135,7 +137,9 @@
         let biller = Arc::new(biller);
         let requests = Arc::new(RequestTable::new(holder));
         add_gauges(&telemetry, &biller, &requests, &catalog);
+        let body_memory_bytes = usize::try_from(settings.body_memory_bytes).unwrap_or(usize::MAX);
         Ok(Self {
+            body_memory: BodyMemory::new(body_memory_bytes),
             configuration: Configuration::new(Arc::clone(&catalog)),
             claims: Claims::new(Arc::clone(&external_systems.store), holder),
             admission: Admission::new(Arc::clone(&replicas)),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -20,6 +20,7 @@
 pub mod web;
 
 mod assembly;
+mod body;
 mod peer_service;
 mod suspects;
 
--- a/src/router/refusal.rs
+++ b/src/router/refusal.rs
@@ -35,6 +35,10 @@
     BadRequest,
     /// The body exceeds the router's size limit.
     BodyTooLarge,
+    /// The body was not received in time.
+    BodyTooSlow,
+    /// The router has no memory left for the body.
+    BodyOutOfMemory,
     /// The plan does not include the model or service.
     NotInPlan,
     /// The budget has too few tokens left.
@@ -107,13 +111,15 @@
             RefusalKind::UnknownKey => 401,
             RefusalKind::BadRequest => 400,
             RefusalKind::BodyTooLarge => 413,
+            RefusalKind::BodyTooSlow => 408,
             RefusalKind::NotInPlan => 403,
             RefusalKind::BudgetExhausted => 402,
             RefusalKind::Overloaded => 429,
             RefusalKind::Quarantined => 422,
             RefusalKind::Duplicate => 409,
             RefusalKind::BackendFailed => 502,
-            RefusalKind::BudgetOutOfReach
+            RefusalKind::BodyOutOfMemory
+            | RefusalKind::BudgetOutOfReach
             | RefusalKind::NoReplica
             | RefusalKind::ClaimOutOfReach
             | RefusalKind::NotReady => 503,
--- a/src/router/web.rs
+++ b/src/router/web.rs
@@ -8,11 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use futures::stream::BoxStream;
 use rand::RngExt;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::http::{ContentType, Header, Method, Status};
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::response::stream::ByteStream;
@@ -24,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::body::{read_body, AnnouncedLength};
 use super::caller::Caller;
 use super::chat::{ChatAnswer, ChatEvent};
 use super::fleet::ADDRESS_COUNT;
@@ -272,12 +272,15 @@
 async fn chat_completions(
     router: &State<SharedRouter>,
     caller: Authenticated,
+    announced: AnnouncedLength,
     data: Data<'_>,
 ) -> Result<ChatResponse, RefusalResponse> {
     let caller = caller.0;
     let id = caller.request.clone();
     let refuse = |refusal| RefusalResponse::with_request(refusal, &id);
-    let body = read_body(router, data).await.map_err(refuse)?;
+    let body = read_body(router, announced, caller.deadline, data)
+        .await
+        .map_err(refuse)?;
     let request = parse_chat(&body).map_err(refuse)?;
     let is_stream = request.stream;
     let answer = router.chat(caller, request).await.map_err(refuse)?;
@@ -322,22 +325,6 @@
     Ok(request)
 }
 
-async fn read_body(router: &Router, data: Data<'_>) -> Result<Vec<u8>, Refusal> {
-    let limit_bytes = router.settings.max_body_bytes;
-    let read = data.open(limit_bytes.bytes()).into_bytes().await;
-    let body = read.map_err(|error| {
-        Refusal::new(
-            RefusalKind::BadRequest,
-            format!("body cannot be read: {error}"),
-        )
-    })?;
-    if body.is_complete() {
-        return Ok(body.into_inner());
-    }
-    let message = format!("the body has more than {limit_bytes} bytes");
-    Err(Refusal::new(RefusalKind::BodyTooLarge, message))
-}
-
 /// Waits for the first event, so that a refusal before it is sent with its own HTTP status.
 async fn start_stream(
     mut events: mpsc::Receiver<ChatEvent>,
@@ -580,12 +567,15 @@
         if let Some(query) = request.uri().query() {
             path = format!("{path}?{query}");
         }
-        let body = read_body(&self.router, data).await.map_err(refuse)?;
+        let announced = AnnouncedLength::of(request);
+        let body = read_body(&self.router, announced, caller.deadline, data)
+            .await
+            .map_err(refuse)?;
         let call = ServiceCall {
             method: request.method().as_str().into(),
             path: path.into(),
             content_type: request.content_type().map(|found| found.to_string().into()),
-            body: Bytes::from(body),
+            body,
         };
         let answer = self
             .router
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -38,6 +38,10 @@
     /// Maximum size of a request body.
     #[serde(default = "defaults::max_body_bytes")]
     pub max_body_bytes: u64,
+    /// Memory for the bodies of all requests that are held at the same time. A single one is always
+    /// held.
+    #[serde(default = "defaults::body_memory_bytes")]
+    pub body_memory_bytes: u64,
     /// Interval at which grants are checked and refilled.
     #[serde(default = "defaults::refill_ms")]
     pub refill_ms: u64,
@@ -67,6 +71,10 @@
         1 << 20
     }
 
+    pub(super) const fn body_memory_bytes() -> u64 {
+        32 << 20
+    }
+
     pub(super) const fn refill_ms() -> u64 {
         250
     }
@@ -135,6 +143,7 @@
     /// Fails with the field and reason of the first invalid setting.
     pub fn check(&self) -> Result<(), SettingsError> {
         check_range("max_body_bytes", self.max_body_bytes, 1_024, 64 << 20)?;
+        check_range("body_memory_bytes", self.body_memory_bytes, 65_536, 1 << 40)?;
         check_range("refill_ms", self.refill_ms, 10, 10_000)?;
         check_range("bill_flush_ms", self.bill_flush_ms, 10, 10_000)?;
         check_range("address_ttl_ms", self.address_ttl_ms, 100, 3_600_000)?;
