Forget the reported load of a router together with the router

Cause, by reading and not shown in a run: Members::apply_entries dropped a router whose entry is gone and whose hellos had ended, also where its last reported load had not been subtracted yet, which happens in rounds of 150 ms.

Change: reports and their sums are one type, core/reported_load.rs, in which a router cannot be removed without its load; apply_entries keeps reports of known routers only.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod replica_path;
+pub mod reported_load;
 pub mod retry_budget;
 pub mod retry_share;
 pub mod routing;
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -25,6 +25,7 @@
 use crate::core::ids::FailureDomain;
 use crate::core::placement::ReplicaLoad;
 use crate::core::presence::{PresenceTable, RouterState, HEARTBEAT_TIMEOUT_MS};
+use crate::core::reported_load::ReportedLoads;
 use crate::util::{lock, millis, stable_hash};
 
 /// Timeout of a router without hellos, in multiples of its hello interval.
@@ -82,11 +83,12 @@
         }
     }
 
-    fn load(self) -> ReplicaLoad {
-        ReplicaLoad {
+    fn load(self) -> (u32, ReplicaLoad) {
+        let load = ReplicaLoad {
             requests: u32::from(self.requests),
             prefill_tokens: u64::from(self.prefill_units) * PREFILL_UNIT_TOKENS,
-        }
+        };
+        (self.replica, load)
     }
 }
 
@@ -155,7 +157,6 @@
     pub(super) headroom_percent: u8,
     has_path: bool,
     interval: Duration,
-    loads: Vec<ReplicaLoadReport>,
     /// True once its timeout was handled.
     is_timed_out: bool,
 }
@@ -205,7 +206,7 @@
     /// Routers of this router's failure domain by hello address.
     pub(super) presence: PresenceTable<SocketAddr>,
     is_fleet_found: bool,
-    loads: HashMap<u32, ReplicaLoad>,
+    loads: ReportedLoads<SocketAddr>,
     turn: usize,
 }
 
@@ -249,12 +250,17 @@
     /// its process, and so are those of the others.
     pub(crate) fn apply_entries(&self, entries: Vec<RouterEntry>, had_entry: bool) {
         let mut others = lock(&self.others);
+        let others = &mut *others;
         let known: Vec<SocketAddr> = entries.iter().map(|entry| entry.peer_address).collect();
         let is_late = had_entry || self.started.elapsed() >= REGISTRATION_TIME;
         others.is_fleet_found |= is_late && known.contains(&self.own.peer_address);
         others.members.retain(|address, member| {
             known.contains(address) || member.last_hello.as_ref().is_some_and(LastHello::is_alive)
         });
+        // The load of a router that is forgotten before it has timed out would count for ever.
+        others
+            .loads
+            .retain(|router| others.members.contains_key(router));
         for entry in entries {
             if entry.peer_address == self.own.peer_address {
                 continue;
@@ -285,14 +291,9 @@
             if last_hello.process == hello.process && last_hello.sequence >= hello.sequence {
                 return HelloSender::Known;
             }
-            subtract(&mut others.loads, &last_hello.loads);
-        }
-        for reported in &hello.loads {
-            let sum = others.loads.entry(reported.replica).or_default();
-            let load = reported.load();
-            sum.requests += load.requests;
-            sum.prefill_tokens += load.prefill_tokens;
         }
+        let loads = hello.loads.iter().map(|reported| reported.load());
+        others.loads.set(hello.entry.peer_address, loads.collect());
         member.set_entry(hello.entry);
         member.last_hello = Some(LastHello {
             at: Instant::now(),
@@ -302,7 +303,6 @@
             headroom_percent: hello.headroom_percent,
             has_path: hello.has_path,
             interval: Duration::from_millis(u64::from(hello.interval_ms)),
-            loads: hello.loads,
             is_timed_out: false,
         });
         sender
@@ -319,7 +319,7 @@
                 last_hello.filter(|last_hello| !last_hello.is_timed_out && !last_hello.is_alive())
             {
                 last_hello.is_timed_out = true;
-                subtract(&mut others.loads, &std::mem::take(&mut last_hello.loads));
+                others.loads.remove(address);
                 timed_out.push(*address);
             }
         }
@@ -328,8 +328,7 @@
 
     /// Returns the other routers' load at a replica.
     pub(crate) fn others_load(&self, replica: u32) -> ReplicaLoad {
-        let others = lock(&self.others);
-        others.loads.get(&replica).copied().unwrap_or_default()
+        lock(&self.others).loads.at(replica)
     }
 
     /// Returns true once the entries of the whole fleet were read.
@@ -481,16 +480,6 @@
     }
 }
 
-fn subtract(sums: &mut HashMap<u32, ReplicaLoad>, loads: &[ReplicaLoadReport]) {
-    for reported in loads {
-        if let Some(sum) = sums.get_mut(&reported.replica) {
-            let load = reported.load();
-            sum.requests = sum.requests.saturating_sub(load.requests);
-            sum.prefill_tokens = sum.prefill_tokens.saturating_sub(load.prefill_tokens);
-        }
-    }
-}
-
 /// Returns the name of a router's entry in the store.
 pub(crate) fn entry_name(address: SocketAddr) -> CompactString {
     compact_str::format_compact!("{}-{}", address.ip(), address.port())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 };
 pub use crate::core::rate_limit::{RateLimit, RateLimitError};
 pub use crate::core::replica_path::{PathChoice, ReplicaPath};
+pub use crate::core::reported_load::ReportedLoads;
 pub use crate::core::retry_budget::RetryBudget;
 pub use crate::core::retry_share::{RetryRule, RetryShare};
 pub use crate::core::routing::{
