Decode the parts of a configuration one by one, with names of any characters

Change: each part is decoded by itself and left out with an error line if it cannot be read. An id is the name where it is valid, else a digest of it, so that landed routers can read the ledger.

--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -5,11 +5,17 @@
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use thiserror::Error;
 
 /// Maximum length of a name, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// Start of the ids that stand for names which are not valid themselves.
+const DIGEST_PREFIX: &str = "name:";
+/// Bytes of a digest in such an id: enough that no two names share one.
+const DIGEST_BYTES: usize = 16;
+
 /// Reason for which a text was rejected as an identifier.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum IdError {
@@ -57,6 +63,13 @@
     }
 }
 
+/// Returns a valid name that stands for an invalid one.
+fn name_digest(name: &str) -> CompactString {
+    let digest = Sha256::digest(name.as_bytes());
+    let digest = hex::encode(&digest[..DIGEST_BYTES]);
+    compact_str::format_compact!("{DIGEST_PREFIX}{digest}")
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -79,6 +92,24 @@
                 Ok(Self(text))
             }
 
+            /// Returns the id that stands for a name of any form: the name itself where it is valid,
+            /// else a digest of it.
+            ///
+            /// # Examples
+            ///
+            /// ```
+            /// use currantlever::BudgetId;
+            ///
+            /// assert_eq!(BudgetId::from_any_name("red").as_str(), "red");
+            /// let spaced = BudgetId::from_any_name("Paju Bindery");
+            /// assert_eq!(spaced, BudgetId::from_any_name("Paju Bindery"));
+            /// assert_ne!(spaced, BudgetId::from_any_name("Paju  Bindery"));
+            /// ```
+            #[must_use]
+            pub fn from_any_name(name: &str) -> Self {
+                Self::new(name).unwrap_or_else(|_| Self(name_digest(name)))
+            }
+
             /// Returns the name as text.
             #[must_use]
             pub fn as_str(&self) -> &str {
--- a/src/exchange/catalog.rs
+++ b/src/exchange/catalog.rs
@@ -80,7 +80,9 @@
 /// A team and its budget.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Team {
-    /// Id of the budget, which is also the name of the team.
+    /// Name in the configuration.
+    pub name: CompactString,
+    /// Id of the budget, which stands for the name.
     pub budget: BudgetId,
     /// Priority rank that overrides the route's; 0 is the highest.
     pub priority: Option<u8>,
--- a/src/exchange/engine.rs
+++ b/src/exchange/engine.rs
@@ -217,7 +217,7 @@
             return Err(self.not_found_rejection(RejectKind::UnknownKey));
         }
         if let Some(team) = &team {
-            record.team = team.budget.as_str().into();
+            record.team.clone_from(&team.name);
         }
         Ok((route, team))
     }
--- a/src/exchange/run.rs
+++ b/src/exchange/run.rs
@@ -256,7 +256,7 @@
                 replica: &chosen.replica,
                 connections: chosen.connections,
                 time_left,
-                team: self.team.as_ref().map(|team| team.budget.as_str()),
+                team: self.team.as_ref().map(|team| team.name.as_str()),
                 rank: self.rank,
                 resume,
                 runs_once: !self.route.kind.may_retry(),
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::core::ids::{BudgetId, PoolId};
@@ -24,17 +25,30 @@
     reason: String,
 }
 
+/// A part of a configuration that cannot be used and is left out, so that it does not hold back the
+/// others.
+#[derive(Debug)]
+pub(crate) struct LeftOut {
+    /// What it is: a route, a service, a team or the limits.
+    pub part: &'static str,
+    /// Its place in its list.
+    pub index: usize,
+    /// Why it cannot be used.
+    pub reason: String,
+}
+
 #[derive(Debug, Deserialize)]
-struct WireConfig {
+struct WireConfig<'a> {
     version: u64,
-    #[serde(default)]
-    routes: Vec<WireRoute>,
-    #[serde(default)]
-    services: Vec<WireService>,
-    limits: WireLimits,
+    #[serde(borrow, default)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    services: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    limits: &'a RawValue,
     /// Keys are needed as soon as there is a list, even an empty one.
-    #[serde(default, deserialize_with = "deserialize_present")]
-    tenants: Option<Vec<WireTenant>>,
+    #[serde(borrow, default, deserialize_with = "deserialize_present")]
+    tenants: Option<Vec<&'a RawValue>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -114,49 +128,117 @@
     T::deserialize(deserializer).map(Some)
 }
 
-/// Decodes the operator's configuration from JSON.
-pub(crate) fn decode_catalog(json: &str) -> Result<Catalog, ConfigError> {
-    let wire: WireConfig = serde_json::from_str(json).map_err(config_error)?;
-    let limits = CallerLimits {
-        max_head_bytes: wire.limits.max_header_bytes,
-        max_body_bytes: wire.limits.max_body_bytes,
-        head_timeout: Duration::from_millis(wire.limits.header_timeout_ms),
-        idle_timeout: Duration::from_millis(wire.limits.idle_timeout_ms),
-    };
-    let mut catalog = Catalog::new(wire.version, limits);
-    for service in wire.services {
-        let pool = PoolId::new(service.name).map_err(config_error)?;
-        let engine = service.engine.map(|engine| EngineRules {
-            slots: engine.slots,
-            event_tokens: engine.stride.unwrap_or(1),
-        });
-        let connection_limit = service.max_conns.unwrap_or(u32::MAX);
-        catalog.add_pool(
-            pool,
-            PoolRules {
-                connection_limit,
-                engine,
-            },
-        );
+/// Limits in place of unusable ones.
+const DEFAULT_LIMITS: WireLimits = WireLimits {
+    max_header_bytes: 16 * 1_024,
+    max_body_bytes: 4 << 20,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+
+/// Decodes the operator's configuration from JSON. Parts that cannot be used are left out.
+///
+/// # Errors
+///
+/// Fails if the version or one of the lists cannot be read.
+pub(crate) fn decode_catalog(json: &str) -> Result<(Catalog, Vec<LeftOut>), ConfigError> {
+    let wire: WireConfig<'_> = serde_json::from_str(json).map_err(config_error)?;
+    let mut left_out = Vec::new();
+    let limits = decode_part(wire.limits, "limits", 0, &mut left_out).unwrap_or(DEFAULT_LIMITS);
+    let mut catalog = Catalog::new(wire.version, limits.decode());
+    let services = decode_parts::<WireService>(&wire.services, "service", &mut left_out);
+    for service in services {
+        let (pool, rules) = service.decode();
+        catalog.add_pool(pool, rules);
     }
-    for route in wire.routes {
-        catalog.add_route(decode_route(route)?);
+    for route in decode_parts::<WireRoute>(&wire.routes, "route", &mut left_out) {
+        catalog.add_route(decode_route(route));
     }
-    if wire.tenants.is_some() {
+    if let Some(tenants) = wire.tenants {
         catalog.require_keys();
+        for tenant in decode_parts::<WireTenant>(&tenants, "team", &mut left_out) {
+            let (team, keys) = tenant.decode();
+            catalog.add_team(team, keys);
+        }
+    }
+    Ok((catalog, left_out))
+}
+
+/// Decodes all parts of a list that can be used.
+fn decode_parts<'de, T>(
+    parts: &[&'de RawValue],
+    part: &'static str,
+    left_out: &mut Vec<LeftOut>,
+) -> Vec<T>
+where
+    T: Deserialize<'de>,
+{
+    let parts = parts.iter().enumerate();
+    parts
+        .filter_map(|(index, value)| decode_part(value, part, index, left_out))
+        .collect()
+}
+
+fn decode_part<'de, T>(
+    value: &'de RawValue,
+    part: &'static str,
+    index: usize,
+    left_out: &mut Vec<LeftOut>,
+) -> Option<T>
+where
+    T: Deserialize<'de>,
+{
+    match serde_json::from_str(value.get()) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            left_out.push(LeftOut {
+                part,
+                index,
+                reason: error.to_string(),
+            });
+            None
+        }
     }
-    for tenant in wire.tenants.unwrap_or_default() {
+}
+
+impl WireLimits {
+    const fn decode(&self) -> CallerLimits {
+        CallerLimits {
+            max_head_bytes: self.max_header_bytes,
+            max_body_bytes: self.max_body_bytes,
+            head_timeout: Duration::from_millis(self.header_timeout_ms),
+            idle_timeout: Duration::from_millis(self.idle_timeout_ms),
+        }
+    }
+}
+
+impl WireService {
+    fn decode(self) -> (PoolId, PoolRules) {
+        let engine = self.engine.map(|engine| EngineRules {
+            slots: engine.slots,
+            event_tokens: engine.stride.unwrap_or(1),
+        });
+        let rules = PoolRules {
+            connection_limit: self.max_conns.unwrap_or(u32::MAX),
+            engine,
+        };
+        (PoolId::from_any_name(&self.name), rules)
+    }
+}
+
+impl WireTenant {
+    fn decode(self) -> (Team, Vec<CompactString>) {
         let team = Team {
-            budget: BudgetId::new(tenant.name).map_err(config_error)?,
-            priority: tenant.priority,
-            paid_tokens: tenant.prepaid.map(Tokens::new),
+            budget: BudgetId::from_any_name(&self.name),
+            name: self.name,
+            priority: self.priority,
+            paid_tokens: self.prepaid.map(Tokens::new),
         };
-        catalog.add_team(team, tenant.api_keys);
+        (team, self.api_keys)
     }
-    Ok(catalog)
 }
 
-fn decode_route(wire: WireRoute) -> Result<Route, ConfigError> {
+fn decode_route(wire: WireRoute) -> Route {
     let kind = match (wire.kind.as_str(), wire.resumable) {
         ("idempotent", _) => RouteKind::Idempotent,
         ("streaming", true) => RouteKind::ResumableStream,
@@ -167,17 +249,17 @@
     let mut pools = Vec::new();
     for split in wire.split {
         pools.push(WeightedPool {
-            pool: PoolId::new(split.service).map_err(config_error)?,
+            pool: PoolId::from_any_name(&split.service),
             weight: split.weight,
         });
     }
     if let Some(service) = wire.service {
         pools.push(WeightedPool {
-            pool: PoolId::new(service).map_err(config_error)?,
+            pool: PoolId::from_any_name(&service),
             weight: UNSPLIT_WEIGHT,
         });
     }
-    Ok(Route {
+    Route {
         name: wire.name,
         host: wire.host,
         path_prefix: wire.path_prefix,
@@ -189,7 +271,7 @@
         pools,
         max_tries: wire.max_attempts.unwrap_or(DEFAULT_MAX_TRIES),
         is_public: wire.public,
-    })
+    }
 }
 
 fn millis(value_ms: f64) -> Duration {
--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -56,7 +56,7 @@
     };
     Ok(ReplicaEntry {
         id: ReplicaId::new(object.name.clone())?,
-        pool: PoolId::new(wire.service)?,
+        pool: PoolId::from_any_name(&wire.service),
         address: wire.address,
         failure_domain: FailureDomain::new(wire.zone)?,
         slots: wire.slots,
--- a/src/platform/sinks.rs
+++ b/src/platform/sinks.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use slog::{info, warn, Logger};
+use slog::{error, info, warn, Logger};
 use tokio::time::Instant;
 
-use super::config::decode_catalog;
+use super::config::{decode_catalog, LeftOut};
 use super::names::CONFIG_NAME;
 use super::replica_entry::decode_replica;
 use crate::core::ids::ReplicaId;
@@ -14,6 +14,9 @@
 use crate::store::feed::KindSink;
 use crate::store::kinds::{Change, KindObject};
 
+/// Most parts of a configuration that are logged one by one when they are left out.
+const MAX_LOGGED_PARTS: usize = 20;
+
 /// Puts the operator's configuration in force.
 pub(crate) struct ConfigSink {
     exchange: Arc<Exchange>,
@@ -31,9 +34,10 @@
             return;
         }
         match decode_catalog(object.value.get()) {
-            Ok(catalog) => {
+            Ok((catalog, left_out)) => {
                 let version = catalog.version();
                 if self.exchange.apply_catalog(catalog) {
+                    self.log_left_out(version, &left_out);
                     info!(self.log, "configuration in force"; "config_version" => version,
                         "revision" => object.revision);
                 }
@@ -46,6 +50,20 @@
     }
 }
 
+impl ConfigSink {
+    fn log_left_out(&self, version: u64, left_out: &[LeftOut]) {
+        for left_out in left_out.iter().take(MAX_LOGGED_PARTS) {
+            error!(self.log, "part of the configuration left out"; "config_version" => version,
+                "part" => left_out.part, "index" => left_out.index,
+                "reason" => left_out.reason.as_str());
+        }
+        if left_out.len() > MAX_LOGGED_PARTS {
+            error!(self.log, "more parts of the configuration left out";
+                "config_version" => version, "count" => left_out.len() - MAX_LOGGED_PARTS);
+        }
+    }
+}
+
 impl KindSink for ConfigSink {
     fn apply(&self, change: Change) {
         if !change.is_removed {
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -188,7 +188,11 @@
         &dispatch.rank.min(9).to_compact_string(),
     );
     if let Some(team) = dispatch.team {
-        set_header(headers, names::TENANT, team);
+        // A name with control characters cannot be stated, and without it the replica would take
+        // the request for one of no team.
+        let team = HeaderValue::from_bytes(team.as_bytes())
+            .map_err(|error| not_sent(UnsentCause::BadRequest, error))?;
+        headers.insert(HeaderName::from_static(names::TENANT), team);
     }
     if let Some(resume) = dispatch.resume {
         let last_event_id = resume.last_event_id.to_compact_string();
