Register again when the own entry is gone from the store

Cause: a lost entry was noticed only when the store had returned from an older copy (a new era).

Change: it is noticed in any era by a listing later than the registration, at most every 5 s, as routers that are cut off may remove the entry again. A router that is leaving neither registers nor notices.

Test: a_router_whose_entry_is_removed_registers_again_until_it_leaves: on "timed out waiting until the router is registered again", passes now.

--- a/src/exchange/hellos.rs
+++ b/src/exchange/hellos.rs
@@ -33,6 +33,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the entries are checked.
 const ENTRIES_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two registrations in one era of the store, at least: routers that are cut off
+/// from this one may remove its entry again and again.
+const MIN_REGISTRATION_INTERVAL: Duration = Duration::from_secs(5);
 /// Time without a hello after which a router's entry is removed from the store.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(120);
 /// Size of the receive buffer and of the largest datagram.
@@ -289,7 +292,7 @@
                 "revision" => revision);
             registration = None;
         }
-        if registration.is_none() {
+        if registration.is_none() && !members.is_leaving() {
             registration = register(&*store, &members, &log).await;
         }
         if !members.is_fleet_found() {
@@ -324,18 +327,25 @@
     was_listed: bool,
     /// Revision of the entry.
     revision: Revision,
+    at: Instant,
 }
 
-/// Returns true if the store returned from a copy without this router's entry.
+/// Returns true if the store does not have this router's entry any more: it returned from a copy
+/// without it, or the entry was removed by a late call of the process before on this VM, or by
+/// routers that were cut off from this one.
 fn is_entry_lost(
     feed: &KindFeed,
     members: &Members,
     registration: Registration,
     revision: Option<Revision>,
 ) -> bool {
+    let is_later = revision.is_some_and(|revision| {
+        revision.era() > registration.revision.era()
+            || revision > registration.revision
+                && registration.at.elapsed() >= MIN_REGISTRATION_INTERVAL
+    });
     let name = entry_name(members.own().peer_address);
-    revision.is_some_and(|revision| revision.era() > registration.revision.era())
-        && feed.objects().iter().all(|object| object.name != name)
+    !members.is_leaving() && is_later && feed.objects().iter().all(|object| object.name != name)
 }
 
 async fn register(store: &dyn KindStore, members: &Members, log: &Logger) -> Option<Registration> {
@@ -345,10 +355,12 @@
         Ok(revision) => Registration {
             was_listed: false,
             revision,
+            at: Instant::now(),
         },
         Err(KindError::Conflict(object)) => Registration {
             was_listed: true,
             revision: object.map(|object| object.revision).unwrap_or_default(),
+            at: Instant::now(),
         },
         Err(error) => {
             info!(log, "router registration failed"; "reason" => error.to_string());
@@ -383,6 +395,7 @@
 
 /// Removes this router's entry from the store.
 pub(crate) async fn deregister(store: &dyn KindStore, members: &Members) {
+    members.start_leaving();
     let name = entry_name(members.own().peer_address);
     if let Ok(object) = store.get(ROUTER_KIND, &name).await {
         // If this fails, another router removes the entry after `ENTRY_LIFETIME`.
--- a/src/exchange/members.rs
+++ b/src/exchange/members.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -228,6 +229,7 @@
     pub(super) own_candidate: DutyCandidate,
     pub(super) started: Instant,
     pub(super) others: Mutex<Others>,
+    is_leaving: AtomicBool,
 }
 
 impl Members {
@@ -238,6 +240,7 @@
             own,
             started: Instant::now(),
             others: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         }
     }
 
@@ -246,6 +249,16 @@
         &self.own
     }
 
+    /// Ends this router's registration: its entry is about to be removed.
+    pub(super) fn start_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns true once this router is to have no entry any more.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Applies the entries in the store. `had_entry` means that this router's entry is older than
     /// its process, and so are those of the others.
     pub(crate) fn apply_entries(&self, entries: Vec<RouterEntry>, had_entry: bool) {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -19,6 +19,7 @@
 mod odd_config;
 mod odd_entries;
 mod odd_status;
+mod own_entry;
 mod partition;
 mod plain_output;
 mod plain_tunnels;
