Leave a new connection time for its first request before it is closed for another one

What callers met: in a burst of 900 silent connections all six ordinary callers that connected at the same moment were closed before their requests were read, in one of three runs of the new test, requests_in_progress_are_not_cut_by_a_crowd_of_connections.

Cause: among connections on which nothing was answered the one that waits the longest is closed, and in a burst that is one whose request is still on its way. Ruled out: requests in progress were cut (the log has no line of them; their connections are never closed for others).

Change: a connection may wait 250 ms for its first request; if there are only such ones, the new one is closed. Kept connections on which something was answered have no such time, or sequential callers could not connect beside idle ones (tests/entry/crowded.rs, failed in a first form).

--- a/src/platform/client_connections.rs
+++ b/src/platform/client_connections.rs
@@ -40,6 +40,9 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Delay after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a connection may wait for its first request before it is closed in favour of
+/// another one: enough for a request that is on its way.
+const MIN_CLIENT_WAIT: Duration = Duration::from_millis(250);
 /// Interval at which a lack of connections is logged, at most.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -68,7 +71,7 @@
 enum Shortage {
     /// It waited for its client, and another one was opened.
     Displaced,
-    /// All others are in use by requests.
+    /// No other one has waited for its client for long.
     Refused,
 }
 
@@ -395,7 +398,9 @@
     fn displace_longest_waiting(&mut self) -> bool {
         let waiting = self.by_id.iter().filter_map(|(id, activity)| {
             let (_, since) = activity.client_wait()?;
-            Some((activity.has_answered(), since, *id))
+            let has_answered = activity.has_answered();
+            let may_close = has_answered || since.elapsed() >= MIN_CLIENT_WAIT;
+            may_close.then_some((has_answered, since, *id))
         });
         let Some((_, _, id)) = waiting.min() else {
             return false;
--- a/tests/hostile/heads.rs
+++ b/tests/hostile/heads.rs
@@ -1,10 +1,15 @@
 //! Crowds that open connections and send heads without an end, or nothing.
 
 use bytes::Bytes;
+use tokio::task::JoinSet;
 
 use super::crowds::{pieces, with_head, Target, MAX_BODY_BYTES};
+use super::replica::{slow_event, SLOW_EVENTS};
+use super::site::{wait_until, Call};
 
 const CROWD: usize = 900;
+/// Requests of ordinary callers beside a crowd.
+const STREAMS: usize = 6;
 
 /// Returns 15 KB of a head without an end.
 fn endless_head(_: usize) -> Vec<Bytes> {
@@ -29,7 +34,33 @@
     target.bear(CROWD, address, |_| Vec::new()).await;
 }
 
-/// Guards against the same for bodies that never begin.
+/// Guards against cutting requests in progress to make room for connections of others.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_progress_are_not_cut_by_a_crowd_of_connections() {
+    let mut target = Target::start().await;
+    let address = target.router.callers_address;
+    let mut streams = JoinSet::new();
+    for number in 0..STREAMS {
+        streams.spawn(async move {
+            let call = Call::new("chat", &format!("stream-{number}"));
+            call.send(address).await.unwrap()
+        });
+    }
+    wait_until("the requests are in progress", || async {
+        let count = format!("currantlever_requests_read {STREAMS}");
+        target.router.metrics().await.contains(&count)
+    })
+    .await;
+    target.bear(CROWD, address, |_| Vec::new()).await;
+    let whole: String = (1..=SLOW_EVENTS).map(slow_event).collect();
+    for answer in streams.join_all().await {
+        assert_eq!(answer.status, 200);
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, whole);
+    }
+}
+
+/// Guards against bodies that never begin and leave no descriptors for all else.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_that_never_begin_do_not_use_up_the_descriptors() {
     let mut target = Target::start().await;
--- a/tests/hostile/replica.rs
+++ b/tests/hostile/replica.rs
@@ -1,11 +1,12 @@
-//! A replica that answers each request with the length of its body, or with a long stream.
+//! A replica that answers each request with the length of its body, or with a long or slow stream.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
@@ -17,6 +18,9 @@
 /// Events of a stream, and bytes of each.
 const EVENTS: u64 = 14_000;
 const EVENT_BYTES: usize = 1_000;
+/// Events of a slow stream, and the pause before each.
+pub const SLOW_EVENTS: u64 = 25;
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
 
 /// A replica that listens on a loopback address.
 pub struct FakeReplica {
@@ -50,14 +54,19 @@
 
 async fn answer(
     request: Request<Incoming>,
-) -> Result<Response<BoxBody<Bytes, Infallible>>, hyper::Error> {
+) -> Result<Response<UnsyncBoxBody<Bytes, Infallible>>, hyper::Error> {
     let (parts, body) = request.into_parts();
     let length = body.collect().await?.to_bytes().len();
-    let is_stream = parts.uri.path().starts_with("/draft/");
-    let body = if is_stream {
+    let path = parts.uri.path();
+    let is_stream = ["/draft/", "/chat/"]
+        .iter()
+        .any(|route| path.starts_with(route));
+    let body = if path.starts_with("/draft/") {
         long_stream()
+    } else if is_stream {
+        slow_stream()
     } else {
-        Full::new(Bytes::from(length.to_string())).boxed()
+        Full::new(Bytes::from(length.to_string())).boxed_unsync()
     };
     let mut response = Response::new(body);
     let headers = response.headers_mut();
@@ -73,10 +82,24 @@
     Ok(response)
 }
 
-fn long_stream() -> BoxBody<Bytes, Infallible> {
+fn long_stream() -> UnsyncBoxBody<Bytes, Infallible> {
     let events = (1..=EVENTS).map(|id| {
         let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
         Ok(Frame::data(Bytes::from(event)))
     });
-    BodyExt::boxed(StreamBody::new(futures::stream::iter(events)))
+    StreamBody::new(futures::stream::iter(events)).boxed_unsync()
+}
+
+fn slow_stream() -> UnsyncBoxBody<Bytes, Infallible> {
+    let events = async_stream::stream! {
+        for id in 1..=SLOW_EVENTS {
+            tokio::time::sleep(SLOW_PAUSE).await;
+            yield Ok(Frame::data(Bytes::from(slow_event(id))));
+        }
+    };
+    StreamBody::new(events).boxed_unsync()
+}
+
+pub fn slow_event(id: u64) -> String {
+    format!("id: {id}\ndata: slow\n\n")
 }
