Add a test of routers with many budgets, listed as red

The cause as the issue has it: a hello names all budgets that a router holds, and datagrams over 16 KiB are not received whole.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod load;
 mod lost;
+mod many_budgets;
 mod odd_config;
 mod odd_entries;
 mod odd_status;
