Close the newest of the new connections, instead of refusing the next one

What callers met: an ordinary caller's connection was reset where 282 silent ones had been opened in the 250 ms before.

The callers that connected first keep their connections, and the one that comes last is served; refused is only what comes while all connections have a request in progress.

--- a/src/platform/client_connections.rs
+++ b/src/platform/client_connections.rs
@@ -71,7 +71,7 @@
 enum Shortage {
     /// It waited for its client, and another one was opened.
     Displaced,
-    /// No other one has waited for its client for long.
+    /// All others have a request in progress.
     Refused,
 }
 
@@ -188,7 +188,7 @@
         let mut open = lock(&self.open);
         let mut displaced_count = 0;
         while open.by_id.len() >= max_open {
-            if !open.displace_longest_waiting() {
+            if !open.displace_waiting() {
                 self.record_shortage(&mut open, Shortage::Refused, max_open);
                 return None;
             }
@@ -212,7 +212,7 @@
     fn displace_one(&self) {
         let mut open = lock(&self.open);
         let max_open = open.by_id.len();
-        if open.displace_longest_waiting() {
+        if open.displace_waiting() {
             self.record_shortage(&mut open, Shortage::Displaced, max_open);
         }
     }
@@ -394,15 +394,25 @@
 
 impl OpenConnections {
     /// Closes the connection that has waited for its client the longest; first of those on which no
-    /// request was answered yet. Returns false if there is none.
-    fn displace_longest_waiting(&mut self) -> bool {
-        let waiting = self.by_id.iter().filter_map(|(id, activity)| {
-            let (_, since) = activity.client_wait()?;
+    /// request was answered yet. If the first requests of all of them may still be on their way, the
+    /// newest one is closed. Returns false if none waits for its client.
+    fn displace_waiting(&mut self) -> bool {
+        let mut longest = None;
+        let mut newest = None;
+        for (id, activity) in &self.by_id {
+            let Some((_, since)) = activity.client_wait() else {
+                continue;
+            };
             let has_answered = activity.has_answered();
-            let may_close = has_answered || since.elapsed() >= MIN_CLIENT_WAIT;
-            may_close.then_some((has_answered, since, *id))
-        });
-        let Some((_, _, id)) = waiting.min() else {
+            if has_answered || since.elapsed() >= MIN_CLIENT_WAIT {
+                let rank = (has_answered, since, *id);
+                longest =
+                    Some(longest.map_or(rank, |longest: (bool, Instant, u64)| longest.min(rank)));
+            } else {
+                newest = Some(*id);
+            }
+        }
+        let Some(id) = longest.map(|(_, _, id)| id).or(newest) else {
             return false;
         };
         if let Some(activity) = self.by_id.remove(&id) {
